--- /dev/null
+++ b/stream/sequencer.go
@@ -0,0 +1,31 @@
+package stream
+
+// Sequencer puts received parts in order: it drops parts seen before and
+// reports a gap instead of delivering past it.
+type Sequencer struct {
+	next uint64
+}
+
+// NewSequencer returns a sequencer that expects part 1.
+func NewSequencer() *Sequencer { return &Sequencer{next: 1} }
+
+// Next returns the sequence number expected next.
+func (s *Sequencer) Next() uint64 { return s.next }
+
+// Accept takes parts numbered from seq on and returns those not seen before.
+// ok is false when parts before seq are missing; nothing is accepted then.
+func (s *Sequencer) Accept(seq uint64, parts []Part) (fresh []Part, ok bool) {
+	if seq > s.next {
+		return nil, false
+	}
+	skip := s.next - seq
+	if skip >= uint64(len(parts)) {
+		return nil, true
+	}
+	fresh = parts[skip:]
+	s.next += uint64(len(fresh))
+	return fresh, true
+}
+
+// Complete reports whether every part up to last has been accepted.
+func (s *Sequencer) Complete(last uint64) bool { return s.next == last+1 }
