--- /dev/null
+++ b/agent/attempt.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/stream"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// attempt is one attempt of a request at this agent. It outlives the streams
+// that attach to it.
+type attempt struct {
+	key        call.Key
+	endpointID string
+	idempotent bool
+	replay     *stream.Replay
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu         sync.Mutex
+	refused    *pb.Refused
+	end        *pb.End
+	dispatched bool
+	done       bool
+	cached     int64
+	readers    int
+	session    int
+	supersede  chan struct{}
+	detach     *time.Timer
+}
+
+func newAttempt(key call.Key, open *pb.Open, buffer int) *attempt {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &attempt{
+		key:        key,
+		endpointID: open.EndpointId,
+		idempotent: open.Idempotent,
+		replay:     stream.NewReplay(buffer, !open.Idempotent),
+		ctx:        ctx,
+		cancel:     cancel,
+	}
+}
+
+// Head implements Sink.
+func (a *attempt) Head(ctx context.Context, h stream.Head) error {
+	return a.append(ctx, stream.Part{Head: &h})
+}
+
+// Data implements Sink.
+func (a *attempt) Data(ctx context.Context, b []byte) error {
+	return a.append(ctx, stream.Part{Data: b})
+}
+
+func (a *attempt) append(ctx context.Context, p stream.Part) error {
+	if err := a.replay.Append(ctx, p); err != nil {
+		code := CodeCancelled
+		if errors.Is(err, stream.ErrClosed) {
+			code = CodeProtocol
+		}
+		return &DriverError{Code: code, Run: call.Ran, Err: err}
+	}
+	return nil
+}
+
+// finish records the end and closes the replay buffer.
+func (a *attempt) finish(end *pb.End) {
+	a.mu.Lock()
+	if a.done {
+		a.mu.Unlock()
+		return
+	}
+	a.done = true
+	a.end = end
+	a.mu.Unlock()
+	a.replay.Close()
+	a.cancel()
+}
+
+// refuse records a refusal that every later Open of the attempt receives.
+func (a *attempt) refuse(r *pb.Refused) {
+	a.mu.Lock()
+	if a.done {
+		a.mu.Unlock()
+		return
+	}
+	a.done = true
+	a.refused = r
+	a.mu.Unlock()
+	a.replay.Close()
+	a.cancel()
+}
+
+func (a *attempt) markDispatched() {
+	a.mu.Lock()
+	a.dispatched = true
+	a.mu.Unlock()
+}
+
+// status returns the refusal or the end, and whether the endpoint has the request.
+func (a *attempt) status() (refused *pb.Refused, end *pb.End, dispatched bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.refused, a.end, a.dispatched
+}
+
+// attach registers a reader. The returned channel closes when a newer reader
+// takes over.
+func (a *attempt) attach() (session int, superseded <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.supersede != nil {
+		close(a.supersede)
+	}
+	if a.detach != nil {
+		a.detach.Stop()
+		a.detach = nil
+	}
+	a.supersede = make(chan struct{})
+	a.session++
+	a.readers++
+	return a.session, a.supersede
+}
+
+// detached is called when a reader's stream ended. If no reader is left, an
+// idempotent attempt is cancelled after the grace period.
+func (a *attempt) detached(session int, grace time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readers--
+	if session != a.session || a.done || !a.idempotent {
+		return
+	}
+	a.detach = time.AfterFunc(grace, func() {
+		a.mu.Lock()
+		stale := session != a.session
+		a.mu.Unlock()
+		if !stale {
+			a.cancel()
+		}
+	})
+}
--- /dev/null
+++ b/agent/server.go
@@ -0,0 +1,485 @@
+// Package agent is the process beside the endpoints of one host. It is the
+// only path to them: it queues requests, keeps the table of attempts that
+// makes non-idempotent requests run at most once, holds responses for entries
+// that reconnect, and drains before it leaves.
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/stream"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// Options are the agent's own settings.
+type Options struct {
+	// TicketLifetime is how old an Open's ticket may be.
+	TicketLifetime time.Duration
+	// ResultRetention is how long ended attempts stay in the table. It must
+	// exceed TicketLifetime.
+	ResultRetention time.Duration
+	// DetachGrace is how long an idempotent attempt runs without a reader.
+	DetachGrace time.Duration
+	// StreamBuffer is the size of a replay buffer in bytes.
+	StreamBuffer int
+	// ProgressInterval is the time between Progress messages.
+	ProgressInterval time.Duration
+	// Concurrency is the number of requests an endpoint runs at once.
+	Concurrency int
+	Log         *zap.Logger
+}
+
+// DefaultOptions returns the settings used when nothing else is given.
+func DefaultOptions() Options {
+	return Options{
+		TicketLifetime:   60 * time.Second,
+		ResultRetention:  10 * time.Minute,
+		DetachGrace:      5 * time.Second,
+		StreamBuffer:     64 << 10,
+		ProgressInterval: time.Second,
+		Concurrency:      16,
+	}
+}
+
+// Server is an agent.
+type Server struct {
+	pb.UnimplementedAgentServer
+
+	opts        Options
+	log         *zap.Logger
+	incarnation string
+	start       time.Time
+	table       *call.Table[*attempt]
+	endpoints   map[string]*local
+	work        sync.WaitGroup
+
+	mu       sync.Mutex
+	leaving  bool
+	watchers map[chan struct{}]struct{}
+}
+
+// local is an endpoint with its driver and its slots.
+type local struct {
+	Endpoint
+	driver Driver
+	slots  chan struct{}
+}
+
+// New returns an agent for the given endpoints.
+func New(opts Options, endpoints []Endpoint, driver func(Endpoint) (Driver, error)) (*Server, error) {
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
+	s := &Server{
+		opts:        opts,
+		log:         opts.Log,
+		incarnation: uuid.NewString(),
+		start:       time.Now(),
+		table:       call.NewTable[*attempt](opts.ResultRetention),
+		endpoints:   map[string]*local{},
+		watchers:    map[chan struct{}]struct{}{},
+	}
+	for _, ep := range endpoints {
+		d, err := driver(ep)
+		if err != nil {
+			return nil, err
+		}
+		s.endpoints[ep.ID] = &local{Endpoint: ep, driver: d, slots: make(chan struct{}, opts.Concurrency)}
+	}
+	return s, nil
+}
+
+// Incarnation returns the id of this run of the agent.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+// ticket is the agent's monotonic clock in milliseconds. It never restarts
+// within an incarnation and is at least 1.
+func (s *Server) ticket() int64 { return time.Since(s.start).Milliseconds() + 1 }
+
+// Run implements the Run RPC.
+func (s *Server) Run(srv pb.Agent_RunServer) error {
+	up, err := srv.Recv()
+	if err != nil {
+		return err
+	}
+	switch k := up.Kind.(type) {
+	case *pb.Up_Open:
+		return s.open(srv, k.Open)
+	case *pb.Up_Attach:
+		return s.attach(srv, k.Attach)
+	default:
+		return status.Error(codes.InvalidArgument, "first message must be Open or Attach")
+	}
+}
+
+func (s *Server) open(srv pb.Agent_RunServer, o *pb.Open) error {
+	key := call.Key{Request: o.RequestId, Attempt: o.AttemptId}
+	a, state := s.table.Lookup(key)
+	if state == call.Absent {
+		if r := s.check(o); r != nil {
+			return s.send(srv, key, &pb.Down{Kind: &pb.Down_Refused{Refused: r}})
+		}
+		a, state = s.begin(key, o)
+	}
+	if a == nil {
+		code, msg := pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked"
+		if state == call.Absent {
+			code, msg = pb.RefusalCode_REFUSAL_LEAVING, "the agent is leaving"
+		}
+		return s.send(srv, key, &pb.Down{Kind: &pb.Down_Refused{Refused: s.refusal(code, msg, pb.Run_RUN_NOT_RUN)}})
+	}
+	return s.serve(srv, a, 1)
+}
+
+// begin inserts the attempt and starts it, unless another Open of it was
+// faster. It returns Absent when the agent is leaving. The check shares the
+// lock with Leave, so that Drain never misses an attempt.
+func (s *Server) begin(key call.Key, o *pb.Open) (*attempt, call.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return nil, call.Absent
+	}
+	a, state, created := s.table.Begin(key, func() *attempt { return newAttempt(key, o, s.opts.StreamBuffer) })
+	if created {
+		s.work.Add(1)
+		go s.run(a, s.endpoints[o.EndpointId], o)
+	}
+	return a, state
+}
+
+// check returns the refusal for an Open of an unknown attempt that must not
+// run, or nil. The table must be consulted first: a repeated Open of an
+// accepted attempt may carry an old ticket.
+func (s *Server) check(o *pb.Open) *pb.Refused {
+	switch {
+	case o.RequestId == "" || o.AttemptId == "" || o.Http == nil:
+		return s.refusal(pb.RefusalCode_REFUSAL_INVALID, "request id, attempt id and http request are required", pb.Run_RUN_NOT_RUN)
+	case o.Incarnation != s.incarnation:
+		return s.refusal(pb.RefusalCode_REFUSAL_INCARNATION, "the agent has restarted", pb.Run_RUN_NOT_RUN)
+	case s.ticket()-o.TicketMs > s.opts.TicketLifetime.Milliseconds():
+		return s.refusal(pb.RefusalCode_REFUSAL_STALE_TICKET, "the ticket is too old", pb.Run_RUN_NOT_RUN)
+	case s.endpoints[o.EndpointId] == nil:
+		return s.refusal(pb.RefusalCode_REFUSAL_UNKNOWN_ENDPOINT, "no endpoint "+o.EndpointId+" at this agent", pb.Run_RUN_NOT_RUN)
+	}
+	return nil
+}
+
+func (s *Server) refusal(code pb.RefusalCode, msg string, run pb.Run) *pb.Refused {
+	return &pb.Refused{Code: code, Message: msg, Run: run, Incarnation: s.incarnation, TicketMs: s.ticket()}
+}
+
+func (s *Server) attach(srv pb.Agent_RunServer, at *pb.Attach) error {
+	key := call.Key{Request: at.RequestId, Attempt: at.AttemptId}
+	refuse := func(code pb.RefusalCode, msg string, run pb.Run) error {
+		return s.send(srv, key, &pb.Down{Kind: &pb.Down_Refused{Refused: s.refusal(code, msg, run)}})
+	}
+	if at.Incarnation != s.incarnation {
+		return refuse(pb.RefusalCode_REFUSAL_INCARNATION, "the agent has restarted", pb.Run_RUN_UNKNOWN)
+	}
+	a, state := s.table.Lookup(key)
+	switch {
+	case state == call.Absent:
+		return refuse(pb.RefusalCode_REFUSAL_UNKNOWN_ATTEMPT, "the attempt is not known", pb.Run_RUN_UNKNOWN)
+	case a == nil:
+		return refuse(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked", pb.Run_RUN_NOT_RUN)
+	}
+	return s.serve(srv, a, at.NextSeq)
+}
+
+// run queues the attempt, dispatches it and records its end.
+func (s *Server) run(a *attempt, ep *local, o *pb.Open) {
+	defer s.work.Done()
+	queued := time.Now()
+	select {
+	case ep.slots <- struct{}{}:
+		defer func() { <-ep.slots }()
+	case <-a.ctx.Done():
+	}
+	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
+		s.table.Revoke(a.key)
+		a.refuse(s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
+		return
+	}
+	a.markDispatched()
+	wait := time.Since(queued)
+	s.log.Info("dispatch", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
+		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
+	err := ep.driver.Do(a.ctx, ep.Endpoint, request(o), a)
+	end := s.endOf(a, err)
+	end.QueueMs = wait.Milliseconds()
+	s.table.Finish(a.key)
+	a.finish(end)
+	s.log.Info("finish", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
+		zap.String("endpoint", ep.ID), zap.String("run", end.Run.String()), zap.String("error", end.ErrorCode),
+		zap.Uint64("parts", end.LastSeq))
+}
+
+// request converts an Open into a driver request.
+func request(o *pb.Open) *Request {
+	r := &Request{
+		ID: o.RequestId, Method: o.Http.Method, Path: o.Http.Path, Body: o.Http.Body,
+		Stream: o.Stream, Idempotent: o.Idempotent, CacheSalt: o.CacheSalt,
+	}
+	for _, h := range o.Http.Headers {
+		r.Headers = append(r.Headers, stream.Header{Name: h.Name, Value: h.Value})
+	}
+	return r
+}
+
+// endOf converts the driver's result into an End.
+func (s *Server) endOf(a *attempt, err error) *pb.End {
+	v, _ := a.replay.Since(^uint64(0)>>1, 0)
+	end := &pb.End{LastSeq: v.Last, Run: pb.Run_RUN_RAN, TicketMs: s.ticket()}
+	if err == nil {
+		return end
+	}
+	end.ErrorMessage = err.Error()
+	end.ErrorCode = CodeBroken
+	end.Run = pb.Run_RUN_UNKNOWN
+	var de *DriverError
+	if errors.As(err, &de) {
+		end.ErrorCode = de.Code
+		end.Run = runToWire(de.Run)
+	}
+	return end
+}
+
+func runToWire(r call.Run) pb.Run {
+	switch r {
+	case call.NotRun:
+		return pb.Run_RUN_NOT_RUN
+	case call.Ran:
+		return pb.Run_RUN_RAN
+	default:
+		return pb.Run_RUN_UNKNOWN
+	}
+}
+
+// Revoke implements the Revoke RPC.
+func (s *Server) Revoke(_ context.Context, r *pb.RevokeRequest) (*pb.RevokeReply, error) {
+	reply := &pb.RevokeReply{Incarnation: s.incarnation, TicketMs: s.ticket()}
+	if r.Incarnation != s.incarnation {
+		reply.State = pb.AttemptState_ATTEMPT_OTHER_INCARNATION
+		return reply, nil
+	}
+	key := call.Key{Request: r.RequestId, Attempt: r.AttemptId}
+	a, state := s.table.Revoke(key)
+	switch state {
+	case call.Revoked:
+		reply.State = pb.AttemptState_ATTEMPT_REVOKED
+		if a != nil {
+			a.cancel()
+		}
+	case call.Dispatched:
+		reply.State = pb.AttemptState_ATTEMPT_RUNNING
+		if r.Cancel && a.idempotent {
+			a.cancel()
+		}
+	case call.Finished:
+		reply.State = pb.AttemptState_ATTEMPT_FINISHED
+	}
+	s.log.Info("revoke", zap.String("request", key.Request), zap.String("attempt", key.Attempt), zap.String("state", state.String()))
+	return reply, nil
+}
+
+// send stamps ids on a message and sends it.
+func (s *Server) send(srv pb.Agent_RunServer, key call.Key, d *pb.Down) error {
+	d.RequestId, d.AttemptId = key.Request, key.Attempt
+	return srv.Send(d)
+}
+
+// Watch implements the Watch RPC.
+func (s *Server) Watch(_ *pb.WatchRequest, srv pb.Agent_WatchServer) error {
+	changed := make(chan struct{}, 1)
+	s.mu.Lock()
+	s.watchers[changed] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.watchers, changed)
+		s.mu.Unlock()
+	}()
+	for {
+		if err := srv.Send(s.state()); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-srv.Context().Done():
+			return srv.Context().Err()
+		}
+	}
+}
+
+func (s *Server) state() *pb.AgentState {
+	st := &pb.AgentState{Incarnation: s.incarnation, TicketMs: s.ticket(), Leaving: s.isLeaving()}
+	for _, ep := range s.endpoints {
+		st.Endpoints = append(st.Endpoints, s.load(ep))
+	}
+	return st
+}
+
+func (s *Server) load(ep *local) *pb.EndpointLoad {
+	return &pb.EndpointLoad{EndpointId: ep.ID, Running: int64(len(ep.slots)), Limit: int64(cap(ep.slots))}
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// Leave refuses new attempts from now on and tells every watcher.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	for w := range s.watchers {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+	s.mu.Unlock()
+	s.log.Info("leaving", zap.String("incarnation", s.incarnation))
+}
+
+// Drain waits until every attempt has ended or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() { s.work.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Sweep evicts expired attempts every interval until ctx ends.
+func (s *Server) Sweep(ctx context.Context, interval time.Duration) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.table.Sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serve sends the attempt's parts from next on and handles acknowledgements
+// and cancellation until the end is sent or the stream breaks.
+func (s *Server) serve(srv pb.Agent_RunServer, a *attempt, next uint64) error {
+	session, superseded := a.attach()
+	defer a.detached(session, s.opts.DetachGrace)
+	closed := make(chan struct{})
+	go s.receive(srv, a, closed)
+
+	progress := time.NewTicker(s.opts.ProgressInterval)
+	defer progress.Stop()
+	accepted := false
+	for {
+		view, err := a.replay.Since(next, maxChunkBytes)
+		refused, end, dispatched := a.status()
+		if refused != nil {
+			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Refused{Refused: refused}})
+		}
+		if !accepted {
+			if err := s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Accepted{Accepted: s.accept(a)}}); err != nil {
+				return err
+			}
+			accepted = true
+		}
+		if err != nil {
+			r := s.refusal(pb.RefusalCode_REFUSAL_RESULT_EXPIRED, "the response is no longer kept", pb.Run_RUN_RAN)
+			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Refused{Refused: r}})
+		}
+		if len(view.Parts) > 0 {
+			if err := s.send(srv, a.key, chunk(next, view.Parts)); err != nil {
+				return err
+			}
+			next += uint64(len(view.Parts))
+			continue
+		}
+		if end != nil && next > end.LastSeq {
+			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_End{End: end}})
+		}
+		select {
+		case <-view.Changed:
+		case <-progress.C:
+			p := &pb.Progress{AckedSeq: a.replay.Acked(), TicketMs: s.ticket(), Dispatched: dispatched}
+			if err := s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Progress{Progress: p}}); err != nil {
+				return err
+			}
+		case <-superseded:
+			return status.Error(codes.Aborted, "another stream attached to the attempt")
+		case <-closed:
+			return srv.Context().Err()
+		}
+	}
+}
+
+// maxChunkBytes bounds the body bytes of one Chunk message.
+const maxChunkBytes = 32 << 10
+
+func (s *Server) accept(a *attempt) *pb.Accepted {
+	return &pb.Accepted{Incarnation: s.incarnation, Load: s.load(s.endpoints[a.endpointID]), CachedTokens: a.cached}
+}
+
+func chunk(seq uint64, parts []stream.Part) *pb.Down {
+	c := &pb.Chunk{Seq: seq, Parts: make([]*pb.Part, len(parts))}
+	for i, p := range parts {
+		if p.Head == nil {
+			c.Parts[i] = &pb.Part{Kind: &pb.Part_Data{Data: p.Data}}
+			continue
+		}
+		h := &pb.Head{Status: int32(p.Head.Status)}
+		for _, kv := range p.Head.Headers {
+			h.Headers = append(h.Headers, &pb.Header{Name: kv.Name, Value: kv.Value})
+		}
+		c.Parts[i] = &pb.Part{Kind: &pb.Part_Head{Head: h}}
+	}
+	return &pb.Down{Kind: &pb.Down_Chunk{Chunk: c}}
+}
+
+// receive handles the messages an entry sends on an open stream. It closes
+// the channel when the stream is broken, not when the entry merely stops sending.
+func (s *Server) receive(srv pb.Agent_RunServer, a *attempt, closed chan<- struct{}) {
+	for {
+		up, err := srv.Recv()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			close(closed)
+			return
+		}
+		switch k := up.Kind.(type) {
+		case *pb.Up_Ack:
+			a.replay.Ack(k.Ack.Seq)
+		case *pb.Up_Cancel:
+			s.cancelAttempt(a)
+		}
+	}
+}
+
+// cancelAttempt stops an attempt whose caller left. A dispatched
+// non-idempotent attempt runs on, so that its result can be asked for.
+func (s *Server) cancelAttempt(a *attempt) {
+	if _, state := s.table.Revoke(a.key); state == call.Revoked || a.idempotent {
+		a.cancel()
+	}
+}
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+)
+
+type responseWriterKey struct{}
+
+func responseWriter(ctx context.Context) http.ResponseWriter {
+	w, _ := ctx.Value(responseWriterKey{}).(http.ResponseWriter)
+	return w
+}
+
+// Handler returns the caller API with health and readiness.
+func (s *Server) Handler() http.Handler {
+	call := endpoint.Chain(s.resolving)(func(ctx context.Context, request any) (any, error) {
+		resp, err := s.dispatch(ctx, request.(*Request))
+		if err != nil {
+			return nil, err
+		}
+		return resp, nil
+	})
+	api := kithttp.NewServer(call, s.decode, encode,
+		kithttp.ServerBefore(withRequestID),
+		kithttp.ServerErrorEncoder(func(ctx context.Context, err error, w http.ResponseWriter) { writeError(ctx, w, err) }))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("GET "+pathModels, s.serveModels)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		api.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), responseWriterKey{}, w)))
+	})
+	return mux
+}
+
+// OperatorHandler returns the API for operators: decision records.
+func (s *Server) OperatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /decisions/{request}", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.decisions.of(r.PathValue("request")))
+	})
+	return mux
+}
+
+// resolving is the middleware that finds the service and checks the account.
+func (s *Server) resolving(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		if err := s.resolve(request.(*Request)); err != nil {
+			return nil, err
+		}
+		return next(ctx, request)
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models that the caller's key may use.
+func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	hash := keyHash(bearer(r))
+	for _, name := range s.Config.Services() {
+		e, ok := s.Config.Get(name)
+		if !ok || e.Document.Model == "" {
+			continue
+		}
+		if _, ok := accountOf(e.Document, hash); !ok {
+			continue
+		}
+		for _, m := range append([]string{e.Document.Model}, e.Document.Adapters...) {
+			list.Data = append(list.Data, modelItem{m, "model", name})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/stream"
+)
+
+// Paths of the OpenAI-compatible API.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+)
+
+// Request is a caller's request after parsing.
+type Request struct {
+	ID         string
+	Method     string
+	Path       string
+	Headers    []stream.Header
+	Body       []byte
+	Token      string
+	Service    string
+	Account    string
+	Document   *config.Document
+	Generation int64
+	Model      string
+	Stream     bool
+	Idempotent bool
+	// Key is the caller's idempotency key; empty without one.
+	Key      string
+	Segments [][]byte
+	// MaxTokens is the caller's limit, 0 when it gave none.
+	MaxTokens int64
+	Received  time.Time
+
+	guard guard
+}
+
+// Scope is the request's cache scope.
+func (r *Request) Scope() prefix.Scope {
+	return prefix.Scope{Account: r.Account, Model: r.Document.Model, Adapter: r.adapter(), Version: r.Document.Version}
+}
+
+func (r *Request) adapter() string {
+	if r.Model == r.Document.Model {
+		return ""
+	}
+	return r.Model
+}
+
+type contextKey int
+
+const keyRequestID contextKey = iota
+
+func withRequestID(ctx context.Context, _ *http.Request) context.Context {
+	return context.WithValue(ctx, keyRequestID, uuid.NewString())
+}
+
+func requestID(ctx context.Context) string {
+	id, _ := ctx.Value(keyRequestID).(string)
+	return id
+}
+
+func invalid(status int, code, format string, args ...any) *Error {
+	return &Error{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Run: call.NotRun}
+}
+
+// forwarded are the headers passed to endpoints.
+var forwarded = []string{"Accept", "Content-Type", "User-Agent", "Idempotency-Key"}
+
+// decode reads an HTTP request. The service is resolved before the body is
+// read, because its document limits the body.
+func (s *Server) decode(ctx context.Context, hr *http.Request) (any, error) {
+	r := &Request{ID: requestID(ctx), Method: hr.Method, Path: hr.URL.RequestURI(), Received: time.Now(),
+		Token: bearer(hr), Key: hr.Header.Get("Idempotency-Key")}
+	for _, name := range forwarded {
+		for _, v := range hr.Header.Values(name) {
+			r.Headers = append(r.Headers, stream.Header{Name: name, Value: v})
+		}
+	}
+	body, err := s.readBody(hr)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = body
+	if hr.URL.Path == pathChat || hr.URL.Path == pathCompletions {
+		if err := r.parseCompletion(hr.URL.Path == pathChat); err != nil {
+			return nil, err
+		}
+		return r, nil
+	}
+	return r, nil
+}
+
+func bearer(hr *http.Request) string {
+	t, _ := strings.CutPrefix(hr.Header.Get("Authorization"), "Bearer ")
+	return t
+}
+
+// readBody reads at most the largest body any service allows, within the body timeout.
+func (s *Server) readBody(hr *http.Request) ([]byte, error) {
+	limit, timeout := s.bodyLimits()
+	rc := http.NewResponseController(responseWriter(hr.Context()))
+	_ = rc.SetReadDeadline(time.Now().Add(timeout))
+	body, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
+	_ = rc.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil && int64(len(body)) > limit:
+		return nil, invalid(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body exceeds %d bytes", limit)
+	case err == nil:
+		return body, nil
+	case isTimeout(err):
+		return nil, invalid(http.StatusRequestTimeout, CodeBodyTimeout, "the body did not arrive within %s", timeout)
+	default:
+		return nil, invalid(http.StatusBadRequest, CodeInvalidRequest, "the body could not be read: %v", err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+type completionFields struct {
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage   `json:"prompt"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int64             `json:"max_tokens"`
+}
+
+func (r *Request) parseCompletion(chat bool) error {
+	if r.Method != http.MethodPost {
+		return invalid(http.StatusMethodNotAllowed, CodeInvalidRequest, "method %s is not allowed here, use POST", r.Method)
+	}
+	var f completionFields
+	if err := json.Unmarshal(r.Body, &f); err != nil {
+		return invalid(http.StatusBadRequest, CodeInvalidRequest, "the body is not valid JSON for this call: %v", err)
+	}
+	switch {
+	case f.Model == "":
+		return invalid(http.StatusBadRequest, CodeInvalidRequest, "model is missing")
+	case chat && len(f.Messages) == 0:
+		return invalid(http.StatusBadRequest, CodeInvalidRequest, "messages is missing or empty")
+	case !chat && len(f.Prompt) == 0:
+		return invalid(http.StatusBadRequest, CodeInvalidRequest, "prompt is missing")
+	case f.MaxTokens < 0:
+		return invalid(http.StatusBadRequest, CodeInvalidRequest, "max_tokens is %d, allowed: 1 or more", f.MaxTokens)
+	}
+	r.Model, r.Stream, r.MaxTokens, r.Idempotent = f.Model, f.Stream, f.MaxTokens, true
+	r.Segments = [][]byte{f.Prompt}
+	if chat {
+		r.Segments = nil
+		for _, m := range f.Messages {
+			r.Segments = append(r.Segments, m)
+		}
+	}
+	return nil
+}
+
+// resolve finds the service and the account of a request.
+func (s *Server) resolve(r *Request) error {
+	names := s.Config.Services()
+	if len(names) == 0 {
+		return &Error{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Message: "no configuration yet", Run: call.NotRun, RetryAfter: time.Second}
+	}
+	var found bool
+	hash := keyHash(r.Token)
+	for _, name := range names {
+		e, ok := s.Config.Get(name)
+		if !ok || !r.matches(e.Document) {
+			continue
+		}
+		found = true
+		if account, ok := accountOf(e.Document, hash); ok {
+			r.Service, r.Account, r.Document, r.Generation = name, account, e.Document, e.Record.Generation
+			return r.check()
+		}
+	}
+	if !found && r.Model != "" {
+		return invalid(http.StatusNotFound, CodeModelNotFound, "model %q does not exist", r.Model)
+	}
+	if !found {
+		return invalid(http.StatusNotFound, CodeNotFound, "no service serves %s %s", r.Method, r.Path)
+	}
+	return invalid(http.StatusUnauthorized, CodeInvalidKey, "the API key is missing or not valid for this service")
+}
+
+func (r *Request) check() error {
+	if int64(len(r.Body)) > r.Document.Limits.MaxBodyBytes {
+		return invalid(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body exceeds %d bytes", r.Document.Limits.MaxBodyBytes)
+	}
+	return nil
+}
+
+// matches reports whether a document serves the request, and for plain
+// services whether the call may be repeated.
+func (r *Request) matches(d *config.Document) bool {
+	if d.Kind == platform.Engine {
+		return r.Model != "" && (r.Model == d.Model || slices.Contains(d.Adapters, r.Model))
+	}
+	if r.Model != "" {
+		return false
+	}
+	path, _, _ := strings.Cut(r.Path, "?")
+	for _, route := range d.Routes {
+		if !underPath(path, route.Path) || (len(route.Methods) > 0 && !slices.Contains(route.Methods, r.Method)) {
+			continue
+		}
+		r.Idempotent = route.Idempotent || slices.Contains([]string{http.MethodGet, http.MethodHead, http.MethodOptions}, r.Method)
+		return true
+	}
+	return false
+}
+
+func underPath(path, base string) bool {
+	base = strings.TrimSuffix(base, "/")
+	return path == base || strings.HasPrefix(path, base+"/")
+}
+
+func keyHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func accountOf(d *config.Document, hash string) (string, bool) {
+	for _, a := range d.Accounts {
+		if slices.Contains(a.KeySHA256, hash) {
+			return a.Name, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,201 @@
+// Package entry is the process that callers talk to. It checks accounts,
+// chooses endpoints, opens attempts at agents and passes responses back.
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/wire"
+)
+
+// Options are the entry's own settings.
+type Options struct {
+	// ID names this entry; empty means a random one.
+	ID            string
+	Region        string
+	FailureDomain string
+	// HostInterval is the time between polls of the host list.
+	HostInterval time.Duration
+	// ConfigInterval is the time between full polls of the configuration.
+	ConfigInterval time.Duration
+	// RevokeTimeout bounds the try to prove that a lost attempt did not run.
+	RevokeTimeout time.Duration
+	// DecisionRecords is how many decisions are kept for explain.
+	DecisionRecords int
+	Wire            wire.Options
+	Log             *zap.Logger
+}
+
+// DefaultOptions returns the settings used when nothing else is given.
+func DefaultOptions() Options {
+	return Options{
+		HostInterval:    time.Second,
+		ConfigInterval:  5 * time.Second,
+		RevokeTimeout:   5 * time.Second,
+		DecisionRecords: 4096,
+		Wire:            wire.DefaultOptions(),
+	}
+}
+
+// Server is an entry.
+type Server struct {
+	Config  *config.Table
+	Members *member.Tracker
+
+	opts      Options
+	log       *zap.Logger
+	store     *config.Store
+	hosts     platform.HostList
+	scheduler *route.Scheduler
+	decisions *decisions
+
+	mu      sync.Mutex
+	links   map[string]*wire.Link
+	flights map[string]*atomic.Int64
+}
+
+// New returns an entry that uses the given platform systems.
+func New(opts Options, kv platform.KV, hosts platform.HostList) *Server {
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
+	if opts.ID == "" {
+		opts.ID = uuid.NewString()
+	}
+	opts.Wire.EntryID = opts.ID
+	opts.Wire.Log = opts.Log
+	return &Server{
+		Config: config.NewTable(), Members: member.NewTracker(),
+		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
+		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
+		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
+	}
+}
+
+// Run follows the configuration and the host list until ctx ends, then closes
+// the links.
+func (s *Server) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.store.Follow(ctx, s.Config, s.opts.ConfigInterval) })
+	wg.Go(func() { s.followHosts(ctx) })
+	wg.Wait()
+	s.mu.Lock()
+	links := s.links
+	s.links = map[string]*wire.Link{}
+	s.mu.Unlock()
+	for _, l := range links {
+		l.Close()
+	}
+}
+
+func (s *Server) followHosts(ctx context.Context) {
+	t := time.NewTicker(s.opts.HostInterval)
+	defer t.Stop()
+	for {
+		hosts, err := s.hosts.Hosts(ctx)
+		if err != nil {
+			s.log.Warn("host list not read", zap.Error(err))
+		} else {
+			s.Members.SetHosts(hosts)
+			s.connect()
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// connect opens a link to every agent in the host list and closes those to
+// agents that are no longer listed.
+func (s *Server) connect() {
+	listed := map[string]bool{}
+	for _, addr := range s.Members.Agents() {
+		listed[addr] = true
+		s.mu.Lock()
+		_, ok := s.links[addr]
+		s.mu.Unlock()
+		if ok {
+			continue
+		}
+		l, err := wire.NewLink(addr, s.opts.Wire, func(st wire.State) { s.Members.SetAgent(addr, st.Up, st.Leaving) })
+		if err != nil {
+			s.log.Warn("link", zap.String("agent", addr), zap.Error(err))
+			continue
+		}
+		s.mu.Lock()
+		s.links[addr] = l
+		s.mu.Unlock()
+	}
+	var closing []*wire.Link
+	s.mu.Lock()
+	for addr, l := range s.links {
+		if !listed[addr] {
+			closing = append(closing, l)
+			delete(s.links, addr)
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range closing {
+		l.Close()
+	}
+}
+
+// target returns the endpoint and the link to its agent.
+func (s *Server) target(service, id string) (member.Endpoint, *wire.Link) {
+	for _, m := range s.Members.Service(service) {
+		if m.ID == id {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return m, s.links[m.Agent]
+		}
+	}
+	return member.Endpoint{}, nil
+}
+
+func (s *Server) flight(endpoint string) *atomic.Int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.flights[endpoint]
+	if !ok {
+		f = new(atomic.Int64)
+		s.flights[endpoint] = f
+	}
+	return f
+}
+
+// Ready reports whether the entry has a configuration and an endpoint.
+func (s *Server) Ready() bool {
+	for _, name := range s.Config.Services() {
+		for _, m := range s.Members.Service(name) {
+			if m.State == member.Ready {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// bodyLimits returns the largest body and the longest body timeout of any service.
+func (s *Server) bodyLimits() (int64, time.Duration) {
+	d := config.Default()
+	limit, timeout := d.Limits.MaxBodyBytes, d.Timeouts.BodyReadMs
+	for _, name := range s.Config.Services() {
+		if e, ok := s.Config.Get(name); ok {
+			limit = max(limit, e.Document.Limits.MaxBodyBytes)
+			timeout = max(timeout, e.Document.Timeouts.BodyReadMs)
+		}
+	}
+	return limit, time.Duration(timeout) * time.Millisecond
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,51 @@
+// Package process holds what both binaries share: the logger, the version and
+// signal handling.
+package process
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Logger returns a logger that writes one line of key=value pairs per event to
+// standard error. level is debug, info, warn or error.
+func Logger(level string) (*zap.Logger, error) {
+	lv, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("--log-level: got %q, allowed: debug, info, warn, error", level)
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(os.Stderr), lv)
+	return zap.New(core), nil
+}
+
+// Version returns the module version the binary was built from.
+func Version(program string) string {
+	v := "(devel)"
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		v = info.Main.Version
+	}
+	return program + " " + v
+}
+
+// UntilSignal returns a context that ends at the first SIGTERM or SIGINT.
+// Later signals are ignored, so that a second one doesn't cut requests.
+func UntilSignal() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-ch
+		cancel()
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/plugins/internal/exchange/exchange.go
@@ -0,0 +1,195 @@
+// Package exchange runs one HTTP request against an endpoint and tells apart
+// the failures that prove the request was not run from those that don't.
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/stream"
+)
+
+// readSize is the largest piece of a body passed on at once.
+const readSize = 16 << 10
+
+// doneEvent ends an OpenAI event stream.
+var doneEvent = []byte("data: [DONE]")
+
+// Client sends requests to endpoints.
+type Client struct {
+	pooled *http.Client
+	// single opens a connection per request: http.Transport retries a request
+	// that failed on a reused connection when it carries an Idempotency-Key.
+	single *http.Client
+}
+
+// New returns a client that dials with the given settings.
+func New(s kernel.Settings) *Client {
+	pooled := &http.Transport{DialContext: s.DialContext(), MaxIdleConnsPerHost: 64, DisableCompression: true}
+	single := &http.Transport{DialContext: s.DialContext(), DisableKeepAlives: true, DisableCompression: true}
+	return &Client{pooled: &http.Client{Transport: pooled, CheckRedirect: keepRedirect},
+		single: &http.Client{Transport: single, CheckRedirect: keepRedirect}}
+}
+
+// keepRedirect passes redirects to the caller instead of following them.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// Get fetches a small document from an endpoint.
+func (c *Client) Get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.pooled.Do(req)
+}
+
+// Post sends a small document to an endpoint.
+func (c *Client) Post(ctx context.Context, url, contentType string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", contentType)
+	return c.pooled.Do(req)
+}
+
+// Do sends the request and passes the response to the sink.
+func (c *Client) Do(ctx context.Context, ep agent.Endpoint, r *agent.Request, body []byte, sink agent.Sink) error {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		// The request may reach the endpoint from the moment a connection is
+		// handed to it, before any write is reported.
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+ep.Address+r.Path, bytes.NewReader(body))
+	if err != nil {
+		return &agent.DriverError{Code: agent.CodeProtocol, Run: call.NotRun, Err: err}
+	}
+	for _, h := range r.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set("X-Request-Id", r.ID)
+	client := c.pooled
+	if !r.Idempotent {
+		client = c.single
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return sendError(ctx, err, sent.Load())
+	}
+	defer resp.Body.Close()
+	return relay(ctx, resp, sink)
+}
+
+// sendError classifies a failure before the response head.
+func sendError(ctx context.Context, err error, sent bool) error {
+	run, code := call.Unknown, agent.CodeBroken
+	var op *net.OpError
+	switch {
+	case !sent:
+		run, code = call.NotRun, agent.CodeConnect
+	case errors.As(err, &op) && op.Op == "dial":
+		run, code = call.NotRun, agent.CodeConnect
+	}
+	if ctx.Err() != nil {
+		code = agent.CodeCancelled
+	}
+	return &agent.DriverError{Code: code, Run: run, Err: err}
+}
+
+// hopByHop are headers that belong to one connection.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+func relay(ctx context.Context, resp *http.Response, sink agent.Sink) error {
+	head := stream.Head{Status: resp.StatusCode}
+	for name, values := range resp.Header {
+		if hopByHop[name] {
+			continue
+		}
+		for _, v := range values {
+			head.Headers = append(head.Headers, stream.Header{Name: name, Value: v})
+		}
+	}
+	if err := sink.Head(ctx, head); err != nil {
+		return err
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return relayEvents(ctx, resp.Body, sink)
+	}
+	return relayBody(ctx, resp.Body, sink)
+}
+
+func relayBody(ctx context.Context, body io.Reader, sink agent.Sink) error {
+	for {
+		buf := make([]byte, readSize)
+		n, err := body.Read(buf)
+		if n > 0 {
+			if err := sink.Data(ctx, buf[:n:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return nil
+		default:
+			return readError(ctx, err)
+		}
+	}
+}
+
+// relayEvents passes on whole server-sent events, so that an error event never
+// follows half an event. A stream without its closing event is truncated.
+func relayEvents(ctx context.Context, body io.Reader, sink agent.Sink) error {
+	r := bufio.NewReaderSize(body, readSize)
+	var event []byte
+	done := false
+	for {
+		line, err := r.ReadBytes('\n')
+		event = append(event, line...)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && err == nil {
+			done = done || bytes.Contains(event, doneEvent)
+			if err := sink.Data(ctx, event); err != nil {
+				return err
+			}
+			event = nil
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && done:
+			return nil
+		case errors.Is(err, io.EOF):
+			return &agent.DriverError{Code: agent.CodeTruncated, Run: call.Ran, Err: errors.New("event stream ended without [DONE]")}
+		default:
+			return readError(ctx, err)
+		}
+	}
+}
+
+func readError(ctx context.Context, err error) error {
+	code := agent.CodeTruncated
+	if ctx.Err() != nil {
+		code = agent.CodeCancelled
+	}
+	return &agent.DriverError{Code: code, Run: call.Ran, Err: err}
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,248 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/platform"
+	_ "github.com/citrontiller/citrontiller/plugins/etcd"   // registers kv.etcd
+	_ "github.com/citrontiller/citrontiller/plugins/httpsd" // registers hosts.httpsd
+	_ "github.com/citrontiller/citrontiller/plugins/openai" // registers endpoint.openai
+	_ "github.com/citrontiller/citrontiller/plugins/plain"  // registers endpoint.plain
+	"github.com/citrontiller/citrontiller/standin/engine"
+	"github.com/citrontiller/citrontiller/standin/hosts"
+	"github.com/citrontiller/citrontiller/standin/kv"
+	"github.com/citrontiller/citrontiller/standin/plain"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// Fleet is a running system.
+type Fleet struct {
+	Network Network
+	KV      *kv.Server
+	Hosts   *hosts.Server
+	Log     *zap.Logger
+	Engines map[string]*engine.Server
+	Plains  map[string]*plain.Server
+	Agents  []*Agent
+	Entries []*Entry
+	// KVAddress and HostsAddress are where the platform's stand-ins listen.
+	KVAddress    string
+	HostsAddress string
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	list   []platform.Host
+}
+
+// Agent is a running agent.
+type Agent struct {
+	*agent.Server
+	Address string
+	GRPC    *grpc.Server
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*entry.Server
+	Address string
+	HTTP    *http.Server
+}
+
+// New starts the platform's stand-ins on the network.
+func New(n Network, log *zap.Logger) (*Fleet, error) {
+	if log == nil {
+		log = zap.NewNop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{Network: n, KV: kv.New(), Hosts: hosts.New(), Log: log, Engines: map[string]*engine.Server{},
+		Plains: map[string]*plain.Server{}, ctx: ctx, cancel: cancel}
+	var err error
+	if f.KVAddress, err = f.Serve("kv", f.KV); err != nil {
+		return nil, err
+	}
+	if f.HostsAddress, err = f.Serve("hosts", f.Hosts); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Serve starts an HTTP server for a stand-in and returns its address.
+func (f *Fleet) Serve(name string, h http.Handler) (string, error) {
+	l, addr, err := f.Network.Listen(name)
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return f.ctx }}
+	f.wg.Go(func() { _ = srv.Serve(l) })
+	f.wg.Go(func() {
+		<-f.ctx.Done()
+		_ = srv.Close()
+	})
+	return addr, nil
+}
+
+func (f *Fleet) settings(address string) kernel.Settings {
+	return kernel.Settings{Address: address, Dial: f.Network.Dial, Timeout: 2 * time.Second, Log: f.Log}
+}
+
+// Spec describes the endpoints of one agent.
+type Spec struct {
+	Name          string
+	Region        string
+	FailureDomain string
+	// Engines are started with these options, Plain services with these ids.
+	Engines []engine.Options
+	Plains  []string
+	// Service maps an endpoint id to its service.
+	Service func(id string) string
+	Options agent.Options
+}
+
+// AddAgent starts an agent with its endpoints and lists them.
+func (f *Fleet) AddAgent(spec Spec) (*Agent, error) {
+	l, addr, err := f.Network.Listen(spec.Name)
+	if err != nil {
+		return nil, err
+	}
+	var eps []agent.Endpoint
+	var list []platform.Host
+	add := func(id string, kind platform.Kind, h http.Handler) error {
+		a, err := f.Serve(id, h)
+		if err != nil {
+			return err
+		}
+		ep := agent.Endpoint{ID: id, Service: spec.Service(id), Kind: kind, Address: a}
+		eps = append(eps, ep)
+		list = append(list, platform.Host{ID: id, Service: ep.Service, Kind: kind, Address: a, Agent: addr,
+			Region: spec.Region, FailureDomain: spec.FailureDomain, State: platform.Live})
+		return nil
+	}
+	for _, o := range spec.Engines {
+		f.Engines[o.ID] = engine.New(o)
+		if err := add(o.ID, platform.Engine, f.Engines[o.ID]); err != nil {
+			return nil, err
+		}
+	}
+	for _, id := range spec.Plains {
+		f.Plains[id] = plain.New(id)
+		if err := add(id, platform.Plain, f.Plains[id]); err != nil {
+			return nil, err
+		}
+	}
+	a, err := f.startAgent(spec.Options, l, addr, eps)
+	if err != nil {
+		return nil, err
+	}
+	f.Agents = append(f.Agents, a)
+	f.mu.Lock()
+	f.list = append(f.list, list...)
+	f.Hosts.Set(f.list)
+	f.mu.Unlock()
+	return a, nil
+}
+
+func (f *Fleet) startAgent(opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
+	if opts.Concurrency == 0 {
+		opts = agent.DefaultOptions()
+	}
+	opts.Log = f.Log
+	srv, err := agent.New(opts, eps, func(ep agent.Endpoint) (agent.Driver, error) {
+		id := "endpoint.openai"
+		if ep.Kind == platform.Plain {
+			id = "endpoint.plain"
+		}
+		return kernel.Load[agent.Driver](f.ctx, id, f.settings(ep.Address))
+	})
+	if err != nil {
+		return nil, err
+	}
+	g := grpc.NewServer()
+	pb.RegisterAgentServer(g, srv)
+	f.wg.Go(func() { _ = g.Serve(l) })
+	f.wg.Go(func() {
+		<-f.ctx.Done()
+		g.Stop()
+	})
+	f.wg.Go(func() { srv.Sweep(f.ctx, 10*time.Second) })
+	return &Agent{Server: srv, Address: addr, GRPC: g}, nil
+}
+
+// AddEntry starts an entry.
+func (f *Fleet) AddEntry(name string, opts entry.Options) (*Entry, error) {
+	kvd, err := kernel.Load[platform.KV](f.ctx, "kv.etcd", f.settings(f.KVAddress))
+	if err != nil {
+		return nil, err
+	}
+	hl, err := kernel.Load[platform.HostList](f.ctx, "hosts.httpsd", f.settings(f.HostsAddress))
+	if err != nil {
+		return nil, err
+	}
+	opts.ID = name
+	opts.Log = f.Log
+	opts.Wire.Dial = f.Network.Dial
+	srv := entry.New(opts, kvd, hl)
+	addr, err := f.Serve(name, srv.Handler())
+	if err != nil {
+		return nil, err
+	}
+	f.wg.Go(func() { srv.Run(f.ctx) })
+	e := &Entry{Server: srv, Address: addr}
+	f.Entries = append(f.Entries, e)
+	return e, nil
+}
+
+// Store returns the operator's access to the configuration.
+func (f *Fleet) Store() (*config.Store, error) {
+	kvd, err := kernel.Load[platform.KV](f.ctx, "kv.etcd", f.settings(f.KVAddress))
+	if err != nil {
+		return nil, err
+	}
+	return &config.Store{KV: kvd, Log: f.Log}, nil
+}
+
+// Client returns an HTTP client on the fleet's network.
+func (f *Fleet) Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: f.Network.Dial}}
+}
+
+// WaitReady waits until every entry is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, e := range f.Entries {
+		for !e.Ready() {
+			select {
+			case <-time.After(10 * time.Millisecond):
+			case <-ctx.Done():
+				return fmt.Errorf("entry at %s is not ready: %w", e.Address, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops everything and waits for it.
+func (f *Fleet) Close() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+// KeyHash returns the hash of a caller's key as a document holds it.
+func KeyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/standin/fleet/fleet_test.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/standin/engine"
+)
+
+// start runs two engines behind two agents, a plain service and one entry.
+func start(t *testing.T, n Network) *Fleet {
+	t.Helper()
+	is := is.New(t)
+	f, err := New(n, nil)
+	is.NoErr(err)
+	t.Cleanup(f.Close)
+	service := func(id string) string {
+		if strings.HasPrefix(id, "desk") {
+			return "desk"
+		}
+		return "llm"
+	}
+	for i := range 2 {
+		_, err = f.AddAgent(Spec{Name: fmt.Sprintf("agent-%d", i), Region: "r1", FailureDomain: "d1", Service: service,
+			Engines: []engine.Options{{ID: fmt.Sprintf("engine-%d", i), Model: "m", Version: "v1", TokenGap: time.Millisecond}},
+			Plains:  []string{fmt.Sprintf("desk-%d", i)}})
+		is.NoErr(err)
+	}
+	opts := entry.DefaultOptions()
+	opts.Region = "r1"
+	_, err = f.AddEntry("entry-0", opts)
+	is.NoErr(err)
+	store, err := f.Store()
+	is.NoErr(err)
+	apply := func(doc string) {
+		_, err := store.Apply(context.Background(), []byte(doc), 0, "test")
+		is.NoErr(err)
+	}
+	account := fmt.Sprintf(`"accounts":[{"name":"a","key_sha256":[%q]}]`, KeyHash("secret"))
+	apply(`{"service":"llm","kind":"engine","model":"m","version":"v1",` + account + `}`)
+	apply(`{"service":"desk","kind":"plain","routes":[{"path":"/book"}],` + account + `}`)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(f.WaitReady(ctx))
+	return f
+}
+
+func post(t *testing.T, f *Fleet, path, body string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[0].Address+path, bytes.NewBufferString(body))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := f.Client().Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return resp.StatusCode, string(b)
+}
+
+// Guards the whole path: configuration from the store, choice, agent, engine
+// and the complete streamed answer in order.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	f := start(t, Loopback{})
+	seed := `<user>"hello"`
+	code, body := post(t, f, "/v1/chat/completions", `{"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`)
+	is.Equal(code, 200)
+	is.Equal(streamedText(t, body), engine.Answer(seed, 5))
+	code, body = post(t, f, "/v1/chat/completions", `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`)
+	is.Equal(code, 200)
+	is.True(strings.Contains(body, engine.Answer(seed, 5)))
+	code, body = post(t, f, "/book", `{"van":1}`)
+	is.Equal(code, 200)
+	is.Equal(f.Plains["desk-0"].Total()+f.Plains["desk-1"].Total(), 1)
+	is.True(strings.Contains(body, "van"))
+	code, _ = post(t, f, "/v1/chat/completions", `{"model":"x","messages":[{}]}`)
+	is.Equal(code, 404)
+}
+
+func streamedText(t *testing.T, body string) string {
+	t.Helper()
+	is := is.New(t)
+	var text string
+	is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		is.NoErr(json.Unmarshal([]byte(data), &chunk))
+		text += chunk.Choices[0].Delta.Content
+	}
+	return text
+}
--- /dev/null
+++ b/standin/fleet/network.go
@@ -0,0 +1,75 @@
+// Package fleet assembles a whole system in one process: stand-ins for the
+// platform and the endpoints, agents and entries. The quickstart and the tests
+// use it, on loopback ports or on in-memory connections.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	"google.golang.org/grpc/test/bufconn"
+)
+
+// Network gives out listeners and dials them.
+type Network interface {
+	// Listen opens a listener; name is only used in memory.
+	Listen(name string) (net.Listener, string, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Loopback is a Network of loopback TCP ports.
+type Loopback struct{}
+
+// Listen implements Network.
+func (Loopback) Listen(string) (net.Listener, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	return l, l.Addr().String(), nil
+}
+
+// Dial implements Network.
+func (Loopback) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// Memory is a Network of in-memory connections, for tests with virtual time.
+type Memory struct {
+	mu        sync.Mutex
+	listeners map[string]*bufconn.Listener
+}
+
+// NewMemory returns an empty in-memory network.
+func NewMemory() *Memory { return &Memory{listeners: map[string]*bufconn.Listener{}} }
+
+// memoryBuffer is the size of an in-memory connection's buffer in bytes.
+const memoryBuffer = 256 << 10
+
+// Listen implements Network.
+func (m *Memory) Listen(name string) (net.Listener, string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addr := name + ":80"
+	l := bufconn.Listen(memoryBuffer)
+	m.listeners[addr] = l
+	return l, addr, nil
+}
+
+// Dial implements Network.
+func (m *Memory) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	m.mu.Lock()
+	l := m.listeners[address]
+	m.mu.Unlock()
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: fmt.Errorf("nothing listens on %s", address)}
+	}
+	c, err := l.DialContext(ctx)
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: err}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/standin/hosts/hosts.go
@@ -0,0 +1,94 @@
+// Package hosts is a stand-in for the platform's host list.
+package hosts
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/plugins/httpsd"
+)
+
+// Server serves a host list with a lag.
+type Server struct {
+	mu    sync.Mutex
+	lag   time.Duration
+	down  bool
+	lists []version
+}
+
+type version struct {
+	from  time.Time
+	hosts []platform.Host
+}
+
+// New returns an empty list.
+func New() *Server { return &Server{} }
+
+// SetLag delays the effect of every later Set.
+func (s *Server) SetLag(d time.Duration) {
+	s.mu.Lock()
+	s.lag = d
+	s.mu.Unlock()
+}
+
+// SetDown makes the list answer with 503.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+}
+
+// Set replaces the list, effective after the lag.
+func (s *Server) Set(hosts []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = append(s.lists, version{from: time.Now().Add(s.lag), hosts: append([]platform.Host(nil), hosts...)})
+}
+
+// SetState changes one endpoint's state, effective after the lag.
+func (s *Server) SetState(id string, state platform.HostState) {
+	s.mu.Lock()
+	var hosts []platform.Host
+	if n := len(s.lists); n > 0 {
+		hosts = append(hosts, s.lists[n-1].hosts...)
+	}
+	s.mu.Unlock()
+	for i := range hosts {
+		if hosts[i].ID == id {
+			hosts[i].State = state
+		}
+	}
+	s.Set(hosts)
+}
+
+func (s *Server) visible() []platform.Host {
+	now := time.Now()
+	var out []platform.Host
+	for _, v := range s.lists {
+		if !v.from.After(now) {
+			out = v.hosts
+		}
+	}
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	groups := []httpsd.Group{}
+	for _, h := range s.visible() {
+		groups = append(groups, httpsd.Group{Targets: []string{h.Address}, Labels: map[string]string{
+			httpsd.LabelID: h.ID, httpsd.LabelService: h.Service, httpsd.LabelKind: string(h.Kind), httpsd.LabelAgent: h.Agent,
+			httpsd.LabelRegion: h.Region, httpsd.LabelFailureDomain: h.FailureDomain, httpsd.LabelState: string(h.State)}})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(groups)
+}
--- /dev/null
+++ b/standin/kv/kv.go
@@ -0,0 +1,350 @@
+// Package kv is a stand-in for the platform's key-value service: the part of
+// etcd's v3 JSON gateway that the driver uses, with fault switches.
+package kv
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Server is a key-value service held in memory. The zero value is not usable;
+// call New.
+type Server struct {
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]item
+	log      []change
+	leases   map[int64]*lease
+	nextID   int64
+	changed  chan struct{}
+	faults   Faults
+	calls    map[string]int
+}
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	// Down answers every call with 503.
+	Down bool
+	// LoseWriteAnswers applies a write and then drops the connection.
+	LoseWriteAnswers int
+	// SilentWatch keeps watches open and sends nothing.
+	SilentWatch bool
+	// Delay slows every call.
+	Delay time.Duration
+}
+
+type item struct {
+	value    []byte
+	revision int64
+	lease    int64
+}
+
+type change struct {
+	key     string
+	item    item
+	deleted bool
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// New returns an empty service.
+func New() *Server {
+	return &Server{revision: 1, keys: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+}
+
+// Calls returns how often each path was called.
+func (s *Server) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Value returns a key's value and revision.
+func (s *Server) Value(key string) ([]byte, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it := s.keys[key]
+	return it.value, it.revision
+}
+
+// Put writes a key past every check.
+func (s *Server) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+}
+
+func (s *Server) put(key string, value []byte, lease int64) {
+	s.revision++
+	it := item{value: value, revision: s.revision, lease: lease}
+	s.keys[key] = it
+	s.log = append(s.log, change{key: key, item: it})
+	s.notify()
+}
+
+func (s *Server) remove(key string) {
+	s.revision++
+	delete(s.keys, key)
+	s.log = append(s.log, change{key: key, item: item{revision: s.revision}, deleted: true})
+	s.notify()
+}
+
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire drops the keys of lapsed leases; the caller holds mu.
+func (s *Server) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if l.expires.After(now) {
+			continue
+		}
+		delete(s.leases, id)
+		for k, it := range s.keys {
+			if it.lease == id {
+				s.remove(k)
+			}
+		}
+	}
+}
+
+type jsonKV struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type jsonHeader struct {
+	Revision int64 `json:"revision,string"`
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	f := s.faults
+	s.expire()
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if f.Down {
+		http.Error(w, `{"error":"etcdserver: no leader"}`, http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/v3/kv/range":
+		s.serveRange(w, r)
+	case "/v3/kv/txn":
+		s.serveTxn(w, r)
+	case "/v3/lease/grant":
+		s.serveGrant(w, r)
+	case "/v3/lease/keepalive":
+		s.serveKeepAlive(w, r)
+	case "/v3/watch":
+		s.serveWatch(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func inRange(key, from, end string) bool {
+	if end == "" {
+		return key == from
+	}
+	return key >= from && (end == "\x00" || key < end)
+}
+
+func (s *Server) serveRange(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end"`
+	}
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kvs []jsonKV
+	for k, it := range s.keys {
+		if inRange(k, string(req.Key), string(req.RangeEnd)) {
+			kvs = append(kvs, jsonKV{[]byte(k), it.value, it.revision})
+		}
+	}
+	sort.Slice(kvs, func(i, j int) bool { return string(kvs[i].Key) < string(kvs[j].Key) })
+	reply(w, map[string]any{"header": jsonHeader{s.revision}, "kvs": kvs})
+}
+
+type jsonTxn struct {
+	Compare []struct {
+		Key         []byte `json:"key"`
+		ModRevision int64  `json:"mod_revision,string"`
+	} `json:"compare"`
+	Success []struct {
+		Put *struct {
+			Key   []byte `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease,string"`
+		} `json:"request_put"`
+		Delete *struct {
+			Key []byte `json:"key"`
+		} `json:"request_delete_range"`
+	} `json:"success"`
+}
+
+func (s *Server) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var req jsonTxn
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	ok := true
+	for _, c := range req.Compare {
+		ok = ok && s.keys[string(c.Key)].revision == c.ModRevision
+	}
+	if ok {
+		for _, op := range req.Success {
+			switch {
+			case op.Put != nil:
+				s.put(string(op.Put.Key), op.Put.Value, op.Put.Lease)
+			case op.Delete != nil:
+				s.remove(string(op.Delete.Key))
+			}
+		}
+	}
+	lose := s.faults.LoseWriteAnswers > 0
+	if lose {
+		s.faults.LoseWriteAnswers--
+	}
+	rev := s.revision
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, map[string]any{"header": jsonHeader{rev}, "succeeded": ok})
+}
+
+type jsonLease struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+func (s *Server) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var req jsonLease
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	ttl := time.Duration(req.TTL) * time.Second
+	s.leases[s.nextID] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	reply(w, jsonLease{ID: s.nextID, TTL: req.TTL})
+}
+
+func (s *Server) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var req jsonLease
+	if !decode(w, r, &req) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := jsonLease{ID: req.ID}
+	if l := s.leases[req.ID]; l != nil {
+		l.expires = time.Now().Add(l.ttl)
+		out.TTL = int64(l.ttl / time.Second)
+	}
+	reply(w, map[string]any{"result": out})
+}
+
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		Create struct {
+			Key           []byte `json:"key"`
+			RangeEnd      []byte `json:"range_end"`
+			StartRevision int64  `json:"start_revision,string"`
+		} `json:"create_request"`
+	}
+	if !decode(w, r, &req) {
+		return
+	}
+	rc := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	_ = enc.Encode(map[string]any{"result": map[string]any{"created": true}})
+	_ = rc.Flush()
+	next := req.Create.StartRevision
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		events := s.events(string(req.Create.Key), string(req.Create.RangeEnd), next)
+		next = s.revision + 1
+		if s.faults.SilentWatch {
+			events = nil
+		}
+		s.mu.Unlock()
+		if len(events) > 0 {
+			if enc.Encode(map[string]any{"result": map[string]any{"events": events}}) != nil || rc.Flush() != nil {
+				return
+			}
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type jsonEvent struct {
+	Type string `json:"type,omitempty"`
+	KV   jsonKV `json:"kv"`
+}
+
+// events returns the changes from revision from on; the caller holds mu.
+func (s *Server) events(key, end string, from int64) []jsonEvent {
+	var out []jsonEvent
+	for _, c := range s.log {
+		if c.item.revision < from || !inRange(c.key, key, end) {
+			continue
+		}
+		e := jsonEvent{KV: jsonKV{[]byte(c.key), c.item.value, c.item.revision}}
+		if c.deleted {
+			e.Type = "DELETE"
+		}
+		out = append(out, e)
+	}
+	return out
+}
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,409 @@
+// Package wire is the entry's side of the protocol between entries and agents.
+// A Link is the path to one agent and replaces a connection that has gone
+// silent; a Call is one attempt of a request, which survives such a
+// replacement and delivers the response complete and in order.
+package wire
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// Codes of wire errors.
+const (
+	// CodeUnreachable means the agent could not be reached.
+	CodeUnreachable = "agent_unreachable"
+	// CodeLost means contact was lost after the request may have been accepted.
+	CodeLost = "agent_lost"
+	// CodeCancelled means the caller's context ended.
+	CodeCancelled = "cancelled"
+	// CodeProtocol means the agent sent something the protocol doesn't allow.
+	CodeProtocol = "agent_protocol_error"
+)
+
+// Error is an error of the path to an agent.
+type Error struct {
+	Code string
+	// Run says whether the endpoint ran the request.
+	Run call.Run
+	Err error
+}
+
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s (%s)", e.Code, e.Run)
+	}
+	return fmt.Sprintf("%s (%s): %v", e.Code, e.Run, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Options are the settings of a link.
+type Options struct {
+	// EntryID names this entry to the agent.
+	EntryID string
+	// MinAckTimeout is the shortest wait for Accepted before a new connection is dialled.
+	MinAckTimeout time.Duration
+	// StallTimeout is how long an accepted call may go without any message.
+	StallTimeout time.Duration
+	// GiveUp is how long a call tries to reach a silent agent.
+	GiveUp time.Duration
+	// TicketLifetime is the agents' limit on the age of a ticket.
+	TicketLifetime time.Duration
+	// Credentials secure the connection; nil means plain text.
+	Credentials credentials.TransportCredentials
+	Dial        kernel.Dialer
+	Log         *zap.Logger
+}
+
+// DefaultOptions returns the settings used when nothing else is given.
+func DefaultOptions() Options {
+	return Options{
+		MinAckTimeout:  20 * time.Millisecond,
+		StallTimeout:   3 * time.Second,
+		GiveUp:         8 * time.Second,
+		TicketLifetime: 60 * time.Second,
+	}
+}
+
+// Ticket proves to an agent that an Open is recent.
+type Ticket struct {
+	Incarnation string
+	Ms          int64
+
+	at time.Time
+}
+
+// State is what the link knows of its agent.
+type State struct {
+	Incarnation string
+	Leaving     bool
+	Loads       map[string]*pb.EndpointLoad
+	// RTT is the smoothed round-trip time; zero before the first measurement.
+	RTT time.Duration
+	// Up is false while the agent can't be reached.
+	Up bool
+}
+
+// Link is the path to one agent.
+type Link struct {
+	address string
+	opts    Options
+	log     *zap.Logger
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	mu       sync.Mutex
+	conn     *conn
+	ticket   Ticket
+	state    State
+	onChange func(State)
+}
+
+// conn counts the calls on a connection, so that a replaced one is closed only
+// when the last of them has left it.
+type conn struct {
+	cc      *grpc.ClientConn
+	users   int
+	retired bool
+}
+
+// NewLink returns a link and starts to watch its agent. onChange is called
+// after each change of the agent's state; it may be nil.
+func NewLink(address string, opts Options, onChange func(State)) (*Link, error) {
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{address: address, opts: opts, log: opts.Log.With(zap.String("agent", address)), cancel: cancel,
+		done: make(chan struct{}), onChange: onChange, state: State{Loads: map[string]*pb.EndpointLoad{}}}
+	c, err := l.dial()
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	l.conn = c
+	go l.watch(ctx)
+	return l, nil
+}
+
+// Close ends the watch and closes the connection.
+func (l *Link) Close() {
+	l.cancel()
+	<-l.done
+	l.mu.Lock()
+	c := l.conn
+	l.mu.Unlock()
+	_ = c.cc.Close()
+}
+
+// reconnect is the backoff of a connection; agents come back within seconds.
+var reconnect = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+
+func (l *Link) dial() (*conn, error) {
+	creds := l.opts.Credentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	opts := []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		// An idle timeout would close the watch's connection state machine.
+		grpc.WithIdleTimeout(0),
+	}
+	if l.opts.Dial != nil {
+		opts = append(opts, grpc.WithContextDialer(func(ctx context.Context, addr string) (netConn, error) {
+			return l.opts.Dial(ctx, "tcp", addr)
+		}))
+	}
+	cc, err := grpc.NewClient("passthrough:///"+l.address, opts...)
+	if err != nil {
+		return nil, &Error{Code: CodeUnreachable, Run: call.NotRun, Err: err}
+	}
+	return &conn{cc: cc}, nil
+}
+
+func (l *Link) acquire() *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn.users++
+	return l.conn
+}
+
+func (l *Link) release(c *conn) {
+	l.mu.Lock()
+	c.users--
+	closing := c.retired && c.users == 0
+	l.mu.Unlock()
+	if closing {
+		_ = c.cc.Close()
+	}
+}
+
+// replace dials a new connection unless another call has already done so.
+func (l *Link) replace(old *conn) {
+	l.mu.Lock()
+	if l.conn != old {
+		l.mu.Unlock()
+		return
+	}
+	l.mu.Unlock()
+	c, err := l.dial()
+	if err != nil {
+		l.log.Warn("dial", zap.Error(err))
+		return
+	}
+	l.mu.Lock()
+	if l.conn != old {
+		l.mu.Unlock()
+		_ = c.cc.Close()
+		return
+	}
+	l.conn = c
+	old.retired = true
+	closing := old.users == 0
+	l.mu.Unlock()
+	if closing {
+		_ = old.cc.Close()
+	}
+	l.log.Info("connection replaced")
+}
+
+// State returns a copy of the agent's state.
+func (l *Link) State() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.copyState()
+}
+
+func (l *Link) copyState() State {
+	s := l.state
+	s.Loads = make(map[string]*pb.EndpointLoad, len(l.state.Loads))
+	for k, v := range l.state.Loads {
+		s.Loads[k] = v
+	}
+	return s
+}
+
+// ackTimeout is the wait for Accepted.
+func (l *Link) ackTimeout() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.opts.MinAckTimeout, 4*l.state.RTT)
+}
+
+// observe records what a reply of the agent says about it.
+func (l *Link) observe(incarnation string, ticketMs int64, loads ...*pb.EndpointLoad) {
+	l.mu.Lock()
+	if incarnation == "" {
+		incarnation = l.ticket.Incarnation
+	}
+	if incarnation != l.ticket.Incarnation {
+		l.ticket = Ticket{}
+		l.state.Leaving = false
+		l.state.Incarnation = incarnation
+	}
+	if ticketMs > l.ticket.Ms {
+		l.ticket = Ticket{Incarnation: incarnation, Ms: ticketMs, at: time.Now()}
+	}
+	for _, ld := range loads {
+		if ld != nil {
+			l.state.Loads[ld.EndpointId] = ld
+		}
+	}
+	l.mu.Unlock()
+}
+
+func (l *Link) observeRTT(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state.RTT == 0 {
+		l.state.RTT = d
+		return
+	}
+	l.state.RTT += (d - l.state.RTT) / 8
+}
+
+// Ticket returns a ticket young enough to be used, asking the agent if the
+// last one is older than half its lifetime.
+func (l *Link) Ticket(ctx context.Context) (Ticket, error) {
+	l.mu.Lock()
+	t := l.ticket
+	l.mu.Unlock()
+	if t.Ms > 0 && time.Since(t.at) < l.opts.TicketLifetime/2 {
+		return t, nil
+	}
+	return l.FreshTicket(ctx)
+}
+
+// FreshTicket asks the agent for a new ticket.
+func (l *Link) FreshTicket(ctx context.Context) (Ticket, error) {
+	timeout := l.ackTimeout()
+	deadline := time.Now().Add(l.opts.GiveUp)
+	for {
+		c := l.acquire()
+		t, err := l.askTicket(ctx, c, timeout)
+		if err == nil {
+			l.release(c)
+			return t, nil
+		}
+		if ctx.Err() != nil || time.Now().After(deadline) || isRefused(err) {
+			l.release(c)
+			return Ticket{}, &Error{Code: CodeUnreachable, Run: call.NotRun, Err: err}
+		}
+		l.replace(c)
+		l.release(c)
+		timeout = min(2*timeout, l.opts.StallTimeout)
+	}
+}
+
+func (l *Link) askTicket(ctx context.Context, c *conn, timeout time.Duration) (Ticket, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	start := time.Now()
+	w, err := pb.NewAgentClient(c.cc).Watch(ctx, &pb.WatchRequest{EntryId: l.opts.EntryID})
+	if err != nil {
+		return Ticket{}, err
+	}
+	st, err := w.Recv()
+	if err != nil {
+		return Ticket{}, err
+	}
+	l.observeRTT(time.Since(start))
+	l.applyState(st)
+	return Ticket{Incarnation: st.Incarnation, Ms: st.TicketMs, at: start}, nil
+}
+
+func (l *Link) applyState(st *pb.AgentState) {
+	l.observe(st.Incarnation, st.TicketMs, st.Endpoints...)
+	l.mu.Lock()
+	l.state.Leaving = st.Leaving
+	l.state.Up = true
+	s := l.copyState()
+	l.mu.Unlock()
+	if l.onChange != nil {
+		l.onChange(s)
+	}
+}
+
+// watch follows the agent's state until ctx ends.
+func (l *Link) watch(ctx context.Context) {
+	defer close(l.done)
+	for ctx.Err() == nil {
+		c := l.acquire()
+		w, err := pb.NewAgentClient(c.cc).Watch(ctx, &pb.WatchRequest{EntryId: l.opts.EntryID})
+		for err == nil {
+			var st *pb.AgentState
+			if st, err = w.Recv(); err == nil {
+				l.applyState(st)
+			}
+		}
+		l.release(c)
+		l.down(ctx)
+	}
+}
+
+// down marks the agent as unreachable and waits before the next try.
+func (l *Link) down(ctx context.Context) {
+	l.mu.Lock()
+	l.state.Up = false
+	s := l.copyState()
+	l.mu.Unlock()
+	if l.onChange != nil {
+		l.onChange(s)
+	}
+	select {
+	case <-time.After(200 * time.Millisecond):
+	case <-ctx.Done():
+	}
+}
+
+// Revoke prevents or, with cancel, also stops an attempt. It dials anew when
+// the agent stays silent.
+func (l *Link) Revoke(ctx context.Context, r *pb.RevokeRequest) (*pb.RevokeReply, error) {
+	timeout := l.ackTimeout()
+	for {
+		c := l.acquire()
+		attempt, cancel := context.WithTimeout(ctx, timeout)
+		reply, err := pb.NewAgentClient(c.cc).Revoke(attempt, r)
+		cancel()
+		if err == nil {
+			l.release(c)
+			l.observe(reply.Incarnation, reply.TicketMs)
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			l.release(c)
+			return nil, &Error{Code: CodeUnreachable, Run: call.Unknown, Err: err}
+		}
+		l.replace(c)
+		l.release(c)
+		if isRefused(err) {
+			l.pause(ctx, timeout)
+		}
+		timeout = min(2*timeout, l.opts.StallTimeout)
+	}
+}
+
+func (l *Link) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
