--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/stream"
+	"github.com/citrontiller/citrontiller/wire"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+func (s *Server) openMessage(r *Request, rr *route.Request, m member.Endpoint, t wire.Ticket) *pb.Open {
+	o := &pb.Open{RequestId: r.ID, AttemptId: uuid.NewString(), EndpointId: m.ID, Incarnation: t.Incarnation, TicketMs: t.Ms,
+		Service: r.Service, Account: r.Account, Idempotent: r.Idempotent, MaxWaitMs: r.Document.Timeouts.MaxWaitMs,
+		Model: r.Model, Version: r.Document.Version, ConfigGeneration: r.Generation, Stream: r.Stream,
+		Http: &pb.HttpRequest{Method: r.Method, Path: r.Path, Body: r.Body}}
+	if r.Model != "" {
+		o.CacheSalt = r.Scope().Salt()
+	}
+	for _, h := range r.Headers {
+		o.Http.Headers = append(o.Http.Headers, &pb.Header{Name: h.Name, Value: h.Value})
+	}
+	for _, l := range rr.Levels {
+		o.Levels = append(o.Levels, &pb.Level{Hash: l.Hash, Tokens: l.Tokens})
+	}
+	return o
+}
+
+// attempt is one attempt whose response is being read.
+type attempt struct {
+	server   *Server
+	request  *Request
+	endpoint string
+	link     *wire.Link
+	open     *pb.Open
+	call     *wire.Call
+	release  func()
+	pending  []stream.Part
+	ended    bool
+	closed   bool
+}
+
+// head waits for the response head.
+func (a *attempt) head(ctx context.Context) (*stream.Head, *Error) {
+	p, err := a.part(ctx)
+	switch {
+	case err != nil:
+		return nil, err
+	case p == nil || p.Head == nil:
+		return nil, &Error{Status: http.StatusBadGateway, Code: CodeEndpointFailed, Message: "the endpoint sent no response", Run: call.Unknown}
+	}
+	return p.Head, nil
+}
+
+// next returns the following body bytes, nil at the end.
+func (a *attempt) next(ctx context.Context) ([]byte, error) {
+	p, err := a.part(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if p == nil {
+		return nil, nil
+	}
+	return p.Data, nil
+}
+
+// part returns the next part, nil at a proper end.
+func (a *attempt) part(ctx context.Context) (*stream.Part, *Error) {
+	for len(a.pending) == 0 {
+		if a.ended {
+			return nil, nil
+		}
+		select {
+		case m, ok := <-a.call.Messages():
+			if !ok {
+				return nil, a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown})
+			}
+			if err := a.message(ctx, m); err != nil {
+				return nil, err
+			}
+		case <-ctx.Done():
+			return nil, a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown, Err: ctx.Err()})
+		}
+	}
+	p := a.pending[0]
+	a.pending = a.pending[1:]
+	return &p, nil
+}
+
+func (a *attempt) message(ctx context.Context, m wire.Message) *Error {
+	switch {
+	case m.Parts != nil:
+		a.pending = m.Parts
+	case m.Refused != nil:
+		return fromRefusal(m.Refused)
+	case m.Err != nil:
+		return a.fail(ctx, m.Err)
+	case m.End != nil:
+		a.ended = true
+		if m.End.ErrorCode != "" {
+			return fromEnd(m.End)
+		}
+	}
+	return nil
+}
+
+// fail turns a lost call into an error. A call that may have been accepted is
+// revoked first: only a tombstone proves that it did not run.
+func (a *attempt) fail(ctx context.Context, we *wire.Error) *Error {
+	e := fromWire(we)
+	if e.Run != call.Unknown || ctx.Err() != nil {
+		return e
+	}
+	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.server.opts.RevokeTimeout)
+	defer cancel()
+	reply, err := a.link.Revoke(rctx, &pb.RevokeRequest{RequestId: a.open.RequestId, AttemptId: a.open.AttemptId,
+		Incarnation: a.open.Incarnation, Cancel: true})
+	if err == nil && reply.State == pb.AttemptState_ATTEMPT_REVOKED {
+		e.Run, e.Status, e.Code = call.NotRun, http.StatusServiceUnavailable, CodeNoEndpoint
+	}
+	return e
+}
+
+func (a *attempt) close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.call.Cancel()
+	go func() {
+		for range a.call.Messages() {
+		}
+		a.release()
+	}()
+}
