Validate caller input before any endpoint sees it

Field names matched regardless of case, duplicate fields passed, and a body of the largest size was read before the key was checked. Every response carries an X-Request-Id of ours, a caller's own only goes to the log.

--- a/entry/api.go
+++ b/entry/api.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
 )
 
 type responseWriterKey struct{}
@@ -18,7 +20,7 @@
 
 // Handler returns the caller API with health and readiness.
 func (s *Server) Handler() http.Handler {
-	call := endpoint.Chain(s.resolving)(func(ctx context.Context, request any) (any, error) {
+	call := endpoint.Chain(s.resolving, s.limiting)(func(ctx context.Context, request any) (any, error) {
 		resp, err := s.dispatch(ctx, request.(*Request))
 		if err != nil {
 			return nil, err
@@ -26,16 +28,35 @@
 		return resp, nil
 	})
 	api := kithttp.NewServer(call, s.decode, encode,
-		kithttp.ServerBefore(withRequestID),
 		kithttp.ServerErrorEncoder(func(ctx context.Context, err error, w http.ResponseWriter) { writeError(ctx, w, err) }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET "+pathModels, s.serveModels)
+	mux.HandleFunc(pathModels, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", http.MethodGet)
+		writeError(r.Context(), w, invalid(http.StatusMethodNotAllowed, CodeInvalidRequest, "method %s is not allowed, use GET", r.Method))
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		api.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), responseWriterKey{}, w)))
 	})
-	return mux
+	return s.identified(mux)
+}
+
+// maxCallerID is how much of a caller's X-Request-Id is logged, in bytes.
+const maxCallerID = 128
+
+// identified gives every request an id of ours and every response its
+// X-Request-Id. A caller's own id only goes to the log.
+func (s *Server) identified(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set("X-Request-Id", id)
+		if theirs := r.Header.Get("X-Request-Id"); theirs != "" {
+			s.log.Info("request", zap.String("request", id), zap.String("caller_request", theirs[:min(len(theirs), maxCallerID)]))
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), keyRequestID, id)))
+	})
 }
 
 // OperatorHandler returns the API for operators: decision records.
@@ -80,7 +101,12 @@
 // serveModels lists the models that the caller's key may use.
 func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
 	list := modelList{Object: "list", Data: []modelItem{}}
-	hash := keyHash(bearer(r))
+	token := bearer(r)
+	if err := s.authenticate(&Request{Token: token}); err != nil {
+		writeError(r.Context(), w, err)
+		return
+	}
+	hash := keyHash(token)
 	for _, name := range s.Config.Services() {
 		e, ok := s.Config.Get(name)
 		if !ok || e.Document.Model == "" {
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/platform"
@@ -50,6 +48,8 @@
 	// MaxTokens is the caller's limit, 0 when it gave none.
 	MaxTokens int64
 	Received  time.Time
+	// resumable says whether a cut stream may continue on another engine.
+	resumable bool
 
 	guard guard
 }
@@ -70,10 +70,6 @@
 
 const keyRequestID contextKey = iota
 
-func withRequestID(ctx context.Context, _ *http.Request) context.Context {
-	return context.WithValue(ctx, keyRequestID, uuid.NewString())
-}
-
 func requestID(ctx context.Context) string {
 	id, _ := ctx.Value(keyRequestID).(string)
 	return id
@@ -96,16 +92,20 @@
 			r.Headers = append(r.Headers, stream.Header{Name: name, Value: v})
 		}
 	}
+	completion := hr.URL.Path == pathChat || hr.URL.Path == pathCompletions
+	if completion && hr.Method != http.MethodPost {
+		return nil, invalid(http.StatusMethodNotAllowed, CodeInvalidRequest, "method %s is not allowed, use POST", hr.Method)
+	}
+	if err := s.authenticate(r); err != nil {
+		return nil, err
+	}
 	body, err := s.readBody(hr)
 	if err != nil {
 		return nil, err
 	}
 	r.Body = body
-	if hr.URL.Path == pathChat || hr.URL.Path == pathCompletions {
-		if err := r.parseCompletion(hr.URL.Path == pathChat); err != nil {
-			return nil, err
-		}
-		return r, nil
+	if completion {
+		return r, r.parseCompletion(hr.URL.Path == pathChat)
 	}
 	return r, nil
 }
@@ -118,6 +118,9 @@
 // readBody reads at most the largest body any service allows, within the body timeout.
 func (s *Server) readBody(hr *http.Request) ([]byte, error) {
 	limit, timeout := s.bodyLimits()
+	if hr.ContentLength > limit {
+		return nil, invalid(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body exceeds %d bytes", limit)
+	}
 	rc := http.NewResponseController(responseWriter(hr.Context()))
 	_ = rc.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
@@ -139,41 +142,22 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-type completionFields struct {
-	Model     string            `json:"model"`
-	Messages  []json.RawMessage `json:"messages"`
-	Prompt    json.RawMessage   `json:"prompt"`
-	Stream    bool              `json:"stream"`
-	MaxTokens int64             `json:"max_tokens"`
-}
-
-func (r *Request) parseCompletion(chat bool) error {
-	if r.Method != http.MethodPost {
-		return invalid(http.StatusMethodNotAllowed, CodeInvalidRequest, "method %s is not allowed here, use POST", r.Method)
-	}
-	var f completionFields
-	if err := json.Unmarshal(r.Body, &f); err != nil {
-		return invalid(http.StatusBadRequest, CodeInvalidRequest, "the body is not valid JSON for this call: %v", err)
-	}
-	switch {
-	case f.Model == "":
-		return invalid(http.StatusBadRequest, CodeInvalidRequest, "model is missing")
-	case chat && len(f.Messages) == 0:
-		return invalid(http.StatusBadRequest, CodeInvalidRequest, "messages is missing or empty")
-	case !chat && len(f.Prompt) == 0:
-		return invalid(http.StatusBadRequest, CodeInvalidRequest, "prompt is missing")
-	case f.MaxTokens < 0:
-		return invalid(http.StatusBadRequest, CodeInvalidRequest, "max_tokens is %d, allowed: 1 or more", f.MaxTokens)
-	}
-	r.Model, r.Stream, r.MaxTokens, r.Idempotent = f.Model, f.Stream, f.MaxTokens, true
-	r.Segments = [][]byte{f.Prompt}
-	if chat {
-		r.Segments = nil
-		for _, m := range f.Messages {
-			r.Segments = append(r.Segments, m)
+// authenticate refuses a key that no service knows before the body is read, so
+// that callers without a key can't fill the entry's memory.
+func (s *Server) authenticate(r *Request) error {
+	names := s.Config.Services()
+	hash := keyHash(r.Token)
+	for _, name := range names {
+		if e, ok := s.Config.Get(name); ok {
+			if _, ok := accountOf(e.Document, hash); ok {
+				return nil
+			}
 		}
 	}
-	return nil
+	if len(names) == 0 {
+		return &Error{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Message: "no configuration yet", Run: call.NotRun, RetryAfter: time.Second}
+	}
+	return invalid(http.StatusUnauthorized, CodeInvalidKey, "the API key is missing or not valid")
 }
 
 // resolve finds the service and the account of a request.
@@ -243,8 +227,10 @@
 
 func accountOf(d *config.Document, hash string) (string, bool) {
 	for _, a := range d.Accounts {
-		if slices.Contains(a.KeySHA256, hash) {
-			return a.Name, true
+		for _, k := range a.KeySHA256 {
+			if subtle.ConstantTimeCompare([]byte(strings.ToLower(k)), []byte(hash)) == 1 {
+				return a.Name, true
+			}
 		}
 	}
 	return "", false
--- a/entry/server.go
+++ b/entry/server.go
@@ -58,6 +58,7 @@
 	hosts     platform.HostList
 	scheduler *route.Scheduler
 	decisions *decisions
+	running   running
 
 	mu      sync.Mutex
 	links   map[string]*wire.Link
@@ -78,7 +79,8 @@
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
-		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
+		running: running{counts: map[accountKey]int{}},
+		links:   map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
 	}
 }
 
