Retry and hedge idempotent requests within budgets

An idempotent request waited for its one attempt: with one of two agents paused the slowest answer took 13.1 s (in-memory network, virtual time), and a crash before the answer reached the caller as an error. Attempts now run as a race: a failed one is followed by the next candidate, and one whose first token is later than the 95th percentile of its service starts another. The first to deliver wins, the others are cancelled.

A refusal with "not run" costs no budget, any other retry costs 1 of 10% and a hedge 1 of 5% of requests, with a burst of 96. An attempt that its agent has not answered at all counts as lost contact and costs none: a paused agent takes half of the traffic, so a 5% budget would run out. Whole answers up to 1 MiB are held until complete.

Slowest answer with one agent paused, 200 requests, before 13.1 s, after 23 ms: go test ./standin/fleet -v -run Paused TestPausedAgentCostsHedgeDelay and TestFrozenEngine were shown failing without hedging, TestRetryOnCrash without retries.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 
@@ -39,6 +40,8 @@
 	link     *wire.Link
 	open     *pb.Open
 	call     *wire.Call
+	// answered is set with the agent's first message.
+	answered *atomic.Bool
 	release  func()
 	pending  []stream.Part
 	ended    bool
@@ -93,6 +96,9 @@
 }
 
 func (a *attempt) message(ctx context.Context, m wire.Message) *Error {
+	if m.Err == nil {
+		a.answered.Store(true)
+	}
 	switch {
 	case m.Parts != nil:
 		a.pending = m.Parts
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,23 +31,16 @@
 	rr := &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
 		Region: s.opts.Region, Idempotent: r.Idempotent, Exclude: map[string]bool{}, Levels: prefix.Chain(r.Scope(), r.Segments)}
 	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
-	var last *Error
-	for range r.Document.Budgets.MaxAttemptsPerRequest {
-		d := s.scheduler.Choose(rr, s.candidates(r.Service))
-		s.logDecision(d)
-		if d.Chosen == "" {
-			break
-		}
-		rr.Exclude[d.Chosen] = true
-		resp, err := s.attempt(ctx, r, rr, d.Chosen)
-		if err == nil {
-			resp.close = closeBoth(resp.close, cancel)
-			return resp, nil
-		}
-		last = err
-		if ctx.Err() != nil || !(err.Run == call.NotRun || r.Idempotent) {
-			break
-		}
+	b := s.budgetsOf(r.Service)
+	b.retry.earn(r.Document.Budgets.RetryPercent)
+	b.hedge.earn(r.Document.Budgets.HedgePercent)
+	resp, last := s.newRace(r, rr).run(ctx)
+	if resp != nil {
+		resp.close = closeBoth(resp.close, cancel)
+		return resp, nil
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		last = &Error{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Message: "the request's deadline has passed", Run: last.Run, Err: last}
 	}
 	cancel()
 	if last == nil {
@@ -73,7 +68,7 @@
 }
 
 // attempt opens one attempt and waits for the response head.
-func (s *Server) attempt(ctx context.Context, r *Request, rr *route.Request, endpoint string) (*Response, *Error) {
+func (s *Server) attempt(ctx context.Context, r *Request, rr *route.Request, endpoint string, answered *atomic.Bool) (*Response, *Error) {
 	m, link := s.target(r.Service, endpoint)
 	if link == nil {
 		return nil, &Error{Status: http.StatusServiceUnavailable, Code: CodeNoEndpoint, Message: "the endpoint has no agent", Run: call.NotRun}
@@ -92,7 +87,7 @@
 		}
 	}
 	c := link.Start(ctx, open)
-	a := &attempt{server: s, request: r, endpoint: endpoint, link: link, open: open, call: c, release: func() { flight.Add(-1) }}
+	a := &attempt{server: s, request: r, endpoint: endpoint, link: link, open: open, call: c, answered: answered, release: func() { flight.Add(-1) }}
 	head, aerr := a.head(ctx)
 	if aerr != nil {
 		a.close()
--- a/entry/server.go
+++ b/entry/server.go
@@ -63,6 +63,7 @@
 	mu      sync.Mutex
 	links   map[string]*wire.Link
 	flights map[string]*atomic.Int64
+	budgets map[string]*budgets
 }
 
 // New returns an entry that uses the given platform systems.
@@ -80,7 +81,7 @@
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
 		running: running{counts: map[accountKey]int{}},
-		links:   map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
+		links:   map[string]*wire.Link{}, flights: map[string]*atomic.Int64{}, budgets: map[string]*budgets{},
 	}
 }
 
--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -41,10 +41,13 @@
 type Memory struct {
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
+	gates     map[string]*gate
 }
 
 // NewMemory returns an empty in-memory network.
-func NewMemory() *Memory { return &Memory{listeners: map[string]*bufconn.Listener{}} }
+func NewMemory() *Memory {
+	return &Memory{listeners: map[string]*bufconn.Listener{}, gates: map[string]*gate{}}
+}
 
 // memoryBuffer is the size of an in-memory connection's buffer in bytes.
 const memoryBuffer = 256 << 10
@@ -56,13 +59,14 @@
 	addr := name + ":80"
 	l := bufconn.Listen(memoryBuffer)
 	m.listeners[addr] = l
+	m.gates[addr] = newGate()
 	return l, addr, nil
 }
 
 // Dial implements Network.
 func (m *Memory) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	m.mu.Lock()
-	l := m.listeners[address]
+	l, g := m.listeners[address], m.gates[address]
 	m.mu.Unlock()
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: fmt.Errorf("nothing listens on %s", address)}
@@ -71,5 +75,18 @@
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: err}
 	}
-	return c, nil
+	return &gatedConn{Conn: c, gate: g, closed: make(chan struct{})}, nil
+}
+
+// Pause makes every connection to the address silent, old and new, as if the
+// process behind it were stopped. Resume lets the held bytes through.
+func (m *Memory) Pause(address string) { m.gate(address).shut() }
+
+// Resume ends Pause.
+func (m *Memory) Resume(address string) { m.gate(address).open() }
+
+func (m *Memory) gate(address string) *gate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gates[address]
 }
