Resume cut streams on another engine

A streamed answer ended with an error event when its engine or agent died. The entry now keeps what the caller has received and continues a plain text answer (one choice, no tools, logprobs, response_format or echo) at another endpoint of the same service with continue_final_message, or prompt + text for plain completions. max_tokens stays the total. Events of the continuation carry the first stream's id; repeated role deltas are dropped. When only [DONE] was missing it is added. Anything else ends with an explicit error event.

Delivered events are kept as bytes and parsed only after 64 KiB or on a cut, so that short streams cost no parsing; the text is bounded to 1 MiB. An idempotent attempt that lost contact is no longer revoked before it is retried, which took up to 5 s more with a silent agent; the agent cancels it after detach_grace.

The stand-in engine continues plain prompts that end with their own answer.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -116,10 +116,11 @@
 }
 
 // fail turns a lost call into an error. A call that may have been accepted is
-// revoked first: only a tombstone proves that it did not run.
+// revoked first: only a tombstone proves that it did not run. Idempotent calls
+// need no proof, and the revocation of a silent agent would delay their retry.
 func (a *attempt) fail(ctx context.Context, we *wire.Error) *Error {
 	e := fromWire(we)
-	if e.Run != call.Unknown || ctx.Err() != nil {
+	if e.Run != call.Unknown || ctx.Err() != nil || a.request.Idempotent {
 		return e
 	}
 	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.server.opts.RevokeTimeout)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -36,10 +36,11 @@
 	b.hedge.earn(r.Document.Budgets.HedgePercent)
 	resp, last := s.newRace(r, rr).run(ctx)
 	if resp != nil {
+		resp = s.resuming(ctx, r, rr, resp)
 		resp.close = closeBoth(resp.close, cancel)
 		return resp, nil
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && last != nil {
 		last = &Error{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Message: "the request's deadline has passed", Run: last.Run, Err: last}
 	}
 	cancel()
--- a/entry/first.go
+++ b/entry/first.go
@@ -23,7 +23,7 @@
 	if err != nil || !r.Idempotent {
 		return resp, err
 	}
-	held, err := resp.hold(ctx)
+	held, err := resp.hold(ctx, r.resumable)
 	if err != nil {
 		resp.close()
 		return nil, err
@@ -34,7 +34,7 @@
 
 // hold reads the part of the body that is delivered only when it has arrived.
 // The last element is nil when the body has ended.
-func (r *Response) hold(ctx context.Context) ([][]byte, *Error) {
+func (r *Response) hold(ctx context.Context, text bool) ([][]byte, *Error) {
 	var held [][]byte
 	for size := 0; size < maxWhole; {
 		b, err := r.next(ctx)
@@ -42,7 +42,7 @@
 			return nil, asError(err)
 		}
 		held = append(held, b)
-		if b == nil || r.events() {
+		if b == nil || (r.events() && (!text || hasToken(b))) {
 			break
 		}
 		size += len(b)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -230,7 +230,8 @@
 // number of tokens already answered.
 func (c completion) prompt() (text, seed string, done int) {
 	if len(c.Messages) == 0 {
-		return c.Prompt, c.Prompt, 0
+		seed, done = continued(c.Prompt)
+		return c.Prompt, seed, done
 	}
 	var b strings.Builder
 	for i, m := range c.Messages {
--- /dev/null
+++ b/standin/fleet/resume_test.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/standin/engine"
+)
+
+// Guards against lost, repeated or reordered tokens when an engine crashes at
+// any position, and when its successor crashes too.
+func TestCrashAtEveryToken(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		const tokens = 8
+		for k := 1; k < tokens; k++ {
+			f.Engines["engine-0"].SetFaults(engine.Faults{CrashAfterTokens: k})
+			before := f.Engines["engine-0"].Counts().Requests
+			for i := range 8 {
+				answered(t, f, 10*k+i, tokens, true)
+			}
+			is.True(f.Engines["engine-0"].Counts().Requests > before)
+		}
+		for k := 1; k <= tokens; k++ {
+			for _, e := range f.Engines {
+				e.SetFaults(engine.Faults{CrashAfterTokens: k})
+			}
+			answered(t, f, k, min(3*k, tokens), true)
+		}
+	})
+}
+
+// Guards against a plain completion that loses or repeats text on a resume.
+func TestResumePlainCompletion(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		for _, e := range f.Engines {
+			e.SetFaults(engine.Faults{CrashAfterTokens: 3})
+		}
+		code, body := post(t, f, "/v1/completions", `{"model":"m","stream":true,"max_tokens":8,"prompt":"once"}`)
+		is.Equal(code, 200)
+		var text strings.Builder
+		for line := range strings.Lines(body) {
+			if _, rest, ok := strings.Cut(line, `"text":"`); ok {
+				word, _, _ := strings.Cut(rest, `"`)
+				text.WriteString(word)
+			}
+		}
+		is.Equal(text.String(), engine.Answer("once", 8))
+		is.Equal(strings.Count(body, "[DONE]"), 1)
+		is.Equal(strings.Count(body, `"usage"`), 1)
+	})
+}
+
+// Guards against a cut stream that ends silently where it can't be resumed.
+func TestUnresumableStreamEndsWithError(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		for _, e := range f.Engines {
+			e.SetFaults(engine.Faults{CrashAfterTokens: 3})
+		}
+		_, body := post(t, f, "/v1/chat/completions",
+			`{"model":"m","stream":true,"n":2,"max_tokens":8,"messages":[{"role":"user","content":"x"}]}`)
+		is.True(strings.Contains(body, "event: error\n"))
+		is.True(!strings.Contains(body, "[DONE]"))
+	})
+}
+
+// stream opens a streamed answer and reads its first event.
+func stream(t *testing.T, f *Fleet, ctx context.Context, i, tokens int) (*http.Response, *bufio.Reader, string) {
+	t.Helper()
+	is := is.New(t)
+	body, want := chat(i, tokens, true)
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+f.Entries[0].Address+"/v1/chat/completions", strings.NewReader(body))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := f.Client().Do(req)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	return resp, bufio.NewReader(resp.Body), want
+}
+
+// Guards against an answer that ends with its agent's process.
+func TestAgentKilledMidStream(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		resp, r, want := stream(t, f, t.Context(), 1, 200)
+		defer resp.Body.Close()
+		first, err := r.ReadString('\n')
+		is.NoErr(err)
+		var n int
+		_, err = fmt.Sscanf(resp.Header.Get("X-Citrontiller-Endpoint"), "engine-%d", &n)
+		is.NoErr(err)
+		f.Agents[n].GRPC.Stop()
+		rest, err := io.ReadAll(r)
+		is.NoErr(err)
+		is.Equal(streamedText(t, first+string(rest)), want)
+	})
+}
+
+// Guards against an engine that goes on working for a caller that left.
+func TestCancelFreesTheEngine(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		resp, r, _ := stream(t, f, ctx, 1, 100_000)
+		_, err := r.ReadString('\n')
+		is.NoErr(err)
+		cancel()
+		_ = resp.Body.Close()
+		synctest.Wait()
+		time.Sleep(2 * time.Millisecond)
+		is.Equal(f.Engines["engine-0"].Counts().Cancelled+f.Engines["engine-1"].Counts().Cancelled, 1)
+	})
+}
+
+// Guards against a caller that stops reading and holds an engine for ever.
+func TestSlowReaderIsCut(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		resp, _, _ := stream(t, f, t.Context(), 1, 50_000)
+		defer resp.Body.Close()
+		time.Sleep(2 * time.Minute)
+		is.Equal(f.Engines["engine-0"].Counts().Cancelled+f.Engines["engine-1"].Counts().Cancelled, 1)
+	})
+}
