Drain the entry without cutting requests

Readiness stayed good during a shutdown. Serve now fails readiness first, keeps the listener open for the drain delay, asks callers to close their keep-alive connections and then waits for running requests, however long. The fleet serves its entries with it.

TestEntryDrain was shown failing without the readiness change and without the drain delay. TestLeavingEndpoint passes on the existing membership code: it covers the host list, the agent, both, and outages of either platform system.

--- a/entry/api.go
+++ b/entry/api.go
@@ -52,6 +52,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := uuid.NewString()
 		w.Header().Set("X-Request-Id", id)
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if theirs := r.Header.Get("X-Request-Id"); theirs != "" {
 			s.log.Info("request", zap.String("request", id), zap.String("caller_request", theirs[:min(len(theirs), maxCallerID)]))
 		}
--- a/entry/server.go
+++ b/entry/server.go
@@ -59,6 +59,7 @@
 	scheduler *route.Scheduler
 	decisions *decisions
 	running   running
+	draining  atomic.Bool
 
 	mu      sync.Mutex
 	links   map[string]*wire.Link
@@ -178,8 +179,12 @@
 	return f
 }
 
-// Ready reports whether the entry has a configuration and an endpoint.
+// Ready reports whether the entry has a configuration and an endpoint and is
+// not draining.
 func (s *Server) Ready() bool {
+	if s.draining.Load() {
+		return false
+	}
 	for _, name := range s.Config.Services() {
 		for _, m := range s.Members.Service(name) {
 			if m.State == member.Ready {
--- /dev/null
+++ b/standin/fleet/drain_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/standin/kv"
+)
+
+// Guards against a shutdown of the entry that cuts running streams, refuses
+// callers before the load balancer could notice, or stays ready.
+func TestEntryDrain(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		const tokens = 8_000 // 8 s, well beyond the drain delay
+		resp, r, want := stream(t, f, t.Context(), 1, tokens)
+		defer resp.Body.Close()
+		drained := f.Entries[0].Drain()
+		f.Entries[0].Drain() // a second signal changes nothing
+		time.Sleep(time.Second)
+		ready, err := f.Client().Get("http://" + f.Entries[0].Address + "/readyz")
+		is.NoErr(err)
+		_ = ready.Body.Close()
+		is.Equal(ready.StatusCode, http.StatusServiceUnavailable)
+		is.True(ready.Close) // keep-alive connections are closed politely
+		answered(t, f, 2, 3, true)
+		body, err := io.ReadAll(r)
+		is.NoErr(err)
+		is.Equal(streamedText(t, string(body)), want)
+		<-drained
+	})
+}
+
+// Guards against new work on a leaving endpoint later than 3 s after either
+// source said so, with the key-value service or the host list down or not.
+func TestLeavingEndpoint(t *testing.T) {
+	for _, list := range []bool{false, true} {
+		for _, agent := range []bool{false, true} {
+			for _, outage := range []string{"none", "kv", "hosts"} {
+				if (!list && !agent) || (outage == "hosts" && !agent) {
+					continue
+				}
+				t.Run(fmt.Sprintf("list=%t,agent=%t,outage=%s", list, agent, outage), func(t *testing.T) {
+					virtual(t, func(t *testing.T, f *Fleet, _ *Memory) { leave(t, f, list, agent, outage) })
+				})
+			}
+		}
+	}
+}
+
+func leave(t *testing.T, f *Fleet, list, agent bool, outage string) {
+	is := is.New(t)
+	for i := range 20 {
+		answered(t, f, i, 3, true)
+	}
+	f.KV.SetFaults(kv.Faults{Down: outage == "kv"})
+	f.Hosts.SetDown(outage == "hosts")
+	if list {
+		f.Hosts.SetState("engine-0", platform.Leaving)
+	}
+	if agent {
+		f.Agents[0].Leave()
+	}
+	time.Sleep(3 * time.Second)
+	before := f.Engines["engine-0"].Counts().Requests
+	is.True(before > 0)
+	for i := range 40 {
+		answered(t, f, i, 3, i%2 == 0)
+	}
+	is.Equal(f.Engines["engine-0"].Counts().Requests, before)
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -61,9 +61,21 @@
 type Entry struct {
 	*entry.Server
 	Address string
-	HTTP    *http.Server
+
+	drain   context.CancelFunc
+	drained chan struct{}
+}
+
+// Drain stops the entry as SIGTERM does. The channel closes when its last
+// request has finished.
+func (e *Entry) Drain() <-chan struct{} {
+	e.drain()
+	return e.drained
 }
 
+// DrainDelay is how long a draining entry of the fleet keeps its listener.
+const DrainDelay = 3 * time.Second
+
 // New starts the platform's stand-ins on the network.
 func New(n Network, log *zap.Logger) (*Fleet, error) {
 	if log == nil {
@@ -197,12 +209,24 @@
 	opts.Log = f.Log
 	opts.Wire.Dial = f.Network.Dial
 	srv := entry.New(opts, kvd, hl)
-	addr, err := f.Serve(name, srv.Handler())
+	l, addr, err := f.Network.Listen(name)
 	if err != nil {
 		return nil, err
 	}
 	f.wg.Go(func() { srv.Run(f.ctx) })
-	e := &Entry{Server: srv, Address: addr}
+	ctx, drain := context.WithCancel(context.Background())
+	e := &Entry{Server: srv, Address: addr, drain: drain, drained: make(chan struct{})}
+	h := srv.HTTPServer()
+	f.wg.Go(func() {
+		<-f.ctx.Done()
+		_ = h.Close()
+	})
+	f.wg.Go(func() {
+		defer close(e.drained)
+		if err := srv.Serve(ctx, h, l, DrainDelay); err != nil {
+			f.Log.Error("entry", zap.String("entry", name), zap.Error(err))
+		}
+	})
 	f.Entries = append(f.Entries, e)
 	return e, nil
 }
