Answer a caller that never finishes its body

The read deadline was cleared after it had expired, so net/http waited for the rest of the body without limit and the 408 never left. The deadline now stays after a failure. TestSlowBody hung without this change. TestAccountLimit covers the 429 with Retry-After and that the place is given back.

--- a/entry/request.go
+++ b/entry/request.go
@@ -124,7 +124,11 @@
 	rc := http.NewResponseController(responseWriter(hr.Context()))
 	_ = rc.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		// After a failure the deadline stays: net/http reads the rest of the
+		// body before it closes the connection.
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case err == nil && int64(len(body)) > limit:
 		return nil, invalid(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body exceeds %d bytes", limit)
--- a/standin/fleet/api_test.go
+++ b/standin/fleet/api_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -65,3 +68,46 @@
 	_ = resp.Write(&b)
 	return resp.StatusCode, resp.Header.Get("X-Request-Id"), b.String()
 }
+
+// Guards against an account that takes every place of an entry, and against
+// places that are not given back.
+func TestAccountLimit(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+		is := is.New(t)
+		store, err := f.Store()
+		is.NoErr(err)
+		_, err = store.Apply(t.Context(), []byte(fmt.Sprintf(`{"service":"llm","kind":"engine","model":"m","version":"v1",
+			"limits":{"max_running_per_account":1},"accounts":[{"name":"a","key_sha256":[%q]}]}`, KeyHash("secret"))), 1, "test")
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		resp, r, _ := stream(t, f, t.Context(), 1, 100)
+		body, _ := chat(2, 3, true)
+		req, err := http.NewRequest("POST", "http://"+f.Entries[0].Address+"/v1/chat/completions", strings.NewReader(body))
+		is.NoErr(err)
+		req.Header.Set("Authorization", "Bearer secret")
+		status, _, text := do(t, f, req)
+		is.Equal(status, http.StatusTooManyRequests)
+		is.True(strings.Contains(text, "Retry-After: 1\r\n"))
+		_, err = io.Copy(io.Discard, r)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		answered(t, f, 2, 3, true)
+	})
+}
+
+// Guards against a caller that never finishes its body and holds a connection.
+func TestSlowBody(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, n *Memory) {
+		is := is.New(t)
+		c, err := n.Dial(t.Context(), "tcp", f.Entries[0].Address)
+		is.NoErr(err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: 9\r\n\r\n{")
+		is.NoErr(err)
+		begin := time.Now()
+		answer, err := io.ReadAll(c)
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(answer), "HTTP/1.1 408 "))
+		is.True(time.Since(begin) < 11*time.Second)
+	})
+}
