Count and log each request once

Metrics (prefix citrontiller_entry_) are registered on Options.Registry: requests by service, outcome and run, time to first token, retries, hedges, resumes, cancellations, refusals and cross-region bytes. One log line per answer. Requests refused before their service is known have an empty service label.

TestMetrics covers that a request is counted once.

--- a/entry/api.go
+++ b/entry/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -20,14 +21,14 @@
 
 // Handler returns the caller API with health and readiness.
 func (s *Server) Handler() http.Handler {
-	call := endpoint.Chain(s.resolving, s.limiting)(func(ctx context.Context, request any) (any, error) {
+	call := endpoint.Chain(s.observing, s.resolving, s.limiting)(func(ctx context.Context, request any) (any, error) {
 		resp, err := s.dispatch(ctx, request.(*Request))
 		if err != nil {
 			return nil, err
 		}
 		return resp, nil
 	})
-	api := kithttp.NewServer(call, s.decode, encode,
+	api := kithttp.NewServer(call, s.decodeCounted, encode,
 		kithttp.ServerErrorEncoder(func(ctx context.Context, err error, w http.ResponseWriter) { writeError(ctx, w, err) }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
@@ -43,6 +44,17 @@
 	return s.identified(mux)
 }
 
+// decodeCounted counts requests that are refused before their service is known.
+func (s *Server) decodeCounted(ctx context.Context, hr *http.Request) (any, error) {
+	r, err := s.decode(ctx, hr)
+	if err != nil {
+		e := asError(err)
+		s.observe(&Request{ID: requestID(ctx), Received: time.Now()}, e.Code, e.Run, "")
+		return nil, err
+	}
+	return r, nil
+}
+
 // maxCallerID is how much of a caller's X-Request-Id is logged, in bytes.
 const maxCallerID = 128
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,9 +37,11 @@
 	server   *Server
 	request  *Request
 	endpoint string
-	link     *wire.Link
-	open     *pb.Open
-	call     *wire.Call
+	// remote is set when the endpoint is in another region.
+	remote bool
+	link   *wire.Link
+	open   *pb.Open
+	call   *wire.Call
 	// answered is set with the agent's first message.
 	answered *atomic.Bool
 	release  func()
@@ -91,6 +93,9 @@
 		}
 	}
 	p := a.pending[0]
+	if a.remote {
+		a.server.metrics.crossRegion.WithLabelValues(a.request.Service).Add(float64(len(p.Data)))
+	}
 	a.pending = a.pending[1:]
 	return &p, nil
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -88,7 +88,7 @@
 		}
 	}
 	c := link.Start(ctx, open)
-	a := &attempt{server: s, request: r, endpoint: endpoint, link: link, open: open, call: c, answered: answered, release: func() { flight.Add(-1) }}
+	a := &attempt{server: s, request: r, endpoint: endpoint, remote: m.Region != s.opts.Region, link: link, open: open, call: c, answered: answered, release: func() { flight.Add(-1) }}
 	head, aerr := a.head(ctx)
 	if aerr != nil {
 		a.close()
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -58,6 +58,7 @@
 			}
 			c.fail(t)
 			if len(c.live) == 0 && c.mayRetry(ctx, t.err) && c.launch(ctx) {
+				c.server.metrics.retries.WithLabelValues(c.request.Service).Inc()
 				hedge.Reset(c.hedgeDelay())
 			}
 		case <-hedge.C:
@@ -74,6 +75,9 @@
 // fail keeps the error, or the endpoint's own error answer, of a failed attempt.
 func (c *race) fail(t try) {
 	c.last = t.err
+	if t.err.Run == call.NotRun {
+		c.server.metrics.refusals.WithLabelValues(c.request.Service).Inc()
+	}
 	if c.fallback != nil {
 		c.fallback.close()
 		c.fallback = nil
@@ -120,6 +124,7 @@
 		return
 	}
 	if c.launch(ctx) {
+		c.server.metrics.hedges.WithLabelValues(c.request.Service).Inc()
 		c.server.log.Info("hedge", zap.String("request", c.request.ID), zap.Int("attempt", len(c.cancels)), zap.Bool("answered", answered > 0))
 	}
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -20,6 +20,8 @@
 	// next returns the following body bytes, nil at the end.
 	next  func(ctx context.Context) ([]byte, error)
 	close func()
+	// outcome is set when the answer has ended, for logs and metrics.
+	outcome string
 }
 
 // events reports whether the response is a server-sent event stream.
@@ -51,6 +53,7 @@
 			return r.abort(w, rc, err)
 		}
 		if b == nil {
+			r.outcome = outcomeOK
 			return nil
 		}
 		_ = rc.SetWriteDeadline(time.Now().Add(r.WriteStall))
@@ -65,9 +68,13 @@
 
 func (r *Response) abort(w http.ResponseWriter, rc *http.ResponseController, err error) error {
 	if errors.Is(err, context.Canceled) || !r.events() {
+		if !errors.Is(err, context.Canceled) {
+			r.outcome = asError(err).Code
+		}
 		panic(http.ErrAbortHandler)
 	}
 	e := asError(err)
+	r.outcome = e.Code
 	e.RequestID = r.RequestID
 	if _, err := fmt.Fprintf(w, "event: error\ndata: %s\n\n", e.body()); err != nil || rc.Flush() != nil {
 		panic(http.ErrAbortHandler)
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -280,6 +280,7 @@
 		cancel()
 		return errNoContinuation
 	}
+	m.server.metrics.resumes.WithLabelValues(m.request.Service).Inc()
 	m.server.log.Info("resume", zap.String("request", m.request.ID), zap.String("from", m.resp.Endpoint),
 		zap.String("to", resp.Endpoint), zap.Int("bytes", len(m.seen.text)))
 	m.resp.Endpoint, m.next, m.close = resp.Endpoint, resp.next, closeBoth(resp.close, cancel)
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/config"
@@ -34,6 +35,8 @@
 	DecisionRecords int
 	Wire            wire.Options
 	Log             *zap.Logger
+	// Registry receives the entry's metrics; nil means none.
+	Registry prometheus.Registerer
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -59,6 +62,7 @@
 	scheduler *route.Scheduler
 	decisions *decisions
 	running   running
+	metrics   *metrics
 	draining  atomic.Bool
 
 	mu      sync.Mutex
@@ -81,8 +85,8 @@
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
-		running: running{counts: map[accountKey]int{}},
-		links:   map[string]*wire.Link{}, flights: map[string]*atomic.Int64{}, budgets: map[string]*budgets{},
+		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
+		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{}, budgets: map[string]*budgets{},
 	}
 }
 
