--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,117 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/lease"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/standin/fleet"
+	"github.com/citrontiller/citrontiller/standin/kv"
+)
+
+func lock(t *testing.T, f *fleet.Fleet, holder string) *lease.Lock {
+	t.Helper()
+	is := is.New(t)
+	d, err := kernel.Load[platform.KV](t.Context(), "kv.etcd", kernel.Settings{Address: f.KVAddress, Dial: f.Network.Dial})
+	is.NoErr(err)
+	return &lease.Lock{KV: d, Key: "citrontiller/leader/llm", Holder: holder, TTL: 10 * time.Second, Log: zap.NewNop()}
+}
+
+// inBubble runs a test with virtual time and a key-value stand-in.
+func inBubble(t *testing.T, test func(t *testing.T, f *fleet.Fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, err := fleet.New(fleet.NewMemory(), nil)
+		is.NoErr(err)
+		defer f.Close()
+		test(t, f)
+	})
+}
+
+// Guards against a holder that was paused past its lease and still believes
+// that it holds the lock, and against fencing numbers that don't grow.
+func TestPausedHolderLosesTheLock(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		first, err := lock(t, f, "a").Acquire(t.Context())
+		is.NoErr(err)
+		_, err = lock(t, f, "b").Acquire(t.Context())
+		is.True(errors.Is(err, lease.ErrHeld))
+		time.Sleep(11 * time.Second)
+		is.True(first.Remaining() < 0)
+		second, err := lock(t, f, "b").Acquire(t.Context())
+		is.NoErr(err)
+		is.True(second.Fence > first.Fence)
+		is.True(errors.Is(first.Renew(t.Context()), lease.ErrLapsed))
+		is.NoErr(first.Release(t.Context()))
+		_, err = lock(t, f, "c").Acquire(t.Context())
+		is.True(errors.Is(err, lease.ErrHeld)) // the late release must not free the lock of the second holder
+	})
+}
+
+// Guards against a lock whose write took effect while its answer was lost:
+// the process must know that it holds the lock, else nobody does for a TTL.
+func TestLostAnswerIsSettled(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		f.KV.SetFaults(kv.Faults{LoseWriteAnswers: 1})
+		h, err := lock(t, f, "a").Acquire(t.Context())
+		is.NoErr(err)
+		_, revision := f.KV.Value("citrontiller/leader/llm")
+		is.Equal(h.Fence, revision)
+	})
+}
+
+// Guards against two holders at once, and against a lock that nobody takes
+// after an outage of the key-value service.
+func TestOneHolderThroughOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		active, most, turns := 0, 0, 0
+		hold := func(ctx context.Context, h *lease.Held) {
+			mu.Lock()
+			active++
+			turns++
+			most = max(most, active)
+			mu.Unlock()
+			<-ctx.Done()
+			is.True(h.Remaining() > 0 || ctx.Err() != nil)
+			mu.Lock()
+			active--
+			mu.Unlock()
+		}
+		var wg sync.WaitGroup
+		for _, name := range []string{"a", "b", "c"} {
+			l := lock(t, f, name)
+			wg.Go(func() { l.Run(ctx, hold) })
+		}
+		time.Sleep(time.Minute)
+		mu.Lock()
+		is.Equal(turns, 1)
+		mu.Unlock()
+		f.KV.SetFaults(kv.Faults{Down: true})
+		time.Sleep(time.Minute)
+		mu.Lock()
+		is.Equal(active, 0)
+		mu.Unlock()
+		f.KV.SetFaults(kv.Faults{})
+		time.Sleep(30 * time.Second)
+		mu.Lock()
+		is.Equal(active, 1)
+		is.Equal(most, 1)
+		mu.Unlock()
+		cancel()
+		wg.Wait()
+	})
+}
