--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -42,6 +42,8 @@
 	// KVAddress and HostsAddress are where the platform's stand-ins listen.
 	KVAddress    string
 	HostsAddress string
+	// Recorder notes every message; nil records nothing.
+	Recorder *Recorder
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -65,13 +67,16 @@
 }
 
 // New starts the platform's stand-ins on the network.
-func New(n Network, log *zap.Logger) (*Fleet, error) {
+func New(n Network, log *zap.Logger) (*Fleet, error) { return NewRecorded(n, log, nil) }
+
+// NewRecorded is New with a recorder of all messages; nil records nothing.
+func NewRecorded(n Network, log *zap.Logger, r *Recorder) (*Fleet, error) {
 	if log == nil {
 		log = zap.NewNop()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{Network: n, KV: kv.New(), Hosts: hosts.New(), Log: log, Engines: map[string]*engine.Server{},
-		Plains: map[string]*plain.Server{}, ctx: ctx, cancel: cancel}
+		Plains: map[string]*plain.Server{}, Recorder: r, ctx: ctx, cancel: cancel}
 	var err error
 	if f.KVAddress, err = f.Serve("kv", f.KV); err != nil {
 		return nil, err
@@ -88,7 +93,7 @@
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return f.ctx }}
+	srv := &http.Server{Handler: f.Recorder.handler(name, h), ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return f.ctx }}
 	f.wg.Go(func() { _ = srv.Serve(l) })
 	f.wg.Go(func() {
 		<-f.ctx.Done()
@@ -145,7 +150,7 @@
 			return nil, err
 		}
 	}
-	a, err := f.startAgent(spec.Options, l, addr, eps)
+	a, err := f.startAgent(spec.Name, spec.Options, l, addr, eps)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +162,7 @@
 	return a, nil
 }
 
-func (f *Fleet) startAgent(opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
+func (f *Fleet) startAgent(name string, opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
 	if opts.Concurrency == 0 {
 		opts = agent.DefaultOptions()
 	}
@@ -172,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := grpc.NewServer()
+	g := grpc.NewServer(grpc.StreamInterceptor(f.Recorder.interceptor(name)))
 	pb.RegisterAgentServer(g, srv)
 	f.wg.Go(func() { _ = g.Serve(l) })
 	f.wg.Go(func() {
