Make tombstones and tickets prove "not run"

Three faults let a "not run" be false:

- Revoke of an attempt without a record always left a tombstone and answered "revoked".
The record of an attempt that ran is evicted after result_retention (10 min), while claims live 24 h, so a late Revoke proved the opposite of the truth.
RevokeRequest now carries the Open's ticket; the agent answers ATTEMPT_UNKNOWN when the ticket is as old as the retention.
- The ticket was checked outside the table's lock.
An agent stopped between the check and the insertion could evict the tombstone first and then run the Open.
The check now runs under the lock.
- A ticket from another incarnation with a later clock never became stale.
A ticket from the future is refused.

Tombstones are kept for the ticket lifetime plus 1 s in place of 10 min; no longer is needed, since a younger ticket without a record is itself the proof.

--- a/agent/server.go
+++ b/agent/server.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// tombstoneMargin covers the rounding of tickets to milliseconds.
+const tombstoneMargin = time.Second
+
 // Server is an agent.
 type Server struct {
 	pb.UnimplementedAgentServer
@@ -85,7 +88,7 @@
 		log:         opts.Log,
 		incarnation: uuid.NewString(),
 		start:       time.Now(),
-		table:       call.NewTable[*attempt](opts.ResultRetention),
+		table:       call.NewTable[*attempt](opts.ResultRetention, opts.TicketLifetime+tombstoneMargin),
 		endpoints:   map[string]*local{},
 		watchers:    map[chan struct{}]struct{}{},
 	}
@@ -124,51 +127,49 @@
 
 func (s *Server) open(srv pb.Agent_RunServer, o *pb.Open) error {
 	key := call.Key{Request: o.RequestId, Attempt: o.AttemptId}
-	a, state := s.table.Lookup(key)
-	if state == call.Absent {
-		if r := s.check(o); r != nil {
-			return s.send(srv, key, &pb.Down{Kind: &pb.Down_Refused{Refused: r}})
-		}
-		a, state = s.begin(key, o)
-	}
+	a, refused := s.begin(key, o)
 	if a == nil {
-		code, msg := pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked"
-		if state == call.Absent {
-			code, msg = pb.RefusalCode_REFUSAL_LEAVING, "the agent is leaving"
-		}
-		return s.send(srv, key, &pb.Down{Kind: &pb.Down_Refused{Refused: s.refusal(code, msg, pb.Run_RUN_NOT_RUN)}})
+		return s.send(srv, key, &pb.Down{Kind: &pb.Down_Refused{Refused: refused}})
 	}
 	return s.serve(srv, a, 1)
 }
 
 // begin inserts the attempt and starts it, unless another Open of it was
-// faster. It returns Absent when the agent is leaving. The check shares the
-// lock with Leave, so that Drain never misses an attempt.
-func (s *Server) begin(key call.Key, o *pb.Open) (*attempt, call.State) {
+// faster, or returns the refusal. The check shares the lock with Leave, so that
+// Drain never misses an attempt.
+func (s *Server) begin(key call.Key, o *pb.Open) (*attempt, *pb.Refused) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving {
-		return nil, call.Absent
-	}
-	a, state, created := s.table.Begin(key, func() *attempt { return newAttempt(key, o, s.opts.StreamBuffer) })
+	refused := s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked", pb.Run_RUN_NOT_RUN)
+	a, _, created := s.table.Begin(key, func() (*attempt, bool) {
+		if refused = s.check(o); refused != nil {
+			return nil, false
+		}
+		return newAttempt(key, o, s.opts.StreamBuffer), true
+	})
 	if created {
 		s.work.Add(1)
 		go s.run(a, s.endpoints[o.EndpointId], o)
 	}
-	return a, state
+	return a, refused
 }
 
 // check returns the refusal for an Open of an unknown attempt that must not
-// run, or nil. The table must be consulted first: a repeated Open of an
-// accepted attempt may carry an old ticket.
+// run, or nil. Every refusal here is permanent and needs no tombstone. The
+// table must be consulted first: a repeated Open of an accepted attempt may
+// carry an old ticket. The caller holds mu.
 func (s *Server) check(o *pb.Open) *pb.Refused {
+	age := s.ticket() - o.TicketMs
 	switch {
+	case s.leaving:
+		return s.refusal(pb.RefusalCode_REFUSAL_LEAVING, "the agent is leaving", pb.Run_RUN_NOT_RUN)
 	case o.RequestId == "" || o.AttemptId == "" || o.Http == nil:
 		return s.refusal(pb.RefusalCode_REFUSAL_INVALID, "request id, attempt id and http request are required", pb.Run_RUN_NOT_RUN)
 	case o.Incarnation != s.incarnation:
 		return s.refusal(pb.RefusalCode_REFUSAL_INCARNATION, "the agent has restarted", pb.Run_RUN_NOT_RUN)
-	case s.ticket()-o.TicketMs > s.opts.TicketLifetime.Milliseconds():
-		return s.refusal(pb.RefusalCode_REFUSAL_STALE_TICKET, "the ticket is too old", pb.Run_RUN_NOT_RUN)
+	case age < 0 || age > s.opts.TicketLifetime.Milliseconds():
+		// A ticket from the future is another incarnation's and would not expire in time.
+		return s.refusal(pb.RefusalCode_REFUSAL_STALE_TICKET, "the ticket is too old or not this agent's", pb.Run_RUN_NOT_RUN)
 	case s.endpoints[o.EndpointId] == nil:
 		return s.refusal(pb.RefusalCode_REFUSAL_UNKNOWN_ENDPOINT, "no endpoint "+o.EndpointId+" at this agent", pb.Run_RUN_NOT_RUN)
 	}
@@ -207,7 +208,7 @@
 	case <-a.ctx.Done():
 	}
 	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
-		s.table.Revoke(a.key)
+		s.table.Revoke(a.key, always)
 		a.refuse(s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
 		return
 	}
@@ -274,8 +275,13 @@
 		return reply, nil
 	}
 	key := call.Key{Request: r.RequestId, Attempt: r.AttemptId}
-	a, state := s.table.Revoke(key)
+	a, state := s.table.Revoke(key, func() bool {
+		age := s.ticket() - r.TicketMs
+		return age >= 0 && age < s.opts.ResultRetention.Milliseconds()
+	})
 	switch state {
+	case call.Absent:
+		reply.State = pb.AttemptState_ATTEMPT_UNKNOWN
 	case call.Revoked:
 		reply.State = pb.AttemptState_ATTEMPT_REVOKED
 		if a != nil {
@@ -293,6 +299,9 @@
 	return reply, nil
 }
 
+// always is the proof for attempts that have a record.
+func always() bool { return true }
+
 // send stamps ids on a message and sends it.
 func (s *Server) send(srv pb.Agent_RunServer, key call.Key, d *pb.Down) error {
 	d.RequestId, d.AttemptId = key.Request, key.Attempt
@@ -479,7 +488,7 @@
 // cancelAttempt stops an attempt whose caller left. A dispatched
 // non-idempotent attempt runs on, so that its result can be asked for.
 func (s *Server) cancelAttempt(a *attempt) {
-	if _, state := s.table.Revoke(a.key); state == call.Revoked || a.idempotent {
+	if _, state := s.table.Revoke(a.key, always); state == call.Revoked || a.idempotent {
 		a.cancel()
 	}
 }
--- a/call/table.go
+++ b/call/table.go
@@ -21,33 +21,41 @@
 	ended time.Time
 }
 
-// Table holds the attempts an agent knows. Revoked and finished attempts stay
-// for the retention time, which must exceed the ticket lifetime: otherwise a
-// delayed Open could run after its record was evicted.
+// Table holds the attempts an agent knows. Revoked attempts stay for the
+// tombstone time and finished ones for the retention time. Both must exceed the
+// ticket lifetime: otherwise a delayed Open could run after its record was
+// evicted.
 type Table[V any] struct {
 	mu        sync.Mutex
 	retention time.Duration
+	tombstone time.Duration
 	records   map[Key]*Record[V]
 	now       func() time.Time
 }
 
-// NewTable returns an empty table with the given retention.
-func NewTable[V any](retention time.Duration) *Table[V] {
-	return &Table[V]{retention: retention, records: map[Key]*Record[V]{}, now: time.Now}
+// NewTable returns an empty table that keeps finished attempts for retention
+// and revoked ones for tombstone.
+func NewTable[V any](retention, tombstone time.Duration) *Table[V] {
+	return &Table[V]{retention: retention, tombstone: tombstone, records: map[Key]*Record[V]{}, now: time.Now}
 }
 
-// Begin inserts a queued attempt with the value that create returns. When the
+// Begin inserts a queued attempt with the value that admit returns. When the
 // attempt is known already, Begin returns its state and value and created is
-// false; create is not called.
-func (t *Table[V]) Begin(k Key, create func() V) (v V, s State, created bool) {
+// false; admit is not called. When admit returns false, nothing is inserted and
+// the state is Absent. Admit runs under the table's lock: a ticket checked
+// before it could expire, and its tombstone be evicted, before the insertion.
+func (t *Table[V]) Begin(k Key, admit func() (V, bool)) (v V, s State, created bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.records[k]; ok {
 		return r.Value, r.State, false
 	}
-	r := &Record[V]{Key: k, State: Queued, Value: create()}
-	t.records[k] = r
-	return r.Value, Queued, true
+	v, ok := admit()
+	if !ok {
+		return v, Absent, false
+	}
+	t.records[k] = &Record[V]{Key: k, State: Queued, Value: v}
+	return v, Queued, true
 }
 
 // Lookup returns the attempt's value and state.
@@ -74,13 +82,17 @@
 	return true
 }
 
-// Revoke leaves a tombstone for an attempt that has not been dispatched, known
-// or not, and returns the resulting state. Dispatched and finished attempts
-// keep their state.
-func (t *Table[V]) Revoke(k Key) (V, State) {
+// Revoke leaves a tombstone for an attempt that has not been dispatched and
+// returns the resulting state. Dispatched and finished attempts keep their
+// state. For an attempt without a record, provable says whether a record of it
+// can't have been evicted; if it can, the state is Absent.
+func (t *Table[V]) Revoke(k Key, provable func() bool) (v V, s State) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[k]
+	if !ok && !provable() {
+		return v, Absent
+	}
 	if !ok {
 		r = &Record[V]{Key: k}
 		t.records[k] = r
@@ -102,14 +114,15 @@
 	}
 }
 
-// Sweep evicts attempts that ended longer ago than the retention and returns
+// Sweep evicts attempts that ended longer ago than they are kept and returns
 // how many remain.
 func (t *Table[V]) Sweep() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := t.now().Add(-t.retention)
+	now := t.now()
 	for k, r := range t.records {
-		if (r.State == Finished || r.State == Revoked) && r.ended.Before(limit) {
+		age := now.Sub(r.ended)
+		if (r.State == Finished && age > t.retention) || (r.State == Revoked && age > t.tombstone) {
 			delete(t.records, k)
 		}
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -210,7 +210,7 @@
 	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.server.opts.RevokeTimeout)
 	defer cancel()
 	reply, err := a.link.Revoke(rctx, &pb.RevokeRequest{RequestId: a.open.RequestId, AttemptId: a.open.AttemptId,
-		Incarnation: a.open.Incarnation, Cancel: true})
+		Incarnation: a.open.Incarnation, TicketMs: a.open.TicketMs, Cancel: true})
 	if err == nil && reply.State == pb.AttemptState_ATTEMPT_REVOKED {
 		e.Run, e.Status, e.Code = call.NotRun, http.StatusServiceUnavailable, CodeNoEndpoint
 	}
--- a/wire/call.go
+++ b/wire/call.go
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.link.opts.StallTimeout)
 	defer cancel()
 	_, err := c.link.Revoke(ctx, &pb.RevokeRequest{RequestId: c.open.RequestId, AttemptId: c.open.AttemptId,
-		Incarnation: c.open.Incarnation, Cancel: true})
+		Incarnation: c.open.Incarnation, TicketMs: c.open.TicketMs, Cancel: true})
 	if err != nil {
 		c.link.log.Warn("revoke", zap.String("request", c.open.RequestId), zap.Error(err))
 	}
