Never deliver the answer to another request

An answer whose X-Request-Id differs from the request's was passed on to the caller. The driver now ends such a call with outcome unknown before its head is delivered, and the entry checks once more. standin/plain can cross answers.

A failed dial counted as proof of "not run" even when net/http had dialled again after a pooled connection broke, so the first try had been sent. Only the absence of any connection counts now.

net/http repeats a request by itself only on a reused connection; the single-use transport has none (one call counted at the endpoint with an Idempotency-Key and a dropped answer), and without GetBody the body can't be sent again.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -145,6 +146,11 @@
 	case p == nil || p.Head == nil:
 		return nil, &Error{Status: http.StatusBadGateway, Code: CodeEndpointFailed, Message: "the endpoint sent no response", Run: call.Unknown}
 	}
+	for _, h := range p.Head.Headers {
+		if strings.EqualFold(h.Name, "X-Request-Id") && h.Value != a.open.RequestId {
+			return nil, &Error{Status: http.StatusBadGateway, Code: CodeOutcomeUnknown, Message: "the endpoint answered another request", Run: call.Unknown}
+		}
+	}
 	return p.Head, nil
 }
 
--- a/plugins/internal/exchange/exchange.go
+++ b/plugins/internal/exchange/exchange.go
@@ -7,8 +7,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -85,27 +85,46 @@
 	for _, h := range r.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
-	req.Header.Set("X-Request-Id", r.ID)
+	req.Header.Set(requestIDHeader, r.ID)
 	client := c.pooled
 	if !r.Idempotent {
 		client = c.single
+		// Without GetBody the transport can't send the body a second time.
+		req.GetBody = nil
 	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return sendError(ctx, err, sent.Load())
 	}
 	defer resp.Body.Close()
+	if err := sameRequest(r.ID, resp.Header); err != nil {
+		// A pooled connection whose answers are out of step stays out of step.
+		c.pooled.CloseIdleConnections()
+		return err
+	}
 	return relay(ctx, resp, sink)
 }
 
-// sendError classifies a failure before the response head.
+// requestIDHeader carries the request id; endpoints that know it echo it.
+const requestIDHeader = "X-Request-Id"
+
+// sameRequest checks that an answer which echoes a request id echoes this one.
+// What the endpoint did with this request is then unknown.
+func sameRequest(id string, h http.Header) error {
+	for _, got := range h.Values(requestIDHeader) {
+		if got != id {
+			return &agent.DriverError{Code: agent.CodeProtocol, Run: call.Unknown,
+				Err: fmt.Errorf("answer to request %q arrived for request %q", got, id)}
+		}
+	}
+	return nil
+}
+
+// sendError classifies a failure before the response head. A failed dial is no
+// proof by itself: the transport dials again after a pooled connection broke.
 func sendError(ctx context.Context, err error, sent bool) error {
 	run, code := call.Unknown, agent.CodeBroken
-	var op *net.OpError
-	switch {
-	case !sent:
-		run, code = call.NotRun, agent.CodeConnect
-	case errors.As(err, &op) && op.Op == "dial":
+	if !sent {
 		run, code = call.NotRun, agent.CodeConnect
 	}
 	if ctx.Err() != nil {
--- /dev/null
+++ b/plugins/internal/exchange/exchange_test.go
@@ -0,0 +1,81 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/stream"
+)
+
+type sink struct {
+	head *stream.Head
+	body bytes.Buffer
+}
+
+func (s *sink) Head(_ context.Context, h stream.Head) error { s.head = &h; return nil }
+func (s *sink) Data(_ context.Context, b []byte) error      { s.body.Write(b); return nil }
+func keyed(r *agent.Request, key string) *agent.Request {
+	r.Headers = []stream.Header{{Name: "Idempotency-Key", Value: key}}
+	return r
+}
+
+// Guards against the transport's own retry of keyed requests, against "not run"
+// after such a retry failed to dial, and against answers to other requests.
+func TestDo(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		answer     func(w http.ResponseWriter, r *http.Request, stop func())
+		run        call.Run
+		counted    int64
+	}{
+		{"dropped non-idempotent call", false, func(http.ResponseWriter, *http.Request, func()) { panic(http.ErrAbortHandler) }, call.Unknown, 1},
+		{"dial after a dropped call", true, func(_ http.ResponseWriter, _ *http.Request, stop func()) {
+			stop()
+			panic(http.ErrAbortHandler)
+		}, call.Unknown, 1},
+		{"crossed answer", false, func(w http.ResponseWriter, _ *http.Request, _ func()) {
+			w.Header().Set("X-Request-Id", "other")
+			_, _ = w.Write([]byte("other's answer"))
+		}, call.Unknown, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			var counted atomic.Int64
+			srv := &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					return
+				}
+				counted.Add(1)
+				tc.answer(w, r, func() { _ = l.Close() })
+			})}}
+			srv.Start()
+			defer srv.Close()
+			c := New(kernel.Settings{})
+			defer c.Close()
+			ep := agent.Endpoint{Address: l.Addr().String()}
+			// Leaves an idle connection in the pool.
+			is.NoErr(c.Do(t.Context(), ep, &agent.Request{ID: "w", Method: http.MethodGet, Path: "/", Idempotent: true}, nil, &sink{}))
+			var s sink
+			err = c.Do(t.Context(), ep, keyed(&agent.Request{ID: "r", Method: http.MethodPost, Path: "/", Idempotent: tc.idempotent}, "k"), []byte("b"), &s)
+			var de *agent.DriverError
+			is.True(errors.As(err, &de))
+			is.Equal(de.Run, tc.run)
+			is.Equal(counted.Load(), tc.counted)
+			is.True(s.head == nil) // nothing of another answer is delivered
+		})
+	}
+}
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,6 +17,11 @@
 	Delay time.Duration
 	// DropAnswers books and then drops the connection.
 	DropAnswers int
+	// CrossAnswers is how many calls get the answer of the call before them,
+	// with its X-Request-Id.
+	CrossAnswers int
+	// Padding is added to the body of every answer, in bytes.
+	Padding int
 }
 
 // Server is a plain service.
@@ -26,6 +32,7 @@
 	faults Faults
 	bodies map[string]int
 	total  int
+	last   booking
 }
 
 // New returns a service.
@@ -59,6 +66,7 @@
 	Number  int    `json:"number"`
 	Request string `json:"request"`
 	Body    string `json:"body"`
+	Padding string `json:"padding,omitempty"`
 }
 
 // ServeHTTP implements http.Handler.
@@ -73,11 +81,17 @@
 	if r.Method == http.MethodPost {
 		s.bodies[string(body)]++
 	}
-	b := booking{Service: s.ID, Number: s.total, Request: r.Header.Get("X-Request-Id"), Body: string(body)}
+	b := booking{Service: s.ID, Number: s.total, Request: r.Header.Get("X-Request-Id"), Body: string(body), Padding: strings.Repeat("x", f.Padding)}
 	drop := f.DropAnswers > 0
 	if drop {
 		s.faults.DropAnswers--
 	}
+	answer := b
+	if f.CrossAnswers > 0 && s.last.Request != "" {
+		s.faults.CrossAnswers--
+		answer = s.last
+	}
+	s.last = b
 	s.mu.Unlock()
 	if f.Delay > 0 {
 		time.Sleep(f.Delay)
@@ -86,6 +100,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Request-Id", b.Request)
-	_ = json.NewEncoder(w).Encode(b)
+	w.Header().Set("X-Request-Id", answer.Request)
+	_ = json.NewEncoder(w).Encode(answer)
 }
