--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 
 	"github.com/google/uuid"
 
@@ -54,6 +55,11 @@
 	case p == nil || p.Head == nil:
 		return nil, &Error{Status: http.StatusBadGateway, Code: CodeEndpointFailed, Message: "the endpoint sent no response", Run: call.Unknown}
 	}
+	for _, h := range p.Head.Headers {
+		if strings.EqualFold(h.Name, "X-Request-Id") && h.Value != a.open.RequestId {
+			return nil, &Error{Status: http.StatusBadGateway, Code: CodeOutcomeUnknown, Message: "the endpoint answered another request", Run: call.Unknown}
+		}
+	}
 	return p.Head, nil
 }
 
@@ -119,7 +125,7 @@
 	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.server.opts.RevokeTimeout)
 	defer cancel()
 	reply, err := a.link.Revoke(rctx, &pb.RevokeRequest{RequestId: a.open.RequestId, AttemptId: a.open.AttemptId,
-		Incarnation: a.open.Incarnation, Cancel: true})
+		Incarnation: a.open.Incarnation, TicketMs: a.open.TicketMs, Cancel: true})
 	if err == nil && reply.State == pb.AttemptState_ATTEMPT_REVOKED {
 		e.Run, e.Status, e.Code = call.NotRun, http.StatusServiceUnavailable, CodeNoEndpoint
 	}
