admit: predict cost from observed responses

Cause: callers ask for far more output than they use, so max_tokens says nothing about cost.

Output length and time after the first token are means per service and account; an account without history is estimated as its service. Prefill speed comes from responses with at least 64 computed prompt tokens. The keys are an LRU of 2,048, which bounds the memory.

--- /dev/null
+++ b/admit/predictor.go
@@ -0,0 +1,120 @@
+package admit
+
+import (
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// predictorKeys bounds the pairs of service and account an agent remembers:
+	// 380 accounts at five endpoints of different services.
+	predictorKeys = 2048
+	// smoothing is the weight of the newest observation.
+	smoothing = 0.1
+	// minPrefill is the smallest number of computed prompt tokens whose time
+	// tells the prefill speed; below it fixed costs dominate.
+	minPrefill = 64
+	// defaultOutput and defaultService are used before any observation.
+	defaultOutput  = 128
+	defaultService = time.Second
+)
+
+// Estimate is a predicted cost.
+type Estimate struct {
+	// Output is the number of output tokens.
+	Output int64
+	// Service is the time from dispatch to the end of the response.
+	Service time.Duration
+}
+
+// Observation is what a finished request cost.
+type Observation struct {
+	// Computed is the number of prompt tokens that were not in the cache.
+	Computed int64
+	Output   int64
+	// First is the time from dispatch to the first token, Total to the end.
+	First time.Duration
+	Total time.Duration
+}
+
+type predictorKey struct{ service, account string }
+
+// mean is an exponentially weighted mean, which starts as the plain mean so
+// that the first observation doesn't weigh more than the next ones.
+type mean struct {
+	n     int
+	value float64
+}
+
+func (m *mean) add(v float64) {
+	m.n++
+	m.value += (v - m.value) * max(smoothing, 1/float64(m.n))
+}
+
+type history struct{ output, decode mean }
+
+// Predictor estimates output length and service time per service and account
+// from what earlier requests really used, never from the caller's limits.
+// Methods are safe for concurrent use.
+type Predictor struct {
+	mu      sync.Mutex
+	keys    *lru.Cache[predictorKey, *history]
+	prefill mean // seconds per token
+}
+
+// NewPredictor returns a predictor without observations.
+func NewPredictor() *Predictor {
+	keys, err := lru.New[predictorKey, *history](predictorKeys)
+	if err != nil {
+		panic(err) // only for a size that isn't positive
+	}
+	return &Predictor{keys: keys}
+}
+
+// Predict estimates a request that has computed prompt tokens to prefill. An
+// account without observations is estimated as its service.
+func (p *Predictor) Predict(service, account string, computed int64) Estimate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.keys.Get(predictorKey{service, account})
+	if !ok {
+		h, ok = p.keys.Get(predictorKey{service: service})
+	}
+	if !ok {
+		return Estimate{Output: defaultOutput, Service: defaultService}
+	}
+	seconds := h.decode.value + float64(max(0, computed))*p.prefill.value
+	return Estimate{Output: int64(h.output.value + 0.5), Service: time.Duration(seconds * float64(time.Second))}
+}
+
+// Observe records a finished request.
+func (p *Predictor) Observe(service, account string, o Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	decode := o.Total
+	if o.Computed >= minPrefill {
+		p.prefill.add(o.First.Seconds() / float64(o.Computed))
+		decode -= o.First
+	}
+	for _, k := range []predictorKey{{service, account}, {service: service}} {
+		h, ok := p.keys.Get(k)
+		if !ok {
+			h = &history{}
+			p.keys.Add(k, h)
+		}
+		h.output.add(float64(o.Output))
+		h.decode.add(decode.Seconds())
+	}
+}
+
+// PrefillSpeed returns the observed prompt tokens per second, zero when unknown.
+func (p *Predictor) PrefillSpeed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.prefill.value <= 0 {
+		return 0
+	}
+	return int64(1 / p.prefill.value)
+}
