config: complete the service document

Cause: the document lacked the limits, timeouts and budgets that the agent, claims and endpoint selection need; json.Decoder stopped at the first unknown field, matched names regardless of case and kept the last of repeated ones. Ruled out: a schema library (none among the declared ones) and a second table of ranges beside the struct, which would drift. Ranges, units and descriptions are struct tags; the validator, the diff and the reference page read them. A rule max_wait_ms <= request_ms was tried and dropped: a document that only shortens request_ms would be refused because of a default. Conclusion: all problems of a document are reported at once with path, value and allowed range; TestReference compares docs/SERVICE-DOCUMENT.md with the struct. go test -race ./... passes.

--- a/config/document.go
+++ b/config/document.go
@@ -3,68 +3,90 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/citrontiller/citrontiller/platform"
 )
 
-// Document describes one service. Its team owns it.
+// FormatVersion is the version of the document format this build reads.
+const FormatVersion = 1
+
+// MaxDocumentBytes bounds a document. An agent returns the records of all its
+// services in one gRPC message of at most 4 MiB.
+const MaxDocumentBytes = 512 << 10
+
+// Document describes one service. Its team owns it. The tags of each field
+// give its range, its unit and its entry in docs/SERVICE-DOCUMENT.md.
 type Document struct {
+	FormatVersion int `json:"format_version" range:"1..1" doc:"Version of the document format."`
 	// Service is the service's name and the last part of the document's key.
-	Service string        `json:"service"`
-	Kind    platform.Kind `json:"kind"`
+	Service string        `json:"service" match:"name" doc:"Name of the service."`
+	Kind    platform.Kind `json:"kind" match:"kind" doc:"What the endpoints are."`
 	// Model is the name callers use. Engines only.
-	Model string `json:"model,omitempty"`
+	Model string `json:"model,omitempty" match:"text" doc:"Name callers use for the model. Required for engines."`
 	// Version is the version of the weights. Engines only.
-	Version string `json:"version,omitempty"`
+	Version string `json:"version,omitempty" match:"text" doc:"Version of the weights."`
 	// Adapters are names callers may use besides Model. Engines only.
-	Adapters []string  `json:"adapters,omitempty"`
-	Accounts []Account `json:"accounts"`
+	Adapters []string  `json:"adapters,omitempty" match:"text" doc:"Names callers may use besides the model. Unique."`
+	Accounts []Account `json:"accounts" doc:"Client accounts that may use the service."`
 	// Routes are the paths of a plain service.
-	Routes   []Route  `json:"routes,omitempty"`
+	Routes   []Route  `json:"routes,omitempty" doc:"Paths of a plain service. Required for plain services."`
 	Limits   Limits   `json:"limits"`
 	Timeouts Timeouts `json:"timeouts"`
 	Budgets  Budgets  `json:"budgets"`
+	Engine   Engine   `json:"engine"`
+	Routing  Routing  `json:"routing"`
 }
 
 // Account is a client account that may use the service.
 type Account struct {
-	Name string `json:"name"`
+	Name string `json:"name" match:"name" doc:"Name of the account. Unique in the document."`
 	// KeySHA256 are the hex SHA-256 hashes of the account's keys.
-	KeySHA256 []string `json:"key_sha256"`
+	KeySHA256 []string `json:"key_sha256" match:"sha256" doc:"SHA-256 hashes of the account's keys. Each unique in the document."`
 	// Weight is the account's share of a busy endpoint.
-	Weight int `json:"weight"`
+	Weight int `json:"weight" range:"1..1000" default:"1" doc:"Share of a busy endpoint, relative to the other accounts."`
+	// MaxRunning bounds the account's requests per entry; 0 means the
+	// service's max_running_per_account.
+	MaxRunning int `json:"max_running" range:"0..100000" unit:"requests" doc:"Requests running per entry; 0 uses limits.max_running_per_account."`
+	// RequestsPerSecond bounds the account's new requests per entry; 0 means no limit.
+	RequestsPerSecond int `json:"requests_per_second" range:"0..100000" unit:"requests/s" doc:"New requests per entry; 0 means no limit."`
 }
 
 // Route is a path prefix of a plain service.
 type Route struct {
 	// Path is matched as a prefix at a slash.
-	Path string `json:"path"`
+	Path string `json:"path" match:"path" doc:"Path prefix, matched at a slash."`
 	// Methods this entry applies to; empty means all.
-	Methods []string `json:"methods,omitempty"`
+	Methods []string `json:"methods,omitempty" match:"method" doc:"HTTP methods the route applies to; empty means all."`
 	// Idempotent calls may be repeated. GET, HEAD and OPTIONS always are.
-	Idempotent bool `json:"idempotent"`
+	Idempotent bool `json:"idempotent" doc:"Whether calls may be repeated. GET, HEAD and OPTIONS always may."`
 }
 
 // Limits bound what a caller may ask for.
 type Limits struct {
-	MaxBodyBytes int64 `json:"max_body_bytes"`
+	MaxBodyBytes int64 `json:"max_body_bytes" range:"1..67108864" unit:"bytes" doc:"Largest request body."`
 	// MaxRunningPerAccount bounds an account's requests per entry.
-	MaxRunningPerAccount int `json:"max_running_per_account"`
+	MaxRunningPerAccount int `json:"max_running_per_account" range:"1..100000" unit:"requests" doc:"Requests an account may have running per entry."`
+	// StreamBufferBytes bounds the unacknowledged part of a response at the agent.
+	StreamBufferBytes int `json:"stream_buffer_bytes" range:"4096..65536" unit:"bytes" doc:"Replay buffer of a stream at the agent."`
 }
 
-// Timeouts bound how long things take, in milliseconds.
+// Timeouts bound how long things take, in milliseconds unless the name says
+// otherwise.
 type Timeouts struct {
-	RequestMs  int64 `json:"request_ms"`
-	MaxWaitMs  int64 `json:"max_wait_ms"`
-	BodyReadMs int64 `json:"body_read_ms"`
+	RequestMs  int64 `json:"request_ms" range:"1..86400000" unit:"ms" doc:"Time for a whole request."`
+	MaxWaitMs  int64 `json:"max_wait_ms" range:"1..600000" unit:"ms" doc:"Longest predicted wait in an agent's queue; a longer one is refused with \"not run\"."`
+	BodyReadMs int64 `json:"body_read_ms" range:"1..600000" unit:"ms" doc:"Time for reading a request body."`
 	// WriteStallMs is how long a caller may block a response.
-	WriteStallMs int64 `json:"write_stall_ms"`
+	WriteStallMs int64 `json:"write_stall_ms" range:"100..600000" unit:"ms" doc:"Time a caller may block a response."`
+	// StallTimeoutMs is at least two of the agent's Progress messages, which
+	// it sends every second.
+	StallTimeoutMs int64 `json:"stall_timeout_ms" range:"2000..60000" unit:"ms" doc:"Time without a chunk or progress before the entry attaches on a new connection."`
+	DetachGraceMs  int64 `json:"detach_grace_ms" range:"0..600000" unit:"ms" doc:"Time an idempotent request runs on after its entry is lost."`
+	// ResultRetentionMs exceeds the ticket lifetime of 60 s, so that a delayed
+	// Open finds the record of its attempt.
+	ResultRetentionMs int64 `json:"result_retention_ms" range:"120000..86400000" unit:"ms" doc:"Time the agent keeps the result of a non-idempotent request."`
+	ClaimRetentionS   int64 `json:"claim_retention_s" range:"60..604800" unit:"s" doc:"Lease of an idempotency claim."`
 }
 
 // Request returns the deadline of a request.
@@ -72,89 +94,46 @@
 
 // Budgets bound repeated work.
 type Budgets struct {
-	RetryPercent          int `json:"retry_percent"`
-	HedgePercent          int `json:"hedge_percent"`
-	ClaimWritesPerSecond  int `json:"claim_writes_per_second"`
-	MaxAttemptsPerRequest int `json:"max_attempts_per_request"`
+	RetryPercent          int `json:"retry_percent" range:"0..100" unit:"%" doc:"Retries, as a share of requests."`
+	HedgePercent          int `json:"hedge_percent" range:"0..100" unit:"%" doc:"Hedged attempts, as a share of requests."`
+	ClaimWritesPerSecond  int `json:"claim_writes_per_second" range:"1..500" unit:"writes/s" doc:"Claim writes to the key-value service per entry."`
+	MaxAttemptsPerRequest int `json:"max_attempts_per_request" range:"1..16" unit:"attempts" doc:"Attempts of one request, the first included."`
 }
 
-// Default returns a document with every default set.
-func Default() Document {
-	return Document{
-		Kind:     platform.Engine,
-		Limits:   Limits{MaxBodyBytes: 4 << 20, MaxRunningPerAccount: 4096},
-		Timeouts: Timeouts{RequestMs: 300_000, MaxWaitMs: 5_000, BodyReadMs: 10_000, WriteStallMs: 30_000},
-		Budgets:  Budgets{RetryPercent: 10, HedgePercent: 5, ClaimWritesPerSecond: 50, MaxAttemptsPerRequest: 4},
-	}
+// Engine are the settings of model engines and their agents.
+type Engine struct {
+	MinConcurrency     int `json:"min_concurrency" range:"1..4096" unit:"requests" doc:"Lower bound of an engine's concurrency limit."`
+	InitialConcurrency int `json:"initial_concurrency" range:"1..4096" unit:"requests" doc:"Concurrency limit before anything is measured."`
+	MaxConcurrency     int `json:"max_concurrency" range:"1..4096" unit:"requests" doc:"Upper bound of an engine's concurrency limit."`
+	// TokenGapTargetMs is the time between tokens that 95 of 100 must keep.
+	TokenGapTargetMs    int `json:"token_gap_target_ms" range:"1..10000" unit:"ms" doc:"Time between tokens that the concurrency limit aims at."`
+	ShortReservePercent int `json:"short_reserve_percent" range:"0..90" unit:"%" doc:"Slots reserved for short requests."`
+	ShortOutputTokens   int `json:"short_output_tokens" range:"1..1000000" unit:"tokens" doc:"Predicted output up to which a request is short."`
+	WeightLoadSlots     int `json:"weight_load_slots" range:"1..1000" unit:"engines" doc:"Engines of the service that load weights at once."`
+	// PrefixPieceTokens is the size in which the stores keep KV cache.
+	PrefixPieceTokens int `json:"prefix_piece_tokens" range:"16..100000" unit:"tokens" doc:"Size of a piece of the prefix hash chain."`
+	// PrefixBlockLifetimeMs is used until an engine reports its own.
+	PrefixBlockLifetimeMs int64 `json:"prefix_block_lifetime_ms" range:"100..86400000" unit:"ms" doc:"Time an unused cached block is expected to stay, until an engine reports its own."`
 }
 
-// Error reports one problem of a document.
-type Error struct {
-	// Path is the field, e.g. "timeouts.request_ms".
-	Path string
-	// Value is what the document says, Allowed what it may say.
-	Value   any
-	Allowed string
-	Err     error
+// Routing are the settings of endpoint selection.
+type Routing struct {
+	CrossRegionPriceMsPerMiB int `json:"cross_region_price_ms_per_mib" range:"0..100000" unit:"ms/MiB" doc:"Price of traffic between regions, added to an endpoint's score."`
+	EjectAfterFailures       int `json:"eject_after_failures" range:"1..1000" unit:"failures" doc:"Consecutive failures after which an endpoint is ejected."`
+	ProbeIntervalMs          int `json:"probe_interval_ms" range:"100..600000" unit:"ms" doc:"Time between probes of an ejected endpoint."`
 }
 
-func (e *Error) Error() string {
-	if e.Err != nil {
-		return fmt.Sprintf("service document: %v", e.Err)
-	}
-	return fmt.Sprintf("service document: %s: got %v, allowed: %s", e.Path, e.Value, e.Allowed)
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
-
-// Parse reads a document over the defaults and validates it. Unknown fields
-// are errors.
-func Parse(data []byte) (*Document, error) {
-	d := Default()
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return nil, &Error{Err: err}
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, &Error{Err: errors.New("more than one JSON value")}
-	}
-	for i := range d.Accounts {
-		if d.Accounts[i].Weight == 0 {
-			d.Accounts[i].Weight = 1
-		}
-	}
-	if err := d.Validate(); err != nil {
-		return nil, err
-	}
-	return &d, nil
-}
-
-// Validate returns every problem of the document, joined.
-func (d *Document) Validate() error {
-	var errs []error
-	check := func(ok bool, path string, value any, allowed string) {
-		if !ok {
-			errs = append(errs, &Error{Path: path, Value: value, Allowed: allowed})
-		}
-	}
-	check(d.Service != "", "service", d.Service, "a name")
-	check(d.Kind == platform.Engine || d.Kind == platform.Plain, "kind", d.Kind, "engine, plain")
-	check(d.Kind != platform.Engine || d.Model != "", "model", d.Model, "a name")
-	check(d.Kind != platform.Plain || len(d.Routes) > 0, "routes", len(d.Routes), "at least one")
-	for i, r := range d.Routes {
-		check(len(r.Path) > 0 && r.Path[0] == '/', fmt.Sprintf("routes[%d].path", i), r.Path, "a path starting with /")
-	}
-	for i, a := range d.Accounts {
-		check(a.Name != "", fmt.Sprintf("accounts[%d].name", i), a.Name, "a name")
-		check(a.Weight > 0, fmt.Sprintf("accounts[%d].weight", i), a.Weight, "1 or more")
-		for j, k := range a.KeySHA256 {
-			check(len(k) == 64, fmt.Sprintf("accounts[%d].key_sha256[%d]", i, j), k, "64 hex digits")
-		}
+// Default returns a document with every default set.
+func Default() Document {
+	return Document{
+		FormatVersion: FormatVersion,
+		Kind:          platform.Engine,
+		Limits:        Limits{MaxBodyBytes: 4 << 20, MaxRunningPerAccount: 4096, StreamBufferBytes: 64 << 10},
+		Timeouts: Timeouts{RequestMs: 300_000, MaxWaitMs: 5_000, BodyReadMs: 10_000, WriteStallMs: 30_000,
+			StallTimeoutMs: 3_000, DetachGraceMs: 5_000, ResultRetentionMs: 600_000, ClaimRetentionS: 86_400},
+		Budgets: Budgets{RetryPercent: 10, HedgePercent: 5, ClaimWritesPerSecond: 50, MaxAttemptsPerRequest: 4},
+		Engine: Engine{MinConcurrency: 1, InitialConcurrency: 16, MaxConcurrency: 256, TokenGapTargetMs: 64,
+			ShortReservePercent: 25, ShortOutputTokens: 64, WeightLoadSlots: 2, PrefixPieceTokens: 2_000, PrefixBlockLifetimeMs: 5_000},
+		Routing: Routing{CrossRegionPriceMsPerMiB: 20, EjectAfterFailures: 5, ProbeIntervalMs: 1_000},
 	}
-	check(d.Limits.MaxBodyBytes > 0 && d.Limits.MaxBodyBytes <= 64<<20, "limits.max_body_bytes", d.Limits.MaxBodyBytes, "1 to 67108864")
-	check(d.Timeouts.RequestMs > 0, "timeouts.request_ms", d.Timeouts.RequestMs, "1 or more")
-	check(d.Budgets.MaxAttemptsPerRequest > 0, "budgets.max_attempts_per_request", d.Budgets.MaxAttemptsPerRequest, "1 or more")
-	return errors.Join(errs...)
 }
