config: survive lost answers, silent watches and older stores

Cause: an accepted edit was reported as a conflict when another operator edited it before the lost answer was settled; a write lost before its effect was a conflict too; a store that came back older stayed older; each poll read every value; a failed poll restarted the watch from revision 0. The etcd driver maps 4xx to 'not written', 5xx after sending to 'unknown', and reads Retry-After. Polls read keys and revisions only. Ruled out: a transaction over both keys (platform.KV has single-key swaps).

--- a/config/record.go
+++ b/config/record.go
@@ -21,13 +21,19 @@
 // Record is a document with the facts of its acceptance. Generations of a
 // service grow by one with each accepted edit and order records.
 type Record struct {
-	Generation int64           `json:"generation"`
-	ChangeID   string          `json:"change_id"`
-	Author     string          `json:"author"`
-	Time       time.Time       `json:"time"`
-	Document   json.RawMessage `json:"document"`
+	Generation int64     `json:"generation"`
+	ChangeID   string    `json:"change_id"`
+	Author     string    `json:"author"`
+	Time       time.Time `json:"time"`
+	// Parents are the change ids of the generations before, latest first. They
+	// tell a lost answer and an edit of an older store from another's edit.
+	Parents  []string        `json:"parents,omitempty"`
+	Document json.RawMessage `json:"document"`
 }
 
+// maxParents bounds the parents in a record, about 2.5 KB.
+const maxParents = 64
+
 // Decode reads a record.
 func Decode(data []byte) (*Record, error) {
 	var r Record
--- /dev/null
+++ b/config/store_test.go
@@ -0,0 +1,297 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/standin/fleet"
+	"github.com/citrontiller/citrontiller/standin/kv"
+)
+
+const key = config.ServicePrefix + "llm"
+
+func document(retries int) []byte {
+	return fmt.Appendf(nil, `{"service":"llm","model":"m","budgets":{"retry_percent":%d}}`, retries)
+}
+
+// bubble runs f in virtual time with a fleet that has only the stand-ins.
+func bubble(t *testing.T, f func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl, err := fleet.New(fleet.NewMemory(), nil)
+		is.NoErr(err)
+		s, err := fl.Store()
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		f(is, fl, s, ctx)
+		cancel()
+		synctest.Wait()
+		fl.Close()
+	})
+}
+
+func apply(is *is.I, s *config.Store, base int64, retries int) *config.Record {
+	is.Helper()
+	r, err := s.Apply(context.Background(), document(retries), base, "test")
+	is.NoErr(err)
+	return r
+}
+
+type operation struct {
+	apply bool
+	base  int64
+}
+
+type outcome struct {
+	generation int64
+	changeID   string
+	conflict   bool
+}
+
+var register = porcupine.Model{
+	Init: func() any { return outcome{} },
+	Step: func(state, in, out any) (bool, any) {
+		st, i, o := state.(outcome), in.(operation), out.(outcome)
+		switch {
+		case !i.apply:
+			return st == o, st
+		case o.conflict:
+			return st.generation != i.base, st
+		default:
+			return st.generation == i.base && o.generation == i.base+1, o
+		}
+	},
+}
+
+// Guards against two operators' edits both being accepted from one base, and
+// an accepted edit reported as refused, while answers are lost before and
+// after the write took effect.
+func TestApplyIsLinearizable(t *testing.T) {
+	bubble(t, func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context) {
+		const operators, edits = 4, 12
+		var clock atomic.Int64
+		var mu sync.Mutex
+		var history []porcupine.Operation
+		step := func(client int, in operation, f func() outcome) outcome {
+			call := clock.Add(1)
+			out := f()
+			mu.Lock()
+			defer mu.Unlock()
+			history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: clock.Add(1)})
+			return out
+		}
+		var wg sync.WaitGroup
+		for c := range operators {
+			wg.Go(func() {
+				rng := rand.New(rand.NewPCG(7, uint64(c)))
+				for range edits {
+					got := step(c, operation{}, func() outcome {
+						r, _, err := s.Get(ctx, "llm")
+						if errors.Is(err, platform.ErrNotFound) {
+							return outcome{}
+						}
+						is.NoErr(err)
+						return outcome{generation: r.Generation, changeID: r.ChangeID}
+					})
+					fl.KV.SetFaults(kv.Faults{LoseWrites: rng.IntN(2), LoseWriteAnswers: rng.IntN(2), Delay: time.Duration(rng.IntN(20)) * time.Millisecond})
+					step(c, operation{apply: true, base: got.generation}, func() outcome {
+						r, err := s.Apply(ctx, document(rng.IntN(100)), got.generation, fmt.Sprint(c))
+						var conflict *config.Conflict
+						if errors.As(err, &conflict) {
+							return outcome{conflict: true}
+						}
+						is.NoErr(err)
+						return outcome{generation: r.Generation, changeID: r.ChangeID}
+					})
+				}
+			})
+		}
+		wg.Wait()
+		is.True(porcupine.CheckOperations(register, history))
+		final, _, err := s.Get(ctx, "llm")
+		is.NoErr(err)
+		fl.KV.SetFaults(kv.Faults{})
+		records, err := s.History(ctx, "llm")
+		is.NoErr(err)
+		is.Equal(len(records), int(final.Generation)) // every accepted edit is in the history
+	})
+}
+
+// overtaken loses the answer of the first write and lets another one follow it.
+type overtaken struct {
+	platform.KV
+	once sync.Once
+	then func()
+}
+
+func (o *overtaken) Swap(ctx context.Context, key string, expect int64, value []byte, lease int64) (int64, error) {
+	rev, err := o.KV.Swap(ctx, key, expect, value, lease)
+	o.once.Do(func() {
+		o.then()
+		rev, err = 0, &platform.Error{Code: platform.Unknown, Op: "swap"}
+	})
+	return rev, err
+}
+
+// Guards against an accepted edit being reported as a conflict because
+// another operator edited it before the lost answer was settled.
+func TestLostAnswerOvertaken(t *testing.T) {
+	bubble(t, func(is *is.I, _ *fleet.Fleet, s *config.Store, ctx context.Context) {
+		first := &config.Store{KV: &overtaken{KV: s.KV, then: func() { apply(is, s, 1, 20) }}}
+		r, err := first.Apply(ctx, document(10), 0, "first")
+		is.NoErr(err)
+		is.Equal(r.Generation, int64(1))
+		current, _, err := s.Get(ctx, "llm")
+		is.NoErr(err)
+		is.Equal(current.Generation, int64(2))
+	})
+}
+
+// Guards against a conflict without a diff, and a change whose outcome is
+// unknown without its id.
+func TestApplyErrors(t *testing.T) {
+	bubble(t, func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context) {
+		fl.KV.SetFaults(kv.Faults{LoseWrites: 100})
+		_, err := s.Apply(ctx, document(30), 0, "lost")
+		var se *config.StoreError
+		is.True(errors.As(err, &se) && se.ChangeID != "" && errors.Is(err, platform.ErrUnknown))
+		fl.KV.SetFaults(kv.Faults{})
+		apply(is, s, 0, 10)
+		_, err = s.Apply(ctx, document(30), 0, "late")
+		var conflict *config.Conflict
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Changes, []config.Change{{Path: "budgets.retry_percent", Old: "10", New: "30"}})
+		fl.KV.SetFaults(kv.Faults{LoseWrites: 100})
+		_, err = s.Apply(ctx, document(30), 1, "lost")
+		is.True(errors.As(err, &se) && se.ChangeID == "") // failed before the swap
+		fl.KV.SetFaults(kv.Faults{WritesPerSecond: 1})
+		start := time.Now()
+		apply(is, s, 1, 30)
+		apply(is, s, 2, 31)
+		is.True(time.Since(start) >= time.Second) // waited as Retry-After asked
+	})
+}
+
+// follow runs Follow and returns a function that waits until a generation is
+// in force and returns the time it took.
+func follow(ctx context.Context, is *is.I, s *config.Store, interval time.Duration) (*config.Table, func(generation int64, limit time.Duration) time.Duration) {
+	table := config.NewTable()
+	highest := int64(0)
+	table.OnChange(func(_ string, e config.Entry) {
+		is.True(e.Record.Generation > highest) // never goes back
+		highest = e.Record.Generation
+	})
+	go s.Follow(ctx, table, interval)
+	return table, func(generation int64, limit time.Duration) time.Duration {
+		start := time.Now()
+		for time.Since(start) < limit {
+			if e, ok := table.Get("llm"); ok && e.Record.Generation >= generation {
+				return time.Since(start)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return limit
+	}
+}
+
+// inForce is the time within which a change must be in force everywhere.
+const inForce = 19 * time.Second
+
+// Guards against a change that a silent watch never delivers. Without the poll
+// (an interval of an hour) it is not in force after 19 s.
+func TestSilentWatch(t *testing.T) {
+	for _, tt := range []struct {
+		interval time.Duration
+		want     bool
+	}{{5 * time.Second, true}, {time.Hour, false}} {
+		bubble(t, func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context) {
+			_, wait := follow(ctx, is, s, tt.interval)
+			apply(is, s, 0, 1)
+			wait(1, inForce)
+			fl.KV.SetFaults(kv.Faults{SilentWatch: true})
+			apply(is, s, 1, 2)
+			took := wait(2, inForce)
+			t.Logf("interval %v: in force after %v", tt.interval, took)
+			is.Equal(took < inForce, tt.want)
+		})
+	}
+}
+
+// Guards against a store that comes back with an older state and stays there,
+// and against the loss of an edit accepted on that older state.
+func TestOlderStore(t *testing.T) {
+	bubble(t, func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context) {
+		apply(is, s, 0, 1)
+		old := fl.KV.Snapshot()
+		apply(is, s, 1, 2)
+		apply(is, s, 2, 3)
+		table, wait := follow(ctx, is, s, 5*time.Second)
+		wait(3, inForce)
+		fl.KV.SetFaults(kv.Faults{Down: true})
+		time.Sleep(time.Minute)
+		fl.KV.Restore(old)
+		fl.KV.SetFaults(kv.Faults{})
+		time.Sleep(25 * time.Second)
+		r, _, err := s.Get(ctx, "llm")
+		is.NoErr(err)
+		is.Equal(r.Generation, int64(3)) // written back
+		fl.KV.Restore(old)
+		apply(is, s, 1, 99)
+		took := wait(4, inForce)
+		e, _ := table.Get("llm")
+		t.Logf("edit of the older store in force after %v", took)
+		is.Equal(e.Document.Budgets.RetryPercent, 99)
+		is.Equal(e.Record.Generation, int64(4))
+	})
+}
+
+// Guards against a document written past the operator command, and a log line
+// on every poll.
+func TestInvalidDocument(t *testing.T) {
+	bubble(t, func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context) {
+		core, logs := observer.New(zap.ErrorLevel)
+		s.Log = zap.New(core)
+		apply(is, s, 0, 7)
+		table, wait := follow(ctx, is, s, 5*time.Second)
+		wait(1, inForce)
+		bad := `{"generation":2,"change_id":"x","document":{"service":"llm","model":"m","budgets":{"retry_percent":101}}}`
+		for _, value := range []string{bad, `{"generation":`} {
+			fl.KV.Put(key, []byte(value))
+			time.Sleep(time.Minute)
+			e, _ := table.Get("llm")
+			is.Equal(e.Document.Budgets.RetryPercent, 7)
+		}
+		is.Equal(logs.FilterMessageSnippet("configuration refused").Len(), 2)
+		stored, _ := fl.KV.Value(key)
+		is.Equal(string(stored), `{"generation":`) // an operator repairs it
+	})
+}
+
+// Guards against polls that cost more calls or bytes than the store and the
+// process have: at rest one keys-only read and one watch every 5 s.
+func TestCallsAtRest(t *testing.T) {
+	bubble(t, func(is *is.I, fl *fleet.Fleet, s *config.Store, ctx context.Context) {
+		apply(is, s, 0, 1)
+		_, wait := follow(ctx, is, s, 5*time.Second)
+		wait(1, inForce)
+		before := fl.KV.Calls("/v3/kv/range")
+		time.Sleep(10 * time.Minute)
+		reads := fl.KV.Calls("/v3/kv/range") - before
+		t.Logf("%d reads in 10 minutes", reads)
+		is.True(reads <= 135)
+	})
+}
--- a/plugins/etcd/etcd.go
+++ b/plugins/etcd/etcd.go
@@ -21,6 +21,7 @@
 
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/plugins/internal/retryafter"
 )
 
 func init() {
@@ -79,6 +80,7 @@
 type rangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	KeysOnly bool   `json:"keys_only,omitempty"`
 }
 
 type rangeReply struct {
@@ -100,8 +102,17 @@
 
 // List implements platform.KV.
 func (d *Driver) List(ctx context.Context, prefix string) ([]platform.Pair, int64, error) {
+	return d.list(ctx, prefix, false)
+}
+
+// Scan is List without the values.
+func (d *Driver) Scan(ctx context.Context, prefix string) ([]platform.Pair, int64, error) {
+	return d.list(ctx, prefix, true)
+}
+
+func (d *Driver) list(ctx context.Context, prefix string, keysOnly bool) ([]platform.Pair, int64, error) {
 	var reply rangeReply
-	req := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	req := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), KeysOnly: keysOnly}
 	if err := d.read(ctx, "list "+prefix, "/v3/kv/range", req, &reply); err != nil {
 		return nil, 0, err
 	}
@@ -313,14 +324,11 @@
 		return got.Load() && !dial, &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusTooManyRequests {
-		return false, &platform.Error{Code: platform.RateLimited, Op: op}
-	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		if err == nil {
-			err = fmt.Errorf("status %s: %.200s", resp.Status, data)
-		}
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp, op, data)
+	}
+	if err != nil {
 		return true, &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
 	}
 	if err := json.Unmarshal(data, reply); err != nil {
@@ -329,6 +337,22 @@
 	return true, nil
 }
 
+// statusError classifies an answer other than 200. A 4xx answer proves that
+// nothing was written; after a 5xx answer, such as a lost leader, the write may
+// still be applied.
+func statusError(resp *http.Response, op string, data []byte) (sent bool, err error) {
+	cause := fmt.Errorf("status %s: %.200s", resp.Status, data)
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests:
+		wait := retryafter.Parse(resp.Header, time.Now())
+		return false, &platform.Error{Code: platform.RateLimited, Op: op, RetryAfter: wait, Err: cause}
+	case resp.StatusCode >= 300 && resp.StatusCode < 500:
+		return false, &platform.Error{Code: platform.Invalid, Op: op, Err: cause}
+	default:
+		return true, &platform.Error{Code: platform.Unavailable, Op: op, Err: cause}
+	}
+}
+
 func (d *Driver) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.base+path, bytes.NewReader(body))
 	if err != nil {
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"sync"
@@ -22,12 +23,19 @@
 	changed  chan struct{}
 	faults   Faults
 	calls    map[string]int
+	// writes counts the writes within second.
+	second int64
+	writes int
 }
 
 // Faults are the switches of the stand-in.
 type Faults struct {
 	// Down answers every call with 503.
 	Down bool
+	// LoseWrites drops the connection of this many writes before their effect.
+	LoseWrites int
+	// WritesPerSecond answers more writes in a second with 429; 0 means no limit.
+	WritesPerSecond int
 	// LoseWriteAnswers applies a write and then drops the connection.
 	LoseWriteAnswers int
 	// SilentWatch keeps watches open and sends nothing.
@@ -36,6 +44,13 @@
 	Delay time.Duration
 }
 
+// Snapshot is a state of the service at one revision.
+type Snapshot struct {
+	revision int64
+	keys     map[string]item
+	changes  int
+}
+
 type item struct {
 	value    []byte
 	revision int64
@@ -191,6 +206,7 @@
 	var req struct {
 		Key      []byte `json:"key"`
 		RangeEnd []byte `json:"range_end"`
+		KeysOnly bool   `json:"keys_only"`
 	}
 	if !decode(w, r, &req) {
 		return
@@ -200,6 +216,9 @@
 	var kvs []jsonKV
 	for k, it := range s.keys {
 		if inRange(k, string(req.Key), string(req.RangeEnd)) {
+			if req.KeysOnly {
+				it.value = nil
+			}
 			kvs = append(kvs, jsonKV{[]byte(k), it.value, it.revision})
 		}
 	}
@@ -229,6 +248,9 @@
 	if !decode(w, r, &req) {
 		return
 	}
+	if !s.admitWrite(w) {
+		return
+	}
 	s.mu.Lock()
 	ok := true
 	for _, c := range req.Compare {
@@ -256,6 +278,42 @@
 	reply(w, map[string]any{"header": jsonHeader{rev}, "succeeded": ok})
 }
 
+// admitWrite applies the faults that act before a write.
+func (s *Server) admitWrite(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseWrites > 0 {
+		s.faults.LoseWrites--
+		panic(http.ErrAbortHandler)
+	}
+	if second := time.Now().Unix(); second != s.second {
+		s.second, s.writes = second, 0
+	}
+	s.writes++
+	if limit := s.faults.WritesPerSecond; limit > 0 && s.writes > limit {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, `{"error":"etcdserver: too many requests","code":8}`, http.StatusTooManyRequests)
+		return false
+	}
+	return true
+}
+
+// Snapshot returns the current state for Restore.
+func (s *Server) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{revision: s.revision, keys: maps.Clone(s.keys), changes: len(s.log)}
+}
+
+// Restore brings an older state back, as after an outage with lost writes. The
+// revision counter goes back too.
+func (s *Server) Restore(old Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.keys, s.log = old.revision, maps.Clone(old.keys), s.log[:old.changes:old.changes]
+	s.notify()
+}
+
 type jsonLease struct {
 	ID  int64 `json:"ID,string"`
 	TTL int64 `json:"TTL,string"`
