Leave silent connections, tickets and slots behind correctly

Four faults of the link and of attempts:

- A replaced connection kept its watch.
Silent in one direction it stayed open for good and the entry never heard that the agent leaves.
The watch now moves.
- A late Progress or End of an earlier incarnation gave its clock to the current one's ticket, which then stayed fresh for as long as the old agent had run.
Tickets are kept only under the incarnation that issued them.
- A closed link let calls in flight dial connections that nobody closed.
- A non-idempotent response larger than the replay buffer blocked for good once its entry was gone, with its slot.
After detach_grace it is read to the end and parts beyond the buffer are lost to later readers.

Two entries that wait for one non-idempotent attempt superseded each other in a loop; such attempts now have several readers, and an attached one that leaves does not revoke the attempt.

The closed link and the readers' loop have no test of their own.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -109,11 +109,12 @@
 }
 
 // attach registers a reader. The returned channel closes when a newer reader
-// takes over.
+// takes over. A non-idempotent attempt has as many readers as entries ask for
+// its result; they would otherwise take it from each other without end.
 func (a *attempt) attach() (session int, superseded <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.supersede != nil {
+	if a.supersede != nil && a.idempotent {
 		close(a.supersede)
 	}
 	if a.detach != nil {
@@ -123,24 +124,37 @@
 	a.supersede = make(chan struct{})
 	a.session++
 	a.readers++
+	a.replay.Abandon(false)
 	return a.session, a.supersede
 }
 
-// detached is called when a reader's stream ended. If no reader is left, an
-// idempotent attempt is cancelled after the grace period.
+// sole reports whether at most one reader is attached.
+func (a *attempt) sole() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.readers <= 1
+}
+
+// detached is called when a reader's stream ended. If no reader is left after
+// the grace period, an idempotent attempt is cancelled; a non-idempotent one
+// runs on and no longer waits for a reader, which would hold its slot for good.
 func (a *attempt) detached(session int, grace time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
-	if session != a.session || a.done || !a.idempotent {
+	if a.done || (a.idempotent && session != a.session) || (!a.idempotent && a.readers > 0) {
 		return
 	}
+	session = a.session
 	a.detach = time.AfterFunc(grace, func() {
 		a.mu.Lock()
-		stale := session != a.session
-		a.mu.Unlock()
-		if !stale {
+		defer a.mu.Unlock()
+		switch {
+		case session != a.session:
+		case a.idempotent:
 			a.cancel()
+		default:
+			a.replay.Abandon(true)
 		}
 	})
 }
--- a/agent/server.go
+++ b/agent/server.go
@@ -488,6 +488,9 @@
 // cancelAttempt stops an attempt whose caller left. A dispatched
 // non-idempotent attempt runs on, so that its result can be asked for.
 func (s *Server) cancelAttempt(a *attempt) {
+	if !a.idempotent && !a.sole() {
+		return
+	}
 	if _, state := s.table.Revoke(a.key, always); state == call.Revoked || a.idempotent {
 		a.cancel()
 	}
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -57,16 +57,31 @@
 
 func post(t *testing.T, f *Fleet, path, body string) (int, string) {
 	t.Helper()
-	is := is.New(t)
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[0].Address+path, bytes.NewBufferString(body))
-	is.NoErr(err)
+	code, b, err := tryPost(f, 0, path, body, "")
+	is.New(t).NoErr(err)
+	return code, b
+}
+
+// tryPost posts through an entry, with an idempotency key if there is one. The
+// client repeats nothing by itself.
+func tryPost(f *Fleet, entry int, path, body, key string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[entry].Address+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.GetBody = nil
 	req.Header.Set("Authorization", "Bearer secret")
-	resp, err := f.Client().Do(req)
-	is.NoErr(err)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	c := &http.Client{Transport: &http.Transport{DialContext: f.Network.Dial, DisableKeepAlives: true}}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	is.NoErr(err)
-	return resp.StatusCode, string(b)
+	return resp.StatusCode, string(b), err
 }
 
 // Guards the whole path: configuration from the store, choice, agent, engine
--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -41,10 +41,14 @@
 type Memory struct {
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
+	faults    map[string]*Fault
+	open      map[*connection]struct{}
 }
 
 // NewMemory returns an empty in-memory network.
-func NewMemory() *Memory { return &Memory{listeners: map[string]*bufconn.Listener{}} }
+func NewMemory() *Memory {
+	return &Memory{listeners: map[string]*bufconn.Listener{}, faults: map[string]*Fault{}, open: map[*connection]struct{}{}}
+}
 
 // memoryBuffer is the size of an in-memory connection's buffer in bytes.
 const memoryBuffer = 256 << 10
@@ -71,5 +75,9 @@
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: err}
 	}
-	return c, nil
+	fc := &connection{Conn: c, network: m, address: address}
+	m.mu.Lock()
+	m.open[fc] = struct{}{}
+	m.mu.Unlock()
+	return fc, nil
 }
--- a/stream/replay.go
+++ b/stream/replay.go
@@ -57,6 +57,8 @@
 	bytes  int
 	closed bool
 	last   uint64
+	// abandoned drops parts that no longer fit in place of waiting for a reader.
+	abandoned bool
 }
 
 // NewReplay returns an empty buffer with a limit in bytes.
@@ -79,6 +81,9 @@
 			return ErrClosed
 		}
 		if r.bytes > r.limit {
+			if r.abandoned {
+				r.acked = r.last
+			}
 			r.trim()
 		}
 		if r.bytes <= r.limit || r.bytes == 0 {
@@ -173,6 +178,15 @@
 	return v, nil
 }
 
+// Abandon says whether the response is to be read on without any reader. Parts
+// that do not fit the limit are then lost to a later reader.
+func (r *Replay) Abandon(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.abandoned = on
+	r.notify()
+}
+
 // Discard drops every part, acknowledged or not.
 func (r *Replay) Discard() {
 	r.mu.Lock()
--- a/wire/call.go
+++ b/wire/call.go
@@ -36,6 +36,8 @@
 	open *pb.Open
 	out  chan Message
 	stop context.CancelFunc
+	// attached calls leave the attempt to the call that opened it.
+	attached bool
 
 	// The fields below belong to the call's goroutine.
 	sequencer *stream.Sequencer
@@ -58,10 +60,11 @@
 	return c
 }
 
-// StartAttached joins an attempt that another call has opened.
+// StartAttached joins an attempt that another call has opened. Cancelling ctx
+// leaves the attempt alone.
 func (l *Link) StartAttached(ctx context.Context, requestID, attemptID, incarnation string) *Call {
 	ctx, stop := context.WithCancel(ctx)
-	c := &Call{link: l, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer(), sent: true, accepted: true,
+	c := &Call{link: l, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer(), sent: true, accepted: true, attached: true,
 		open: &pb.Open{RequestId: requestID, AttemptId: attemptID, Incarnation: incarnation}}
 	go c.loop(ctx)
 	return c
@@ -133,7 +136,7 @@
 // revoke tells the agent, on whatever connection works, that the attempt is
 // no longer wanted.
 func (c *Call) revoke() {
-	if !c.sent || c.settled {
+	if !c.sent || c.settled || c.attached {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.link.opts.StallTimeout)
@@ -265,6 +268,9 @@
 // cancelStream sends Cancel and waits briefly for the agent's end, so that the
 // endpoint's capacity is free within a round trip.
 func (c *Call) cancelStream(run pb.Agent_RunClient, in <-chan received) error {
+	if c.attached {
+		return errStopped
+	}
 	if err := run.Send(&pb.Up{Kind: &pb.Up_Cancel{Cancel: &pb.Cancel{}}}); err != nil {
 		return errStopped
 	}
@@ -318,13 +324,13 @@
 			c.emit(ctx, Message{Parts: fresh})
 		}
 	case *pb.Down_Progress:
-		c.link.observe("", k.Progress.TicketMs, k.Progress.Load)
+		c.link.observe(c.open.Incarnation, k.Progress.TicketMs, k.Progress.Load)
 		c.echoed = k.Progress.AckedSeq
 		if c.echoed < c.acked && time.Since(c.ackedAt) > c.link.opts.StallTimeout {
 			return false, errSilent
 		}
 	case *pb.Down_End:
-		c.link.observe("", k.End.TicketMs, k.End.Load)
+		c.link.observe(c.open.Incarnation, k.End.TicketMs, k.End.Load)
 		if !c.sequencer.Complete(k.End.LastSeq) {
 			return false, errors.New("response ended before its last part")
 		}
--- a/wire/link.go
+++ b/wire/link.go
@@ -111,6 +111,7 @@
 	ticket   Ticket
 	state    State
 	onChange func(State)
+	closed   bool
 }
 
 // conn counts the calls on a connection, so that a replaced one is closed only
@@ -119,6 +120,9 @@
 	cc      *grpc.ClientConn
 	users   int
 	retired bool
+	// life ends when the connection is retired, so that the watch leaves it.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // NewLink returns a link and starts to watch its agent. onChange is called
@@ -140,14 +144,26 @@
 	return l, nil
 }
 
-// Close ends the watch and closes the connection.
+// Close ends the watch. The connection closes when the last call has ended.
 func (l *Link) Close() {
 	l.cancel()
 	<-l.done
 	l.mu.Lock()
+	l.closed = true
 	c := l.conn
+	closing := l.retire(c)
 	l.mu.Unlock()
-	_ = c.cc.Close()
+	if closing {
+		_ = c.cc.Close()
+	}
+}
+
+// retire marks a connection as replaced and reports whether the caller must
+// close it, because no call is left on it. The caller holds mu.
+func (l *Link) retire(c *conn) bool {
+	c.retired = true
+	c.end()
+	return c.users == 0
 }
 
 // reconnect is the backoff of a connection; agents come back within seconds.
@@ -176,7 +192,8 @@
 	if err != nil {
 		return nil, &Error{Code: CodeUnreachable, Run: call.NotRun, Err: err}
 	}
-	return &conn{cc: cc}, nil
+	life, end := context.WithCancel(context.Background())
+	return &conn{cc: cc, life: life, end: end}, nil
 }
 
 func (l *Link) acquire() *conn {
@@ -212,12 +229,16 @@
 	l.mu.Lock()
 	if l.conn != old {
 		l.mu.Unlock()
+		c.end()
 		_ = c.cc.Close()
 		return
 	}
 	l.conn = c
-	old.retired = true
-	closing := old.users == 0
+	if l.closed {
+		// The call that asked for this connection still needs it.
+		l.retire(c)
+	}
+	closing := l.retire(old)
 	l.mu.Unlock()
 	if closing {
 		_ = old.cc.Close()
@@ -248,16 +269,17 @@
 	return max(l.opts.MinAckTimeout, 4*l.state.RTT)
 }
 
-// observe records what a reply of the agent says about it.
+// observe records what a reply of the agent says about it. A ticket belongs to
+// the incarnation that issued it: the clock of an earlier one, taken for that of
+// the next, would make every Open look recent. Only the agent's state, not a
+// reply that may be late, tells of a new incarnation; another one's reply merely
+// makes the next request ask.
 func (l *Link) observe(incarnation string, ticketMs int64, loads ...*pb.EndpointLoad) {
 	l.mu.Lock()
-	if incarnation == "" {
-		incarnation = l.ticket.Incarnation
-	}
-	if incarnation != l.ticket.Incarnation {
+	defer l.mu.Unlock()
+	if incarnation != l.state.Incarnation {
 		l.ticket = Ticket{}
-		l.state.Leaving = false
-		l.state.Incarnation = incarnation
+		return
 	}
 	if ticketMs > l.ticket.Ms {
 		l.ticket = Ticket{Incarnation: incarnation, Ms: ticketMs, at: time.Now()}
@@ -267,7 +289,6 @@
 			l.state.Loads[ld.EndpointId] = ld
 		}
 	}
-	l.mu.Unlock()
 }
 
 func (l *Link) observeRTT(d time.Duration) {
@@ -331,6 +352,13 @@
 }
 
 func (l *Link) applyState(st *pb.AgentState) {
+	l.mu.Lock()
+	if st.Incarnation != l.state.Incarnation {
+		l.ticket = Ticket{}
+		l.state.Incarnation = st.Incarnation
+		l.state.Loads = map[string]*pb.EndpointLoad{}
+	}
+	l.mu.Unlock()
 	l.observe(st.Incarnation, st.TicketMs, st.Endpoints...)
 	l.mu.Lock()
 	l.state.Leaving = st.Leaving
@@ -347,15 +375,21 @@
 	defer close(l.done)
 	for ctx.Err() == nil {
 		c := l.acquire()
-		w, err := pb.NewAgentClient(c.cc).Watch(ctx, &pb.WatchRequest{EntryId: l.opts.EntryID})
+		wctx, cancel := context.WithCancel(ctx)
+		leave := context.AfterFunc(c.life, cancel)
+		w, err := pb.NewAgentClient(c.cc).Watch(wctx, &pb.WatchRequest{EntryId: l.opts.EntryID})
 		for err == nil {
 			var st *pb.AgentState
 			if st, err = w.Recv(); err == nil {
 				l.applyState(st)
 			}
 		}
+		leave()
+		cancel()
 		l.release(c)
-		l.down(ctx)
+		if c.life.Err() == nil {
+			l.down(ctx)
+		}
 	}
 }
 
