agent: queue requests fairly and decline those that would wait too long

Cause: the slot channel served first come, first served with a fixed limit, so short requests waited for all long ones, and nothing was ever declined.

The agent now has a queue, limit and predictor per endpoint. It declines an Open at once when the predicted wait exceeds max_wait_ms or the deadline, with its load and a retry time; the attempt stays revoked in the table, so that a repeated Open gets the same refusal. Load is sent on Accepted, Refused, Progress, End and Watch. Engines get a priority, short before long.

With two slots the reserve is one, so that short requests always have one.

--- /dev/null
+++ b/agent/queue.go
@@ -0,0 +1,184 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/admit"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// Bounds of an endpoint's queue.
+const (
+	// minConcurrency lets a slow engine still run a short and a long request.
+	minConcurrency = 2
+	// maxConcurrency bounds the batch; the limit follows the token gap below it.
+	maxConcurrency = 256
+	// queueLength bounds the memory of waiting requests.
+	queueLength = 512
+	// shortBelow is the longest predicted service time of a short request.
+	shortBelow = 2 * time.Second
+	// bytesPerToken estimates the prompt of an Open that names no tokens.
+	bytesPerToken = 4
+	// minRetryAfter keeps refused callers from returning at once.
+	minRetryAfter = time.Second
+)
+
+// Engine priorities; lower runs first.
+const (
+	priorityShort = 0
+	priorityLong  = 10
+)
+
+// local is an endpoint with its driver, its queue and what was observed of it.
+type local struct {
+	Endpoint
+	driver    Driver
+	queue     *admit.Queue
+	limiter   *admit.Limiter
+	predictor *admit.Predictor
+	weight    func(service, account string) int
+
+	mu     sync.Mutex
+	report Load
+}
+
+func newLocal(ep Endpoint, d Driver, opts Options) *local {
+	weight := opts.Weight
+	if weight == nil {
+		weight = func(string, string) int { return 1 }
+	}
+	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(),
+		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
+		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
+}
+
+// place is a request's place in the queue.
+type place struct {
+	ticket   *admit.Ticket
+	prompt   int64
+	deadline time.Time
+}
+
+// enqueue queues a request or returns why it is declined.
+func (l *local) enqueue(o *pb.Open) (p *place, reason string, wait time.Duration) {
+	p = &place{prompt: promptTokens(o)}
+	item := admit.Item{Account: o.Account, Weight: l.weight(o.Service, o.Account),
+		Cost: l.predictor.Predict(o.Service, o.Account, p.prompt).Service}
+	wait = l.queue.Wait(item)
+	if o.DeadlineMs > 0 {
+		p.deadline = time.Now().Add(milliseconds(o.DeadlineMs))
+	}
+	switch {
+	case o.MaxWaitMs > 0 && wait > milliseconds(o.MaxWaitMs):
+		return nil, "predicted wait exceeds max_wait", wait
+	case o.DeadlineMs > 0 && wait > milliseconds(o.DeadlineMs):
+		return nil, "predicted wait exceeds the deadline", wait
+	}
+	t, err := l.queue.Add(item)
+	if err != nil {
+		return nil, err.Error(), wait
+	}
+	p.ticket = t
+	return p, "", wait
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func promptTokens(o *pb.Open) int64 {
+	if o.PrefillTokens > 0 {
+		return o.PrefillTokens
+	}
+	if n := len(o.Levels); n > 0 {
+		return o.Levels[n-1].Tokens
+	}
+	return int64(len(o.Http.Body) / bytesPerToken)
+}
+
+// wait blocks until the request has a slot. It returns false when the request
+// was cancelled or its deadline passed first.
+func (p *place) wait(ctx context.Context) bool {
+	var late <-chan time.Time
+	if !p.deadline.IsZero() {
+		t := time.NewTimer(time.Until(p.deadline))
+		defer t.Stop()
+		late = t.C
+	}
+	select {
+	case <-p.ticket.Ready:
+		return true
+	case <-ctx.Done():
+	case <-late:
+	}
+	return false
+}
+
+func (p *place) priority() int {
+	if p.ticket.Short() {
+		return priorityShort
+	}
+	return priorityLong
+}
+
+// gap records the time between two tokens and applies the resulting limit. The
+// answers of plain services have no tokens, so that their limit stays fixed.
+func (l *local) gap(d time.Duration) {
+	if l.Kind != platform.Engine {
+		return
+	}
+	running, _, _ := l.queue.Counts()
+	if limit, changed := l.limiter.Observe(d, running); changed {
+		l.queue.SetLimit(limit)
+	}
+}
+
+// setReport records the engine's own report. It returns whether the engine
+// restarted or has another model or version.
+func (l *local) setReport(r Load) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.report
+	l.report = r
+	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version
+}
+
+// load returns what the agent knows of the endpoint.
+func (l *local) load() *pb.EndpointLoad {
+	running, queued, limit := l.queue.Counts()
+	typical := admit.Item{Cost: l.predictor.Predict(l.Service, "", 0).Service}
+	l.mu.Lock()
+	report := l.report
+	l.mu.Unlock()
+	return &pb.EndpointLoad{EndpointId: l.ID, Running: int64(running), Queued: int64(queued), Limit: int64(limit),
+		PredictedWaitMs: l.queue.Wait(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
+		BootId: report.BootID, Model: report.Model, Version: report.Version}
+}
+
+// overloaded returns the refusal of a request that would wait too long.
+func (s *Server) overloaded(ep *local, reason string, wait time.Duration) *pb.Refused {
+	r := s.refusal(pb.RefusalCode_REFUSAL_OVERLOADED, reason, pb.Run_RUN_NOT_RUN)
+	r.Load = ep.load()
+	r.RetryAfterMs = max(wait, minRetryAfter).Milliseconds()
+	return r
+}
+
+// enqueue queues a new attempt. An attempt that would wait too long is revoked
+// in the table, so that no repeated Open runs it later.
+func (s *Server) enqueue(a *attempt, o *pb.Open) *place {
+	ep := s.endpoints[o.EndpointId]
+	p, reason, wait := ep.enqueue(o)
+	log := s.log.With(zap.String("request", o.RequestId), zap.String("attempt", o.AttemptId), zap.String("endpoint", ep.ID),
+		zap.String("account", o.Account), zap.Int64("predicted_wait_ms", wait.Milliseconds()))
+	if p == nil {
+		s.table.Revoke(a.key)
+		a.refuse(s.overloaded(ep, reason, wait))
+		log.Info("refused", zap.String("reason", reason))
+		return nil
+	}
+	log.Info("queued", zap.Int64("predicted_cost_ms", p.ticket.Cost.Milliseconds()), zap.Bool("short", p.ticket.Short()))
+	return p
+}
--- a/agent/server.go
+++ b/agent/server.go
@@ -34,9 +34,12 @@
 	StreamBuffer int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
-	// Concurrency is the number of requests an endpoint runs at once.
+	// Concurrency is the number of requests an endpoint runs at once, at first.
 	Concurrency int
-	Log         *zap.Logger
+	// Weight returns an account's share of a busy endpoint; nil means that all
+	// accounts have the same.
+	Weight func(service, account string) int
+	Log    *zap.Logger
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -68,13 +71,6 @@
 	watchers map[chan struct{}]struct{}
 }
 
-// local is an endpoint with its driver and its slots.
-type local struct {
-	Endpoint
-	driver Driver
-	slots  chan struct{}
-}
-
 // New returns an agent for the given endpoints.
 func New(opts Options, endpoints []Endpoint, driver func(Endpoint) (Driver, error)) (*Server, error) {
 	if opts.Log == nil {
@@ -94,7 +90,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.endpoints[ep.ID] = &local{Endpoint: ep, driver: d, slots: make(chan struct{}, opts.Concurrency)}
+		s.endpoints[ep.ID] = newLocal(ep, d, opts)
 	}
 	return s, nil
 }
@@ -152,8 +148,10 @@
 	}
 	a, state, created := s.table.Begin(key, func() *attempt { return newAttempt(key, o, s.opts.StreamBuffer) })
 	if created {
-		s.work.Add(1)
-		go s.run(a, s.endpoints[o.EndpointId], o)
+		if p := s.enqueue(a, o); p != nil {
+			s.work.Add(1)
+			go s.run(a, s.endpoints[o.EndpointId], o, p)
+		}
 	}
 	return a, state
 }
@@ -198,13 +196,15 @@
 }
 
 // run queues the attempt, dispatches it and records its end.
-func (s *Server) run(a *attempt, ep *local, o *pb.Open) {
+func (s *Server) run(a *attempt, ep *local, o *pb.Open, p *place) {
 	defer s.work.Done()
+	defer ep.queue.Done(p.ticket)
 	queued := time.Now()
-	select {
-	case ep.slots <- struct{}{}:
-		defer func() { <-ep.slots }()
-	case <-a.ctx.Done():
+	ready := p.wait(a.ctx)
+	if !ready && a.ctx.Err() == nil {
+		s.table.Revoke(a.key)
+		a.refuse(s.overloaded(ep, "the deadline passed in the queue", 0))
+		return
 	}
 	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
 		s.table.Revoke(a.key)
@@ -215,8 +215,16 @@
 	wait := time.Since(queued)
 	s.log.Info("dispatch", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
-	err := ep.driver.Do(a.ctx, ep.Endpoint, request(o), a)
+	req := request(o)
+	req.Priority = p.priority()
+	m := newMeter(a, ep, o.Stream)
+	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
+	ep.queue.Done(p.ticket)
+	if err == nil {
+		m.observe(o.Service, o.Account, p.prompt)
+	}
 	end := s.endOf(a, err)
+	end.Load = ep.load()
 	end.QueueMs = wait.Milliseconds()
 	s.table.Finish(a.key)
 	a.finish(end)
@@ -325,15 +333,11 @@
 func (s *Server) state() *pb.AgentState {
 	st := &pb.AgentState{Incarnation: s.incarnation, TicketMs: s.ticket(), Leaving: s.isLeaving()}
 	for _, ep := range s.endpoints {
-		st.Endpoints = append(st.Endpoints, s.load(ep))
+		st.Endpoints = append(st.Endpoints, ep.load())
 	}
 	return st
 }
 
-func (s *Server) load(ep *local) *pb.EndpointLoad {
-	return &pb.EndpointLoad{EndpointId: ep.ID, Running: int64(len(ep.slots)), Limit: int64(cap(ep.slots))}
-}
-
 func (s *Server) isLeaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -344,14 +348,21 @@
 func (s *Server) Leave() {
 	s.mu.Lock()
 	s.leaving = true
+	s.mu.Unlock()
+	s.notify()
+	s.log.Info("leaving", zap.String("incarnation", s.incarnation))
+}
+
+// notify makes every watcher send the agent's state.
+func (s *Server) notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for w := range s.watchers {
 		select {
 		case w <- struct{}{}:
 		default:
 		}
 	}
-	s.mu.Unlock()
-	s.log.Info("leaving", zap.String("incarnation", s.incarnation))
 }
 
 // Drain waits until every attempt has ended or ctx ends.
@@ -420,7 +431,7 @@
 		select {
 		case <-view.Changed:
 		case <-progress.C:
-			p := &pb.Progress{AckedSeq: a.replay.Acked(), TicketMs: s.ticket(), Dispatched: dispatched}
+			p := &pb.Progress{AckedSeq: a.replay.Acked(), TicketMs: s.ticket(), Dispatched: dispatched, Load: s.endpoints[a.endpointID].load()}
 			if err := s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Progress{Progress: p}}); err != nil {
 				return err
 			}
@@ -436,7 +447,7 @@
 const maxChunkBytes = 32 << 10
 
 func (s *Server) accept(a *attempt) *pb.Accepted {
-	return &pb.Accepted{Incarnation: s.incarnation, Load: s.load(s.endpoints[a.endpointID]), CachedTokens: a.cached}
+	return &pb.Accepted{Incarnation: s.incarnation, Load: s.endpoints[a.endpointID].load(), CachedTokens: a.cached}
 }
 
 func chunk(seq uint64, parts []stream.Part) *pb.Down {
--- /dev/null
+++ b/agent/server_test.go
@@ -0,0 +1,210 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/standin/engine"
+	"github.com/citrontiller/citrontiller/standin/fleet"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// rig is an agent in front of one engine, in virtual time.
+type rig struct {
+	*testing.T
+	agent  *fleet.Agent
+	engine *engine.Server
+	client pb.AgentClient
+}
+
+// virtual runs f with an engine of the given slots that takes 10 ms a token.
+func virtual(t *testing.T, slots int, f func(*rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl, err := fleet.New(fleet.NewMemory(), nil)
+		is.NoErr(err)
+		defer fl.Close()
+		opts := agent.DefaultOptions()
+		opts.Concurrency = slots
+		a, err := fl.AddAgent(fleet.Spec{Name: "agent", Service: func(string) string { return "llm" }, Options: opts,
+			Engines: []engine.Options{{ID: "e", Model: "m", Version: "v1", Slots: slots, TokenGap: 10 * time.Millisecond}}})
+		is.NoErr(err)
+		conn, err := grpc.NewClient("passthrough:///"+a.Address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, s string) (net.Conn, error) { return fl.Network.Dial(ctx, "tcp", s) }))
+		is.NoErr(err)
+		defer conn.Close()
+		f(&rig{t, a, fl.Engines["e"], pb.NewAgentClient(conn)})
+	})
+}
+
+// result is how an attempt ended.
+type result struct {
+	refused *pb.Refused
+	end     *pb.End
+	text    strings.Builder
+	took    time.Duration
+}
+
+// open builds a request for so many tokens.
+func (r *rig) open(id, account string, tokens int) *pb.Open {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, id)
+	return &pb.Open{RequestId: id, AttemptId: "1", EndpointId: "e", Incarnation: r.agent.Incarnation(), TicketMs: 1 << 40,
+		Service: "llm", Account: account, Idempotent: true, Stream: true, CacheSalt: account,
+		Http: &pb.HttpRequest{Method: "POST", Path: "/v1/chat/completions", Body: []byte(body)}}
+}
+
+// run opens the attempt and reads it to the end.
+func (r *rig) run(ctx context.Context, o *pb.Open) *result {
+	began := time.Now()
+	res := &result{}
+	s, err := r.client.Run(ctx)
+	if err != nil {
+		return res
+	}
+	_ = s.Send(&pb.Up{Kind: &pb.Up_Open{Open: o}})
+	for {
+		d, err := s.Recv()
+		if err != nil {
+			return res
+		}
+		switch k := d.Kind.(type) {
+		case *pb.Down_Chunk:
+			for _, p := range k.Chunk.Parts {
+				res.text.Write(p.GetData())
+			}
+			_ = s.Send(&pb.Up{Kind: &pb.Up_Ack{Ack: &pb.Ack{Seq: k.Chunk.Seq + uint64(len(k.Chunk.Parts)) - 1}}})
+		case *pb.Down_Refused:
+			res.refused = k.Refused
+			return res
+		case *pb.Down_End:
+			res.end, res.took = k.End, time.Since(began)
+			return res
+		}
+	}
+}
+
+// start runs the attempt in the background.
+func (r *rig) start(ctx context.Context, o *pb.Open) <-chan *result {
+	c := make(chan *result, 1)
+	go func() { c <- r.run(ctx, o) }()
+	synctest.Wait()
+	return c
+}
+
+// teach lets the agent see that the account's answers have so many tokens.
+func (r *rig) teach(account string, tokens int) {
+	for i := range 3 {
+		r.run(context.Background(), r.open(fmt.Sprintf("teach-%s-%d", account, i), account, tokens))
+	}
+}
+
+// Guards against short requests blocked behind long ones of another account.
+func TestHeadOfLine(t *testing.T) {
+	virtual(t, 8, func(r *rig) {
+		is := is.New(r)
+		ctx := context.Background()
+		r.teach("long", 500)
+		r.teach("short", 10)
+		var longs []<-chan *result
+		for i := range 16 {
+			longs = append(longs, r.start(ctx, r.open(fmt.Sprint("long-", i), "long", 500)))
+		}
+		var worst time.Duration
+		for i := range 20 {
+			worst = max(worst, r.run(ctx, r.open(fmt.Sprint("short-", i), "short", 10)).took)
+		}
+		r.Logf("slowest of 20 short requests behind 16 long ones: %v", worst)
+		is.True(worst < time.Second)
+		for _, c := range longs {
+			is.Equal((<-c).end.ErrorCode, "")
+		}
+	})
+}
+
+// Guards against a refusal "not run" that isn't true: an Open declined for its
+// predicted wait must not run, not even when it is repeated later.
+func TestOverloadIsNotRun(t *testing.T) {
+	virtual(t, 2, func(r *rig) {
+		is := is.New(r)
+		ctx, cancel := context.WithCancel(context.Background())
+		r.teach("a", 300)
+		for i := range 6 {
+			r.start(ctx, r.open(fmt.Sprint("busy-", i), "a", 300))
+		}
+		o := r.open("late", "a", 300)
+		o.MaxWaitMs = 100
+		for range 2 {
+			res := r.run(ctx, o)
+			is.True(res.refused != nil)
+			is.Equal(res.refused.Code, pb.RefusalCode_REFUSAL_OVERLOADED)
+			is.Equal(res.refused.Run, pb.Run_RUN_NOT_RUN)
+			is.True(res.refused.RetryAfterMs >= 1000)
+			// The repeated Open gets the stored refusal. One of the two slots is
+			// reserved for short requests, so that five requests wait.
+			is.Equal(res.refused.Load.Queued, int64(5))
+			time.Sleep(20 * time.Second) // the endpoint is idle when the Open is repeated
+		}
+		is.Equal(r.engine.Counts().ByRequest["late"], 0)
+		hurried := r.open("deadline", "a", 300)
+		hurried.DeadlineMs = 5000
+		is.Equal(r.run(ctx, hurried).end.ErrorCode, "")
+		cancel()
+	})
+}
+
+// Guards against slots held by callers who left, queued or running.
+func TestCancelFreesSlot(t *testing.T) {
+	virtual(t, 1, func(r *rig) {
+		is := is.New(r)
+		bg := context.Background()
+		for i, id := range []string{"running", "queued"} {
+			s, err := r.client.Run(bg)
+			is.NoErr(err)
+			is.NoErr(s.Send(&pb.Up{Kind: &pb.Up_Open{Open: r.open(id, "a", 100_000)}}))
+			synctest.Wait()
+			defer func() { _ = s.CloseSend() }()
+			time.AfterFunc(time.Second/time.Duration(i+1), func() { _ = s.Send(&pb.Up{Kind: &pb.Up_Cancel{Cancel: &pb.Cancel{}}}) })
+		}
+		res := r.run(bg, r.open("next", "a", 10))
+		is.Equal(res.end.ErrorCode, "")
+		is.True(res.took < 1200*time.Millisecond)
+		is.Equal(r.engine.Counts().ByRequest["queued"], 0)
+	})
+}
+
+// Guards against a drain that cuts or loses streams: running and queued
+// requests finish whole, new ones are refused, and a lost reader reattaches.
+func TestDrain(t *testing.T) {
+	virtual(t, 2, func(r *rig) {
+		is := is.New(r)
+		bg := context.Background()
+		var streams []<-chan *result
+		for i := range 6 {
+			streams = append(streams, r.start(bg, r.open(fmt.Sprint("r", i), "a", 50)))
+		}
+		r.agent.Leave()
+		late := r.run(bg, r.open("late", "a", 50))
+		is.Equal(late.refused.Code, pb.RefusalCode_REFUSAL_LEAVING)
+		is.Equal(late.refused.Run, pb.Run_RUN_NOT_RUN)
+		attached := r.run(bg, r.open("r5", "a", 50)) // takes over from the first reader
+		is.NoErr(r.agent.Drain(bg))
+		is.Equal(strings.Count(attached.text.String(), "data: "), 52)
+		for _, c := range streams[:5] {
+			res := <-c
+			is.Equal(res.end.ErrorCode, "")
+			is.Equal(strings.Count(res.text.String(), "data: "), 52)
+		}
+		is.Equal(r.engine.Counts().Requests, 6)
+	})
+}
--- a/cmd/citrontiller-agent/main.go
+++ b/cmd/citrontiller-agent/main.go
@@ -71,6 +71,7 @@
 	g := grpc.NewServer()
 	pb.RegisterAgentServer(g, srv)
 	go srv.Sweep(ctx, 10*time.Second)
+	go srv.Follow(ctx)
 	go func() {
 		<-ctx.Done()
 		srv.Leave()
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -180,6 +180,7 @@
 		g.Stop()
 	})
 	f.wg.Go(func() { srv.Sweep(f.ctx, 10*time.Second) })
+	f.wg.Go(func() { srv.Follow(f.ctx) })
 	return &Agent{Server: srv, Address: addr, GRPC: g}, nil
 }
 
