--- a/agent/server.go
+++ b/agent/server.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/order"
 	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -64,6 +65,7 @@
 	start       time.Time
 	table       *call.Table[*attempt]
 	endpoints   map[string]*local
+	fence       *order.Fence
 	work        sync.WaitGroup
 
 	mu       sync.Mutex
@@ -83,6 +85,7 @@
 		start:       time.Now(),
 		table:       call.NewTable[*attempt](opts.ResultRetention),
 		endpoints:   map[string]*local{},
+		fence:       order.NewFence(),
 		watchers:    map[chan struct{}]struct{}{},
 	}
 	for _, ep := range endpoints {
--- a/agent/server_test.go
+++ b/agent/server_test.go
@@ -208,3 +208,18 @@
 		is.Equal(r.engine.Counts().Requests, 6)
 	})
 }
+
+// Guards against orders of a controller that lost its lease, at an engine that
+// doesn't check the fencing number itself.
+func TestOrderFence(t *testing.T) {
+	virtual(t, 1, func(r *rig) {
+		is := is.New(r)
+		for _, fence := range []int64{7, 6, 7, 8} {
+			reply, err := r.client.Order(context.Background(), &pb.OrderRequest{EndpointId: "e", Model: "m", Version: "v2", Fence: fence})
+			is.NoErr(err)
+			is.Equal(reply.Accepted, fence >= 7)
+			is.Equal(reply.HighestFence, max(fence, 7))
+		}
+		is.Equal(len(r.engine.Counts().Orders), 3)
+	})
+}
