--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -184,6 +184,7 @@
 		g.Stop()
 	})
 	f.wg.Go(func() { srv.Sweep(f.ctx, 10*time.Second) })
+	f.wg.Go(func() { srv.Follow(f.ctx) })
 	return &Agent{Server: srv, Address: addr, GRPC: g}, nil
 }
 
