--- a/agent/queue.go
+++ b/agent/queue.go
@@ -174,7 +174,7 @@
 	log := s.log.With(zap.String("request", o.RequestId), zap.String("attempt", o.AttemptId), zap.String("endpoint", ep.ID),
 		zap.String("account", o.Account), zap.Int64("predicted_wait_ms", wait.Milliseconds()))
 	if p == nil {
-		s.table.Revoke(a.key)
+		s.table.Revoke(a.key, always)
 		a.refuse(s.overloaded(ep, reason, wait))
 		log.Info("refused", zap.String("reason", reason))
 		return nil
--- a/agent/server.go
+++ b/agent/server.go
@@ -206,7 +206,7 @@
 	queued := time.Now()
 	ready := p.wait(a.ctx)
 	if !ready && a.ctx.Err() == nil {
-		s.table.Revoke(a.key)
+		s.table.Revoke(a.key, always)
 		a.refuse(s.overloaded(ep, "the deadline passed in the queue", 0))
 		return
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 
@@ -40,6 +41,8 @@
 	link     *wire.Link
 	open     *pb.Open
 	call     *wire.Call
+	// answered is set with the agent's first message.
+	answered *atomic.Bool
 	release  func()
 	pending  []stream.Part
 	ended    bool
@@ -99,6 +102,9 @@
 }
 
 func (a *attempt) message(ctx context.Context, m wire.Message) *Error {
+	if m.Err == nil {
+		a.answered.Store(true)
+	}
 	switch {
 	case m.Parts != nil:
 		a.pending = m.Parts
--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -43,11 +43,13 @@
 	listeners map[string]*bufconn.Listener
 	faults    map[string]*Fault
 	open      map[*connection]struct{}
+	gates     map[string]*gate
 }
 
 // NewMemory returns an empty in-memory network.
 func NewMemory() *Memory {
-	return &Memory{listeners: map[string]*bufconn.Listener{}, faults: map[string]*Fault{}, open: map[*connection]struct{}{}}
+	return &Memory{listeners: map[string]*bufconn.Listener{}, faults: map[string]*Fault{}, open: map[*connection]struct{}{},
+		gates: map[string]*gate{}}
 }
 
 // memoryBuffer is the size of an in-memory connection's buffer in bytes.
@@ -60,13 +62,14 @@
 	addr := name + ":80"
 	l := bufconn.Listen(memoryBuffer)
 	m.listeners[addr] = l
+	m.gates[addr] = newGate()
 	return l, addr, nil
 }
 
 // Dial implements Network.
 func (m *Memory) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	m.mu.Lock()
-	l := m.listeners[address]
+	l, g := m.listeners[address], m.gates[address]
 	m.mu.Unlock()
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: fmt.Errorf("nothing listens on %s", address)}
@@ -75,9 +78,22 @@
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: err}
 	}
-	fc := &connection{Conn: c, network: m, address: address}
+	fc := &connection{Conn: &gatedConn{Conn: c, gate: g, closed: make(chan struct{})}, network: m, address: address}
 	m.mu.Lock()
 	m.open[fc] = struct{}{}
 	m.mu.Unlock()
 	return fc, nil
 }
+
+// Pause makes every connection to the address silent, old and new, as if the
+// process behind it were stopped. Resume lets the held bytes through.
+func (m *Memory) Pause(address string) { m.gate(address).shut() }
+
+// Resume ends Pause.
+func (m *Memory) Resume(address string) { m.gate(address).open() }
+
+func (m *Memory) gate(address string) *gate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gates[address]
+}
