agent: end the Watch streams after the drain

Cause: GracefulStop waits for every RPC, and a Watch stream ends only with its entry, so a drained agent never exited. Ruled out: a hanging attempt; the log shows every attempt finished.

--- a/agent/server.go
+++ b/agent/server.go
@@ -74,6 +74,9 @@
 	mu       sync.Mutex
 	leaving  bool
 	watchers map[chan struct{}]struct{}
+	// drained closes when every attempt has ended after Leave.
+	drained  chan struct{}
+	drainOne sync.Once
 }
 
 // New returns an agent for the given endpoints.
@@ -90,6 +93,7 @@
 		endpoints:   map[string]*local{},
 		fence:       order.NewFence(),
 		watchers:    map[chan struct{}]struct{}{},
+		drained:     make(chan struct{}),
 	}
 	for _, ep := range endpoints {
 		d, err := driver(ep)
@@ -336,6 +340,8 @@
 		}
 		select {
 		case <-changed:
+		case <-s.drained:
+			return nil
 		case <-srv.Context().Done():
 			return srv.Context().Err()
 		}
@@ -377,12 +383,15 @@
 	}
 }
 
-// Drain waits until every attempt has ended or ctx ends.
+// Drain waits until every attempt has ended or ctx ends. It then ends the
+// Watch streams, which a graceful stop of the gRPC server would wait for.
 func (s *Server) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() { s.work.Wait(); close(done) }()
+	go func() {
+		s.work.Wait()
+		s.drainOne.Do(func() { close(s.drained) })
+	}()
 	select {
-	case <-done:
+	case <-s.drained:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -131,7 +131,6 @@
 	entries []*process
 	ports   []string
 	client  *http.Client
-	next    int
 	hosts   []platform.Host
 }
 
