--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -41,12 +41,15 @@
 type Memory struct {
 	mu        sync.Mutex
 	listeners map[string]*bufconn.Listener
+	faults    map[string]*Fault
+	open      map[*connection]struct{}
 	gates     map[string]*gate
 }
 
 // NewMemory returns an empty in-memory network.
 func NewMemory() *Memory {
-	return &Memory{listeners: map[string]*bufconn.Listener{}, gates: map[string]*gate{}}
+	return &Memory{listeners: map[string]*bufconn.Listener{}, faults: map[string]*Fault{}, open: map[*connection]struct{}{},
+		gates: map[string]*gate{}}
 }
 
 // memoryBuffer is the size of an in-memory connection's buffer in bytes.
@@ -75,7 +78,11 @@
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: err}
 	}
-	return &gatedConn{Conn: c, gate: g, closed: make(chan struct{})}, nil
+	fc := &connection{Conn: &gatedConn{Conn: c, gate: g, closed: make(chan struct{})}, network: m, address: address}
+	m.mu.Lock()
+	m.open[fc] = struct{}{}
+	m.mu.Unlock()
+	return fc, nil
 }
 
 // Pause makes every connection to the address silent, old and new, as if the
