--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -222,6 +222,7 @@
 	ctx, drain := context.WithCancel(context.Background())
 	e := &Entry{Server: srv, Address: addr, drain: drain, drained: make(chan struct{})}
 	h := srv.HTTPServer()
+	h.Handler = f.Recorder.handler(name, h.Handler)
 	f.wg.Go(func() {
 		<-f.ctx.Done()
 		_ = h.Close()
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -104,3 +104,11 @@
 	code, _ = post(t, f, "/v1/chat/completions", `{"model":"x","messages":[{}]}`)
 	is.Equal(code, 404)
 }
+
+// streamedText returns the text of a stream that has its closing event.
+func streamedText(t *testing.T, body string) string {
+	t.Helper()
+	text, done := StreamedText(body)
+	is.New(t).True(done)
+	return text
+}
--- a/standin/fleet/retry_test.go
+++ b/standin/fleet/retry_test.go
@@ -37,9 +37,7 @@
 	code, got := post(t, f, "/v1/chat/completions", body)
 	is.Equal(code, 200)
 	if stream {
-		text, done := StreamedText(got)
-		is.True(done)
-		is.Equal(text, want)
+		is.Equal(streamedText(t, got), want)
 		return
 	}
 	is.True(strings.Contains(got, want))
