--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 )
 
 // start runs two engines behind two agents, a plain service and one entry.
-func start(t *testing.T, n Network) *Fleet {
+func start(t testing.TB, n Network) *Fleet {
 	t.Helper()
 	is := is.New(t)
 	f, err := New(n, nil)
