blocks: add the view of an engine's cached blocks

Cause: entries need to know which prefixes an engine still has, and the engine's event stream is late, has gaps and repeats.

The view is a map without pointers from block hash to tokens and age, and a second one from level hash to its deepest block, learned from the request id of stored events. A new boot id, another version or a cleared cache empties it; a gap lowers the confidence, and the cached tokens an engine reports move it to the true share.

--- /dev/null
+++ b/blocks/view_test.go
@@ -0,0 +1,97 @@
+package blocks
+
+import (
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var prompt = []Level{{Hash: 1, Tokens: 100}, {Hash: 2, Tokens: 200}}
+
+// stored is the event that a request with prompt causes in an empty cache.
+func stored(seq uint64, boot string) Event {
+	return Event{Seq: seq, BootID: boot, Kind: Stored, Request: "r", Blocks: []Block{{11, 64}, {12, 128}, {13, 192}}}
+}
+
+// Guards against a wrong mapping of levels to blocks, and against a view that
+// keeps removed blocks.
+func TestLevels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := NewView()
+		v.Expect("r", prompt)
+		v.Apply(stored(1, "b"))
+		is.Equal(v.Cached(prompt), int64(192))
+		is.Equal(v.Cached(prompt[:1]), int64(64))
+		time.Sleep(4 * time.Second)
+		v.Apply(Event{Seq: 2, BootID: "b", Kind: Removed, Blocks: []Block{{Hash: 13}}})
+		is.Equal(v.Cached(prompt), int64(64))
+		is.Equal(v.Stats().Lifetime, 4*time.Second)
+	})
+}
+
+// Guards against views that trust a stream with gaps or count an event twice;
+// reports of the engine restore the confidence.
+func TestGapsAndDuplicates(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Expect("r", prompt)
+	v.Apply(stored(1, "b"))
+	v.Apply(Event{Seq: 2, BootID: "b", Kind: Removed, Blocks: []Block{{Hash: 13}}})
+	v.Apply(stored(1, "b")) // late duplicate must not bring block 13 back
+	is.Equal(v.Cached(prompt), int64(64))
+	v.Apply(Event{Seq: 9, BootID: "b", Kind: Removed})
+	is.Equal(v.Cached(prompt), int64(57))
+	for range 50 {
+		v.Correct(prompt, v.Cached(prompt), 64)
+	}
+	is.True(v.Cached(prompt) >= 63)
+	v.Correct(prompt, v.Cached(prompt), 0) // its removal was lost
+	is.Equal(v.Cached(prompt), int64(0))
+	is.Equal(v.Stats().Gaps, uint64(1))
+	is.Equal(v.Stats().Duplicates, uint64(1))
+}
+
+// Guards against expecting blocks of a dead engine or of other weights.
+func TestRestartAndVersion(t *testing.T) {
+	is := is.New(t)
+	change := map[string]func(*View){
+		"new boot id in an event":   func(v *View) { v.Apply(Event{Seq: 1, BootID: "c", Kind: Removed}) },
+		"new boot id in a report":   func(v *View) { v.SetEngine("c", "v1") },
+		"new version in a report":   func(v *View) { v.SetEngine("b", "v2") },
+		"cleared cache":             func(v *View) { v.Apply(Event{Seq: 2, BootID: "b", Kind: Cleared}) },
+		"sequence starts at 1 anew": func(v *View) { v.Apply(stored(50, "b")); v.SetEngine("c", "v1") },
+	}
+	for name, f := range change {
+		v := NewView()
+		v.SetEngine("b", "v1")
+		v.Expect("r", prompt)
+		v.Apply(stored(1, "b"))
+		is.Equal(v.Cached(prompt), int64(192))
+		f(v)
+		if got := v.Cached(prompt); got != 0 {
+			t.Errorf("%s: %d tokens expected, want 0", name, got)
+		}
+	}
+}
+
+// Measures the memory per block at the design size of one engine.
+func BenchmarkMemory(b *testing.B) {
+	const count = 36_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		v := NewView()
+		for i := range uint64(count) {
+			v.Apply(Event{Seq: i + 1, BootID: "b", Kind: Stored, Blocks: []Block{{i * 0x9e3779b97f4a7c15, int64(i)}}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/block")
+		runtime.KeepAlive(v)
+	}
+}
