agent: follow cache events and answer with expected cached tokens

Cause: Accepted.cached_tokens and block_lifetime_ms were never filled, and the predicted cost counted prompt tokens that the engine has in its cache.

Each engine has a view that follows its event stream and is corrected by the cached tokens of each answer. The stream is reopened every minute, because a silent connection looks like an engine without events, and at once when a load report shows a new boot id, because the engine numbers from 1 again. Failures back off to 16 s. agent.Block is now an alias of blocks.Block, so that an event's blocks are not copied.

TestCachedTokens covers mapping and restart through the stand-in engine.

--- a/agent/driver.go
+++ b/agent/driver.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/citrontiller/citrontiller/blocks"
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/stream"
@@ -70,11 +71,7 @@
 )
 
 // Block is one cached block in an event.
-type Block struct {
-	Hash uint64
-	// Tokens counts from the start of the prompt to the end of the block.
-	Tokens int64
-}
+type Block = blocks.Block
 
 // CacheEvent is one entry of an engine's event stream. Sequence numbers are
 // consecutive; a jump means lost events.
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/blocks"
 	"github.com/citrontiller/citrontiller/platform"
 )
 
@@ -17,14 +18,21 @@
 	loadTimeout  = 2 * time.Second
 	// maxBackoff bounds the pause between tries at an engine that fails.
 	maxBackoff = 16 * time.Second
+	// eventPause is the first pause after an event stream ended.
+	eventPause = 250 * time.Millisecond
+	// eventStreamAge bounds an event stream: a connection that went silent
+	// looks like an engine without events.
+	eventStreamAge = time.Minute
 )
 
-// Follow polls the load reports of the engines until ctx ends.
+// Follow polls the load reports of the engines and follows their cache events
+// until ctx ends.
 func (s *Server) Follow(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, ep := range s.endpoints {
 		if ep.Kind == platform.Engine {
 			wg.Go(func() { s.followLoad(ctx, ep) })
+			wg.Go(func() { s.followEvents(ctx, ep) })
 		}
 	}
 	wg.Wait()
@@ -58,6 +66,36 @@
 	return nil
 }
 
+func (s *Server) followEvents(ctx context.Context, ep *local) {
+	pause := eventPause
+	for ctx.Err() == nil {
+		before := ep.view.Stats().Events
+		err := ep.events(ctx)
+		if ep.view.Stats().Events > before {
+			pause = eventPause
+		}
+		s.log.Debug("event stream ended", zap.String("endpoint", ep.ID), zap.Error(err))
+		sleep(ctx, jitter(pause))
+		pause = min(2*pause, maxBackoff)
+	}
+}
+
+// events follows one event stream from the last event on.
+func (l *local) events(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, eventStreamAge)
+	defer cancel()
+	l.mu.Lock()
+	l.reconnect = cancel
+	l.mu.Unlock()
+	return l.driver.Events(ctx, l.Endpoint, l.view.Seq(), func(e CacheEvent) { l.view.Apply(e.event()) })
+}
+
+var eventKinds = map[CacheEventType]blocks.Kind{BlocksStored: blocks.Stored, BlocksRemoved: blocks.Removed, CacheCleared: blocks.Cleared}
+
+func (e CacheEvent) event() blocks.Event {
+	return blocks.Event{Seq: e.Seq, BootID: e.BootID, Kind: eventKinds[e.Type], Blocks: e.Blocks, Request: e.RequestID}
+}
+
 // jitter returns d changed by up to a tenth, so that agents started together
 // don't poll together.
 func jitter(d time.Duration) time.Duration {
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/admit"
+	"github.com/citrontiller/citrontiller/blocks"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -43,8 +44,12 @@
 	predictor *admit.Predictor
 	weight    func(service, account string) int
 
+	view *blocks.View
+
 	mu     sync.Mutex
 	report Load
+	// reconnect ends the current event stream, nil when there is none.
+	reconnect context.CancelFunc
 }
 
 func newLocal(ep Endpoint, d Driver, opts Options) *local {
@@ -52,23 +57,26 @@
 	if weight == nil {
 		weight = func(string, string) int { return 1 }
 	}
-	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(),
+	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), view: blocks.NewView(),
 		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
 		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
 }
 
 // place is a request's place in the queue.
 type place struct {
-	ticket   *admit.Ticket
-	prompt   int64
+	ticket *admit.Ticket
+	prompt int64
+	// cached is the expected number of prompt tokens in the engine's cache.
+	cached   int64
+	levels   []blocks.Level
 	deadline time.Time
 }
 
 // enqueue queues a request or returns why it is declined.
-func (l *local) enqueue(o *pb.Open) (p *place, reason string, wait time.Duration) {
-	p = &place{prompt: promptTokens(o)}
+func (l *local) enqueue(o *pb.Open, cached int64) (p *place, reason string, wait time.Duration) {
+	p = &place{prompt: promptTokens(o), cached: cached, levels: levels(o)}
 	item := admit.Item{Account: o.Account, Weight: l.weight(o.Service, o.Account),
-		Cost: l.predictor.Predict(o.Service, o.Account, p.prompt).Service}
+		Cost: l.predictor.Predict(o.Service, o.Account, p.prompt-cached).Service}
 	wait = l.queue.Wait(item)
 	if o.DeadlineMs > 0 {
 		p.deadline = time.Now().Add(milliseconds(o.DeadlineMs))
@@ -84,6 +92,7 @@
 		return nil, err.Error(), wait
 	}
 	p.ticket = t
+	l.view.Expect(o.RequestId, p.levels)
 	return p, "", wait
 }
 
@@ -117,6 +126,22 @@
 	return false
 }
 
+// correct tells the cache view how many prompt tokens the engine reported as
+// cached; a negative number means that it reported none.
+func (p *place) correct(ep *local, reported int64) {
+	if reported >= 0 {
+		ep.view.Correct(p.levels, p.cached, reported)
+	}
+}
+
+func levels(o *pb.Open) []blocks.Level {
+	out := make([]blocks.Level, len(o.Levels))
+	for i, l := range o.Levels {
+		out[i] = blocks.Level{Hash: l.Hash, Tokens: l.Tokens}
+	}
+	return out
+}
+
 func (p *place) priority() int {
 	if p.ticket.Short() {
 		return priorityShort
@@ -143,6 +168,10 @@
 	defer l.mu.Unlock()
 	old := l.report
 	l.report = r
+	l.view.SetEngine(r.BootID, r.Version)
+	if old.BootID != r.BootID && l.reconnect != nil {
+		l.reconnect() // the new engine numbers its events from 1 again
+	}
 	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version
 }
 
@@ -155,7 +184,7 @@
 	l.mu.Unlock()
 	return &pb.EndpointLoad{EndpointId: l.ID, Running: int64(running), Queued: int64(queued), Limit: int64(limit),
 		PredictedWaitMs: l.queue.Wait(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
-		BootId: report.BootID, Model: report.Model, Version: report.Version}
+		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version}
 }
 
 // overloaded returns the refusal of a request that would wait too long.
@@ -170,7 +199,7 @@
 // in the table, so that no repeated Open runs it later.
 func (s *Server) enqueue(a *attempt, o *pb.Open) *place {
 	ep := s.endpoints[o.EndpointId]
-	p, reason, wait := ep.enqueue(o)
+	p, reason, wait := ep.enqueue(o, a.cached)
 	log := s.log.With(zap.String("request", o.RequestId), zap.String("attempt", o.AttemptId), zap.String("endpoint", ep.ID),
 		zap.String("account", o.Account), zap.Int64("predicted_wait_ms", wait.Milliseconds()))
 	if p == nil {
--- a/agent/server.go
+++ b/agent/server.go
@@ -149,7 +149,11 @@
 	if s.leaving {
 		return nil, call.Absent
 	}
-	a, state, created := s.table.Begin(key, func() *attempt { return newAttempt(key, o, s.opts.StreamBuffer) })
+	a, state, created := s.table.Begin(key, func() *attempt {
+		a := newAttempt(key, o, s.opts.StreamBuffer)
+		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
+		return a
+	})
 	if created {
 		if p := s.enqueue(a, o); p != nil {
 			s.work.Add(1)
@@ -224,7 +228,7 @@
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
 	ep.queue.Done(p.ticket)
 	if err == nil {
-		m.observe(o.Service, o.Account, p.prompt)
+		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
 	}
 	end := s.endOf(a, err)
 	end.Load = ep.load()
--- a/agent/server_test.go
+++ b/agent/server_test.go
@@ -223,3 +223,30 @@
 		is.Equal(len(r.engine.Counts().Orders), 3)
 	})
 }
+
+// Guards against a cache view that learns nothing from the engine's events or
+// outlives the engine's restart.
+func TestCachedTokens(t *testing.T) {
+	virtual(t, 2, func(r *rig) {
+		is := is.New(r)
+		cached := func(id string) int64 {
+			o := r.open(id, "a", 1)
+			o.Http.Body = []byte(fmt.Sprintf(`{"max_tokens":1,"stream":true,"messages":[{"role":"user","content":%q}]}`, strings.Repeat("x", 2000)))
+			o.Levels = []*pb.Level{{Hash: 7, Tokens: 500}}
+			s, err := r.client.Run(context.Background())
+			is.NoErr(err)
+			is.NoErr(s.Send(&pb.Up{Kind: &pb.Up_Open{Open: o}}))
+			d, err := s.Recv()
+			is.NoErr(err)
+			time.Sleep(time.Second) // the events arrive
+			return d.GetAccepted().CachedTokens
+		}
+		time.Sleep(time.Second)
+		is.Equal(cached("first"), int64(0))
+		is.Equal(cached("second"), int64(448)) // 7 blocks of 64 tokens
+		r.engine.Restart()
+		time.Sleep(2 * time.Second)
+		is.Equal(cached("third"), int64(0))
+		is.Equal(cached("fourth"), int64(448))
+	})
+}
--- a/plugins/openai/openai.go
+++ b/plugins/openai/openai.go
@@ -172,11 +172,11 @@
 		if !ok {
 			continue
 		}
-		var e eventJSON
-		if err := json.Unmarshal(data, &e); err != nil {
-			return protocolError(fmt.Errorf("cache event: %w", err))
+		e, err := decodeEvent(data)
+		if err != nil {
+			return err
 		}
-		f(e.event())
+		f(e)
 	}
 	if err := lines.Err(); err != nil && !errors.Is(err, context.Canceled) {
 		return &agent.DriverError{Code: agent.CodeBroken, Run: call.Unknown, Err: err}
@@ -184,12 +184,17 @@
 	return ctx.Err()
 }
 
-func (e eventJSON) event() agent.CacheEvent {
+func decodeEvent(data []byte) (agent.CacheEvent, error) {
+	var e eventJSON
+	if err := json.Unmarshal(data, &e); err != nil {
+		return agent.CacheEvent{}, protocolError(fmt.Errorf("cache event: %w", err))
+	}
 	ev := agent.CacheEvent{Seq: e.Seq, BootID: e.BootID, Type: agent.CacheEventType(e.Type), RequestID: e.RequestID}
-	for _, b := range e.Blocks {
-		ev.Blocks = append(ev.Blocks, agent.Block{Hash: b.Hash, Tokens: b.Tokens})
+	ev.Blocks = make([]agent.Block, len(e.Blocks))
+	for i, b := range e.Blocks {
+		ev.Blocks[i] = agent.Block{Hash: b.Hash, Tokens: b.Tokens}
 	}
-	return ev
+	return ev, nil
 }
 
 type orderJSON struct {
