--- a/agent/server_test.go
+++ b/agent/server_test.go
@@ -56,10 +56,25 @@
 	took    time.Duration
 }
 
+// ticket asks the agent for a ticket, which must be recent and not from the future.
+func (r *rig) ticket() int64 {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w, err := r.client.Watch(ctx, &pb.WatchRequest{})
+	if err != nil {
+		r.Fatal(err)
+	}
+	st, err := w.Recv()
+	if err != nil {
+		r.Fatal(err)
+	}
+	return st.TicketMs
+}
+
 // open builds a request for so many tokens.
 func (r *rig) open(id, account string, tokens int) *pb.Open {
 	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, id)
-	return &pb.Open{RequestId: id, AttemptId: "1", EndpointId: "e", Incarnation: r.agent.Incarnation(), TicketMs: 1 << 40,
+	return &pb.Open{RequestId: id, AttemptId: "1", EndpointId: "e", Incarnation: r.agent.Incarnation(), TicketMs: r.ticket(),
 		Service: "llm", Account: account, Idempotent: true, Stream: true, CacheSalt: account,
 		Http: &pb.HttpRequest{Method: "POST", Path: "/v1/chat/completions", Body: []byte(body)}}
 }
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -57,16 +56,31 @@
 
 func post(t *testing.T, f *Fleet, path, body string) (int, string) {
 	t.Helper()
-	is := is.New(t)
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[0].Address+path, bytes.NewBufferString(body))
-	is.NoErr(err)
+	code, b, err := tryPost(f, 0, path, body, "")
+	is.New(t).NoErr(err)
+	return code, b
+}
+
+// tryPost posts through an entry, with an idempotency key if there is one. The
+// client repeats nothing by itself.
+func tryPost(f *Fleet, entry int, path, body, key string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[entry].Address+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.GetBody = nil
 	req.Header.Set("Authorization", "Bearer secret")
-	resp, err := f.Client().Do(req)
-	is.NoErr(err)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	c := &http.Client{Transport: &http.Transport{DialContext: f.Network.Dial, DisableKeepAlives: true}}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	is.NoErr(err)
-	return resp.StatusCode, string(b)
+	return resp.StatusCode, string(b), err
 }
 
 // Guards the whole path: configuration from the store, choice, agent, engine
@@ -77,7 +91,9 @@
 	seed := `<user>"hello"`
 	code, body := post(t, f, "/v1/chat/completions", `{"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`)
 	is.Equal(code, 200)
-	is.Equal(streamedText(t, body), engine.Answer(seed, 5))
+	text, done := StreamedText(body)
+	is.True(done)
+	is.Equal(text, engine.Answer(seed, 5))
 	code, body = post(t, f, "/v1/chat/completions", `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`)
 	is.Equal(code, 200)
 	is.True(strings.Contains(body, engine.Answer(seed, 5)))
@@ -88,24 +104,3 @@
 	code, _ = post(t, f, "/v1/chat/completions", `{"model":"x","messages":[{}]}`)
 	is.Equal(code, 404)
 }
-
-func streamedText(t *testing.T, body string) string {
-	t.Helper()
-	is := is.New(t)
-	var text string
-	is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
-	for line := range strings.Lines(body) {
-		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
-		if !ok || data == "[DONE]" {
-			continue
-		}
-		var chunk struct {
-			Choices []struct {
-				Delta struct{ Content string }
-			}
-		}
-		is.NoErr(json.Unmarshal([]byte(data), &chunk))
-		text += chunk.Choices[0].Delta.Content
-	}
-	return text
-}
