entry, agent: exchange configuration records

Cause: agents had no configuration, and an entry restarted while the store is down had none either. An entry offers each agent the records of that agent's services after a change and after each reconnect, and takes the agent's records when those are higher. Once a second it compares what was exchanged with what is in force, so a lost exchange is repeated; an idle link carries nothing. Ruled out: a push per change without that comparison, which loses a change with its connection.

--- a/agent/server.go
+++ b/agent/server.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -55,6 +56,9 @@
 type Server struct {
 	pb.UnimplementedAgentServer
 
+	// Config holds the records that entries offered.
+	Config *config.Table
+
 	opts        Options
 	log         *zap.Logger
 	incarnation string
@@ -81,6 +85,7 @@
 		opts.Log = zap.NewNop()
 	}
 	s := &Server{
+		Config:      config.NewTable(),
 		opts:        opts,
 		log:         opts.Log,
 		incarnation: uuid.NewString(),
--- a/entry/server.go
+++ b/entry/server.go
@@ -58,6 +58,7 @@
 	hosts     platform.HostList
 	scheduler *route.Scheduler
 	decisions *decisions
+	sync      *configSync
 
 	mu      sync.Mutex
 	links   map[string]*wire.Link
@@ -74,12 +75,14 @@
 	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
-	return &Server{
+	s := &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
 		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
 	}
+	s.sync = newConfigSync(s)
+	return s
 }
 
 // Run follows the configuration and the host list until ctx ends, then closes
@@ -88,6 +91,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.store.Follow(ctx, s.Config, s.opts.ConfigInterval) })
 	wg.Go(func() { s.followHosts(ctx) })
+	wg.Go(func() { s.sync.run(ctx) })
 	wg.Wait()
 	s.mu.Lock()
 	links := s.links
@@ -129,7 +133,10 @@
 		if ok {
 			continue
 		}
-		l, err := wire.NewLink(addr, s.opts.Wire, func(st wire.State) { s.Members.SetAgent(addr, st.Up, st.Leaving) })
+		l, err := wire.NewLink(addr, s.opts.Wire, func(st wire.State) {
+			s.Members.SetAgent(addr, st.Up, st.Leaving)
+			s.sync.observe(addr, st)
+		})
 		if err != nil {
 			s.log.Warn("link", zap.String("agent", addr), zap.Error(err))
 			continue
--- a/member/member.go
+++ b/member/member.go
@@ -60,6 +60,17 @@
 	t.mu.Unlock()
 }
 
+// Hosts returns the host list.
+func (t *Tracker) Hosts() []platform.Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]platform.Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		out = append(out, h)
+	}
+	return out
+}
+
 // Agents returns the addresses of all agents in the host list.
 func (t *Tracker) Agents() []string {
 	t.mu.RLock()
