--- a/agent/server.go
+++ b/agent/server.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/order"
 	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire/pb"
@@ -62,6 +63,9 @@
 type Server struct {
 	pb.UnimplementedAgentServer
 
+	// Config holds the records that entries offered.
+	Config *config.Table
+
 	opts        Options
 	log         *zap.Logger
 	incarnation string
@@ -85,6 +89,7 @@
 		opts.Log = zap.NewNop()
 	}
 	s := &Server{
+		Config:      config.NewTable(),
 		opts:        opts,
 		log:         opts.Log,
 		incarnation: uuid.NewString(),
