--- a/agent/server.go
+++ b/agent/server.go
@@ -153,7 +153,9 @@
 		if refused = s.check(o); refused != nil {
 			return nil, false
 		}
-		return newAttempt(key, o, s.opts.StreamBuffer), true
+		a := newAttempt(key, o, s.opts.StreamBuffer)
+		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
+		return a, true
 	})
 	if created {
 		if p := s.enqueue(a, o); p != nil {
@@ -234,7 +236,7 @@
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
 	ep.queue.Done(p.ticket)
 	if err == nil {
-		m.observe(o.Service, o.Account, p.prompt)
+		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
 	}
 	end := s.endOf(a, err)
 	end.Load = ep.load()
--- a/plugins/openai/openai.go
+++ b/plugins/openai/openai.go
@@ -142,19 +142,6 @@
 	return m.GetUntyped().GetValue()
 }
 
-type eventJSON struct {
-	Seq       uint64      `json:"seq"`
-	BootID    string      `json:"boot_id"`
-	Type      string      `json:"type"`
-	RequestID string      `json:"request_id"`
-	Blocks    []blockJSON `json:"blocks"`
-}
-
-type blockJSON struct {
-	Hash   uint64 `json:"hash"`
-	Tokens int64  `json:"tokens"`
-}
-
 // Events implements agent.Driver.
 func (d *Driver) Events(ctx context.Context, ep agent.Endpoint, from uint64, f func(agent.CacheEvent)) error {
 	resp, err := d.client.Get(ctx, fmt.Sprintf("http://%s%s?after=%d", ep.Address, pathEvents, from))
@@ -172,11 +159,11 @@
 		if !ok {
 			continue
 		}
-		var e eventJSON
-		if err := json.Unmarshal(data, &e); err != nil {
-			return protocolError(fmt.Errorf("cache event: %w", err))
+		e, err := decodeEvent(data)
+		if err != nil {
+			return err
 		}
-		f(e.event())
+		f(e)
 	}
 	if err := lines.Err(); err != nil && !errors.Is(err, context.Canceled) {
 		return &agent.DriverError{Code: agent.CodeBroken, Run: call.Unknown, Err: err}
@@ -184,14 +171,6 @@
 	return ctx.Err()
 }
 
-func (e eventJSON) event() agent.CacheEvent {
-	ev := agent.CacheEvent{Seq: e.Seq, BootID: e.BootID, Type: agent.CacheEventType(e.Type), RequestID: e.RequestID}
-	for _, b := range e.Blocks {
-		ev.Blocks = append(ev.Blocks, agent.Block{Hash: b.Hash, Tokens: b.Tokens})
-	}
-	return ev
-}
-
 type orderJSON struct {
 	Model    string   `json:"model"`
 	Version  string   `json:"version"`
