Use net.Pipe for in-memory connections and check for leaks

A Memory network's connection to the key-value stand-in broke with EOF while a fleet started, once in about ten runs of the fleet's tests. bufconn sets its timed-out flag from a timer; the likely cause is one that fires while net/http resets the deadline.

Simulated fleets now wait 6 min of virtual time after Close, so that a goroutine which outlives a request's deadline fails the test. Stop gets its counterpart Resume.

--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -47,14 +47,21 @@
 }
 
 // Stop closes every open connection to the address and refuses new ones until
-// Listen is called for it again.
+// Resume.
 func (m *Memory) Stop(address string) {
 	m.mu.Lock()
-	delete(m.listeners, address)
+	m.stopped[address] = true
 	m.mu.Unlock()
 	m.Cut(address)
 }
 
+// Resume ends Stop.
+func (m *Memory) Resume(address string) {
+	m.mu.Lock()
+	delete(m.stopped, address)
+	m.mu.Unlock()
+}
+
 // Arm sets the fault of an address, in place of an earlier one.
 func (m *Memory) Arm(address string, f Fault) {
 	m.mu.Lock()
--- a/standin/fleet/faults_test.go
+++ b/standin/fleet/faults_test.go
@@ -11,9 +11,14 @@
 	"github.com/citrontiller/citrontiller/standin/plain"
 )
 
-// simulate runs a fleet on an in-memory network under virtual time.
+// settleTime is longer than a request's deadline: whatever still runs then is leaked.
+const settleTime = 6 * time.Minute
+
+// simulate runs a fleet on an in-memory network under virtual time. It fails
+// when a goroutine outlives the fleet by more than settleTime.
 func simulate(t *testing.T, test func(t *testing.T, f *Fleet, n *Memory)) {
 	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(settleTime) }) // after the fleet's Close
 		n := NewMemory()
 		f := start(t, n)
 		time.Sleep(2 * time.Second) // agents and hosts are known
--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"net"
 	"sync"
-
-	"google.golang.org/grpc/test/bufconn"
 )
 
 // Network gives out listeners and dials them.
@@ -40,25 +38,78 @@
 // Memory is a Network of in-memory connections, for tests with virtual time.
 type Memory struct {
 	mu        sync.Mutex
-	listeners map[string]*bufconn.Listener
+	listeners map[string]*listener
 	faults    map[string]*Fault
 	open      map[*connection]struct{}
+	stopped   map[string]bool
 }
 
 // NewMemory returns an empty in-memory network.
 func NewMemory() *Memory {
-	return &Memory{listeners: map[string]*bufconn.Listener{}, faults: map[string]*Fault{}, open: map[*connection]struct{}{}}
+	return &Memory{listeners: map[string]*listener{}, faults: map[string]*Fault{}, open: map[*connection]struct{}{},
+		stopped: map[string]bool{}}
+}
+
+// listener accepts the server's ends of pipes. net.Pipe resets deadlines
+// reliably; a bufconn deadline that fires while it is reset breaks the next
+// read, which net/http's servers then take for a closed connection.
+type listener struct {
+	name   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newListener(name string) *listener {
+	return &listener{name: name, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 }
 
-// memoryBuffer is the size of an in-memory connection's buffer in bytes.
-const memoryBuffer = 256 << 10
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.name) }
+
+func (l *listener) dial(ctx context.Context) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// address is a net.Addr on a Memory network.
+type address string
+
+// Network implements net.Addr.
+func (address) Network() string { return "memory" }
+
+// String implements net.Addr.
+func (a address) String() string { return string(a) }
 
 // Listen implements Network.
 func (m *Memory) Listen(name string) (net.Listener, string, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	addr := name + ":80"
-	l := bufconn.Listen(memoryBuffer)
+	l := newListener(addr)
 	m.listeners[addr] = l
 	return l, addr, nil
 }
@@ -66,12 +117,12 @@
 // Dial implements Network.
 func (m *Memory) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	m.mu.Lock()
-	l := m.listeners[address]
+	l, stopped := m.listeners[address], m.stopped[address]
 	m.mu.Unlock()
-	if l == nil {
+	if l == nil || stopped {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: fmt.Errorf("nothing listens on %s", address)}
 	}
-	c, err := l.DialContext(ctx)
+	c, err := l.dial(ctx)
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: err}
 	}
