Claim idempotency keys before non-idempotent calls

A caller that repeated a keyed call through another entry booked twice: the Idempotency-Key was only passed on. The entry now claims the key by compare-and-swap between ticket and Open, moves the claim before it tries another agent, releases it when the request is proven not to have run, and stores the result. A repeated request gets the stored result, joins the running attempt, takes over with a tombstone as proof, or gets 409 outcome_unknown; another body gets 422. A call that found no endpoint looks for a claim before it says "not run", since the first request may have run.

--- a/entry/api.go
+++ b/entry/api.go
@@ -19,7 +19,7 @@
 // Handler returns the caller API with health and readiness.
 func (s *Server) Handler() http.Handler {
 	call := endpoint.Chain(s.resolving)(func(ctx context.Context, request any) (any, error) {
-		resp, err := s.dispatch(ctx, request.(*Request))
+		resp, err := s.dispatchOnce(ctx, request.(*Request))
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/entry/claims.go
@@ -0,0 +1,308 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/stream"
+	"github.com/citrontiller/citrontiller/wire"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+const (
+	// claimTimeout bounds one step at the store; a slower store counts as down.
+	claimTimeout = 3 * time.Second
+	// storeAttempts is how often the result of a call is offered to the store.
+	storeAttempts = 5
+	// storePause is the time between two of them.
+	storePause = 2 * time.Second
+	// claimRounds bounds how often a request finds its claim changed by others.
+	claimRounds = 8
+)
+
+// claimGuard claims the caller's key before each attempt is opened.
+type claimGuard struct {
+	server  *Server
+	request *Request
+	// claim is what this request wrote last; nil before.
+	claim *call.Claim
+	// key and revision say what the next write replaces.
+	key      string
+	revision int64
+	// held is another request's claim that stopped this one.
+	held *call.Claim
+}
+
+// beforeOpen implements guard. The Open's ticket is older than the write, so an
+// entry that is paused after the write sends an Open that the agent refuses.
+func (g *claimGuard) beforeOpen(ctx context.Context, m member.Endpoint, open *pb.Open) *Error {
+	r := g.request
+	cl := &call.Claim{Key: g.key, Revision: g.revision, RequestID: open.RequestId, AttemptID: open.AttemptId,
+		BodySHA256: call.BodyDigest(r.Method, r.Path, r.Body), Endpoint: m.ID, Agent: m.Agent,
+		Incarnation: open.Incarnation, TicketMs: open.TicketMs}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if err := g.server.claims.Write(ctx, cl); err != nil {
+		var ce *call.ClaimError
+		if errors.As(err, &ce) && ce.Code == call.ClaimHeld {
+			g.held = ce.Held
+		}
+		return fromClaim(err)
+	}
+	g.claim, g.revision = cl, cl.Revision
+	return nil
+}
+
+// fromClaim turns a failed claim into an error. Nothing was opened under it.
+func fromClaim(err error) *Error {
+	e := &Error{Status: http.StatusServiceUnavailable, Code: CodeStoreDown, Run: call.NotRun, RetryAfter: time.Second,
+		Message: "the idempotency key can't be recorded now", Err: err}
+	var ce *call.ClaimError
+	if errors.As(err, &ce) && ce.Code == call.ClaimLimited {
+		e.Code, e.Message = CodeTooManyRequests, "the limit on recorded idempotency keys is reached"
+	}
+	return e
+}
+
+func outcomeUnknown(message string) *Error {
+	return &Error{Status: http.StatusConflict, Code: CodeOutcomeUnknown, Message: message, Run: call.Unknown}
+}
+
+// dispatchOnce runs a request, under a claim if it is not idempotent and the
+// caller sent a key.
+func (s *Server) dispatchOnce(ctx context.Context, r *Request) (*Response, error) {
+	if r.Idempotent || r.Key == "" {
+		return s.dispatch(ctx, r)
+	}
+	if err := s.claims.Allow(r.Service, r.Document.Budgets.ClaimWritesPerSecond); err != nil {
+		return nil, fromClaim(err)
+	}
+	// The call runs to its end and its result is stored, even without the caller.
+	ctx = context.WithoutCancel(ctx)
+	g := &claimGuard{server: s, request: r, key: call.ClaimKey(r.Account, r.Service, r.Key)}
+	r.guard = g
+	for range claimRounds {
+		g.held = nil
+		resp, err := s.dispatch(ctx, r)
+		if err == nil {
+			return s.recording(resp, g.claim), nil
+		}
+		if g.held == nil {
+			return s.unclaimed(ctx, r, g, err)
+		}
+		resp, err = s.repeat(ctx, r, g.held)
+		if resp != nil || err != nil {
+			return resp, err
+		}
+		// The attempt in the claim is proven not to run: take the claim over.
+		g.revision = g.held.Revision
+	}
+	return nil, &Error{Status: http.StatusServiceUnavailable, Code: CodeNoEndpoint, Run: call.NotRun, RetryAfter: time.Second,
+		Message: "other requests with the same idempotency key keep changing the claim"}
+}
+
+// unclaimed ends a request that failed without finding another's claim. One
+// that never got to write its claim, for want of an endpoint say, must look for
+// one first: "not run" is about the caller's key, not only about this try.
+func (s *Server) unclaimed(ctx context.Context, r *Request, g *claimGuard, cause error) (*Response, error) {
+	if asError(cause).Run != call.NotRun {
+		return nil, cause
+	}
+	if g.claim != nil {
+		s.release(ctx, g.claim)
+		return nil, cause
+	}
+	rctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	held, err := s.claims.Read(rctx, g.key)
+	cancel()
+	if err != nil {
+		return nil, cause
+	}
+	resp, err := s.repeat(ctx, r, held)
+	if resp != nil || err != nil {
+		return resp, err
+	}
+	s.release(ctx, held)
+	return nil, cause
+}
+
+// repeat answers a request whose key another request holds. It returns neither
+// a response nor an error when that request is proven not to have run.
+func (s *Server) repeat(ctx context.Context, r *Request, held *call.Claim) (*Response, error) {
+	s.log.Info("claim held", zap.String("request", r.ID), zap.String("holder", held.RequestID), zap.String("agent", held.Agent))
+	if held.BodySHA256 != call.BodyDigest(r.Method, r.Path, r.Body) {
+		return nil, invalid(http.StatusUnprocessableEntity, CodeKeyReused, "the idempotency key was used for another request")
+	}
+	if held.Result != nil {
+		return s.stored(r, held)
+	}
+	s.mu.Lock()
+	link := s.links[held.Agent]
+	s.mu.Unlock()
+	if link == nil {
+		return nil, outcomeUnknown("the agent that has the first request is gone")
+	}
+	resp, aerr := s.join(ctx, r, held, link)
+	if aerr == nil {
+		return resp, nil
+	}
+	if aerr.Run != call.Unknown {
+		return nil, aerr
+	}
+	rctx, cancel := context.WithTimeout(ctx, s.opts.RevokeTimeout)
+	defer cancel()
+	reply, err := link.Revoke(rctx, &pb.RevokeRequest{RequestId: held.RequestID, AttemptId: held.AttemptID,
+		Incarnation: held.Incarnation, TicketMs: held.TicketMs})
+	if err == nil && reply.State == pb.AttemptState_ATTEMPT_REVOKED {
+		return nil, nil
+	}
+	e := outcomeUnknown("it can't be told whether the first request ran")
+	e.Err = errors.Join(aerr, err)
+	return nil, e
+}
+
+// join waits for the answer of the attempt named in a claim. A nil response
+// without an error means that the attempt is proven not to run.
+func (s *Server) join(ctx context.Context, r *Request, held *call.Claim, link *wire.Link) (*Response, *Error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
+	open := &pb.Open{RequestId: held.RequestID, AttemptId: held.AttemptID, Incarnation: held.Incarnation, TicketMs: held.TicketMs}
+	a := &attempt{server: s, request: r, endpoint: held.Endpoint, link: link, open: open, release: cancel,
+		call: link.StartAttached(ctx, held.RequestID, held.AttemptID, held.Incarnation)}
+	head, err := a.head(ctx)
+	if err != nil {
+		a.close()
+		if err.Run == call.NotRun {
+			return nil, nil
+		}
+		return nil, err
+	}
+	resp := &Response{RequestID: held.RequestID, Endpoint: held.Endpoint, Head: *head, next: a.next, close: a.close,
+		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}
+	return s.recording(resp, held), nil
+}
+
+// stored returns the response kept in a finished claim.
+func (s *Server) stored(r *Request, held *call.Claim) (*Response, error) {
+	res := held.Result
+	if res.Omitted {
+		return nil, &Error{Status: http.StatusConflict, Code: CodeResultUnavailable, Run: call.Ran,
+			Message: "the request ran; its response was too large to keep"}
+	}
+	head := stream.Head{Status: res.Status}
+	for _, h := range res.Headers {
+		head.Headers = append(head.Headers, stream.Header{Name: h.Name, Value: h.Value})
+	}
+	body := res.Body
+	next := func(context.Context) ([]byte, error) {
+		b := body
+		body = nil
+		if len(b) == 0 {
+			return nil, nil
+		}
+		return b, nil
+	}
+	return &Response{RequestID: held.RequestID, Endpoint: held.Endpoint, Head: head, next: next, close: func() {},
+		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}, nil
+}
+
+// release gives up the claim of a request that did not run. When that fails, a
+// repeated request proves it again at the agent.
+func (s *Server) release(ctx context.Context, cl *call.Claim) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if err := s.claims.Release(ctx, cl); err != nil {
+		s.log.Warn("claim not released", zap.String("request", cl.RequestID), zap.Error(err))
+	}
+}
+
+// recorder copies a response into its claim while the caller reads it.
+type recorder struct {
+	server *Server
+	claim  call.Claim
+	inner  *Response
+	result call.Result
+	ended  bool
+}
+
+// recording wraps a response so that its result is stored at its end, or, when
+// the caller leaves earlier, after the rest was read in the background.
+func (s *Server) recording(resp *Response, cl *call.Claim) *Response {
+	rec := &recorder{server: s, claim: *cl, inner: resp, result: call.Result{Status: resp.Head.Status}}
+	for _, h := range resp.Head.Headers {
+		rec.result.Headers = append(rec.result.Headers, call.ResultHeader{Name: h.Name, Value: h.Value})
+	}
+	out := *resp
+	out.next, out.close = rec.next, rec.close
+	return &out
+}
+
+func (r *recorder) next(ctx context.Context) ([]byte, error) {
+	b, err := r.inner.next(ctx)
+	switch {
+	case err != nil:
+		// A response that broke is not a result; the claim keeps naming the agent.
+		r.ended = r.ended || ctx.Err() == nil
+		return nil, err
+	case b == nil:
+		r.ended = true
+		r.server.spawn(r.store)
+		return nil, nil
+	}
+	if len(r.result.Body)+len(b) > call.MaxResultBody {
+		r.result.Omitted, r.result.Body = true, nil
+	}
+	if !r.result.Omitted {
+		r.result.Body = append(r.result.Body, b...)
+	}
+	return b, nil
+}
+
+func (r *recorder) close() {
+	if r.ended {
+		r.inner.close()
+		return
+	}
+	if !r.server.spawn(r.drain) {
+		r.inner.close()
+	}
+}
+
+// drain reads the rest of a response whose caller left.
+func (r *recorder) drain(ctx context.Context) {
+	defer r.inner.close()
+	ctx, cancel := context.WithTimeout(ctx, r.server.opts.ResultTimeout)
+	defer cancel()
+	for !r.ended {
+		if _, err := r.next(ctx); err != nil {
+			return
+		}
+	}
+}
+
+// store writes the result into the claim. Until it succeeds a repeated request
+// gets the result from the agent, for as long as that keeps it.
+func (r *recorder) store(life context.Context) {
+	for range storeAttempts {
+		cl := r.claim
+		cl.Result = &r.result
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		err := r.server.claims.Write(ctx, &cl)
+		cancel()
+		var ce *call.ClaimError
+		if err == nil || (errors.As(err, &ce) && ce.Code == call.ClaimHeld) {
+			return
+		}
+		r.server.log.Warn("result not stored", zap.String("request", cl.RequestID), zap.Error(err))
+		select {
+		case <-time.After(storePause):
+		case <-life.Done():
+			return
+		}
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -47,7 +47,7 @@
 			return resp, nil
 		}
 		last = err
-		if ctx.Err() != nil || !(err.Run == call.NotRun || r.Idempotent) {
+		if err.final || ctx.Err() != nil || !(err.Run == call.NotRun || r.Idempotent) {
 			break
 		}
 	}
@@ -92,6 +92,7 @@
 	if r.guard != nil {
 		if err := r.guard.beforeOpen(ctx, m, open); err != nil {
 			flight.Add(-1)
+			err.final = true
 			return nil, err
 		}
 	}
@@ -253,8 +254,11 @@
 	if r.Code == pb.RefusalCode_REFUSAL_OVERLOADED {
 		e.Code = CodeOverloaded
 	}
-	if e.Run != call.NotRun {
-		e.Status, e.Code = http.StatusBadGateway, CodeOutcomeUnknown
+	switch e.Run {
+	case call.Ran:
+		e.Status, e.Code, e.RetryAfter = http.StatusConflict, CodeResultUnavailable, 0
+	case call.Unknown:
+		e.Status, e.Code, e.RetryAfter = http.StatusBadGateway, CodeOutcomeUnknown, 0
 	}
 	return e
 }
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -29,6 +29,8 @@
 	CodeDeadline        = "deadline_exceeded"
 	CodeStreamBroken    = "stream_broken"
 	CodeTooManyRequests = "too_many_requests"
+	// CodeResultUnavailable means the request ran and its response is not kept.
+	CodeResultUnavailable = "result_unavailable"
 )
 
 // Error is an error as the caller sees it.
@@ -44,6 +46,9 @@
 	// RetryAfter is sent in whole seconds; zero means no advice.
 	RetryAfter time.Duration
 	Err        error
+
+	// final errors are not followed by a try at another endpoint.
+	final bool
 }
 
 func (e *Error) Error() string {
--- a/entry/server.go
+++ b/entry/server.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/platform"
@@ -32,8 +33,11 @@
 	RevokeTimeout time.Duration
 	// DecisionRecords is how many decisions are kept for explain.
 	DecisionRecords int
-	Wire            wire.Options
-	Log             *zap.Logger
+	// ResultTimeout bounds the reading of a keyed response whose caller left.
+	ResultTimeout time.Duration
+	Claims        call.ClaimOptions
+	Wire          wire.Options
+	Log           *zap.Logger
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -43,6 +47,8 @@
 		ConfigInterval:  5 * time.Second,
 		RevokeTimeout:   5 * time.Second,
 		DecisionRecords: 4096,
+		ResultTimeout:   5 * time.Minute,
+		Claims:          call.DefaultClaimOptions(),
 		Wire:            wire.DefaultOptions(),
 	}
 }
@@ -58,8 +64,14 @@
 	hosts     platform.HostList
 	scheduler *route.Scheduler
 	decisions *decisions
+	claims    *call.Claims
+	// background counts the work that outlives its caller; life ends with Run.
+	background sync.WaitGroup
+	life       context.Context
+	end        context.CancelFunc
 
 	mu      sync.Mutex
+	stopped bool
 	links   map[string]*wire.Link
 	flights map[string]*atomic.Int64
 }
@@ -74,11 +86,13 @@
 	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
+	life, end := context.WithCancel(context.Background())
 	return &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
 		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
+		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
 }
 
@@ -90,6 +104,11 @@
 	wg.Go(func() { s.followHosts(ctx) })
 	wg.Wait()
 	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.end()
+	s.background.Wait()
+	s.mu.Lock()
 	links := s.links
 	s.links = map[string]*wire.Link{}
 	s.mu.Unlock()
@@ -152,6 +171,17 @@
 	}
 }
 
+// spawn runs work that outlives its caller, unless the entry is stopping.
+func (s *Server) spawn(work func(ctx context.Context)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.background.Go(func() { work(s.life) })
+	return true
+}
+
 // target returns the endpoint and the link to its agent.
 func (s *Server) target(service, id string) (member.Endpoint, *wire.Link) {
 	for _, m := range s.Members.Service(service) {
