--- a/standin/fleet/once_test.go
+++ b/standin/fleet/once_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/entry"
 	"github.com/citrontiller/citrontiller/standin/kv"
 	"github.com/citrontiller/citrontiller/standin/plain"
@@ -266,6 +267,61 @@
 	}
 }
 
+// Guards against a keyed call that costs the store more than two writes, and
+// against a read on the path of a first call. A repeat costs a failed write
+// and a read.
+func TestClaimCost(t *testing.T) {
+	simulate(t, func(t *testing.T, f *Fleet, n *Memory) {
+		is := is.New(t)
+		addEntry(t, f)
+		<-ask(f, 0, "warm", "w") // grants the entry's lease
+		<-ask(f, 1, "warm", "v")
+		time.Sleep(time.Second)
+		calls := func() (txn, grant int) { return f.KV.Calls("/v3/kv/txn"), f.KV.Calls("/v3/lease/grant") }
+		txn, grant := calls()
+		is.True((<-ask(f, 0, "van", "k")).booked("van"))
+		time.Sleep(100 * time.Millisecond)
+		first, leases := calls()
+		is.Equal(first-txn, 2)
+		is.Equal(leases, grant)
+		is.True((<-ask(f, 1, "van", "k")).booked("van"))
+		again, _ := calls()
+		is.Equal(again-first, 1)
+		is.True((<-ask(f, 1, "bike", "")).booked("bike"))
+		plainCall, _ := calls()
+		is.Equal(plainCall, again)
+	})
+}
+
+// Guards against an entry that is held up between ticket and Open for longer
+// than the ticket lifetime, here by the store: whatever another entry did
+// meanwhile, its Open must be refused.
+func TestHeldUpEntry(t *testing.T) {
+	simulate(t, func(t *testing.T, f *Fleet, n *Memory) {
+		is := is.New(t)
+		for _, a := range f.Agents {
+			n.Stop(a.Address)
+		}
+		spec := Spec{Name: "agent-2", Region: "r1", Plains: []string{"desk-2"}, Service: func(string) string { return "desk" },
+			Options: agent.DefaultOptions()}
+		spec.Options.TicketLifetime = time.Second
+		_, err := f.AddAgent(spec)
+		is.NoErr(err)
+		opts := entry.DefaultOptions()
+		opts.Wire.TicketLifetime = spec.Options.TicketLifetime
+		_, err = f.AddEntry("entry-1", opts)
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		is.True((<-ask(f, 1, "warm", "w")).booked("warm")) // grants the lease
+		f.KV.SetFaults(kv.Faults{Delay: 1500 * time.Millisecond})
+		a := <-ask(f, 1, "van", "k")
+		is.True(a.says("not_run"))
+		is.Equal(total(f), 1)
+		f.KV.SetFaults(kv.Faults{})
+		is.True((<-ask(f, 1, "van", "k")).booked("van"))
+	})
+}
+
 // failure keeps the first failure of a run inside a bubble for rapid.
 type failure struct{ text string }
 
