--- a/entry/claims.go
+++ b/entry/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -172,7 +173,7 @@
 func (s *Server) join(ctx context.Context, r *Request, held *call.Claim, link *wire.Link) (*Response, *Error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
 	open := &pb.Open{RequestId: held.RequestID, AttemptId: held.AttemptID, Incarnation: held.Incarnation, TicketMs: held.TicketMs}
-	a := &attempt{server: s, request: r, endpoint: held.Endpoint, link: link, open: open, release: cancel,
+	a := &attempt{server: s, request: r, endpoint: held.Endpoint, link: link, open: open, release: cancel, answered: new(atomic.Bool),
 		call: link.StartAttached(ctx, held.RequestID, held.AttemptID, held.Incarnation)}
 	head, err := a.head(ctx)
 	if err != nil {
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -47,8 +47,8 @@
 	RetryAfter time.Duration
 	Err        error
 
-	// final errors are not followed by a try at another endpoint.
-	final bool
+	// ended errors are not followed by a try at another endpoint.
+	ended bool
 }
 
 func (e *Error) Error() string {
--- a/entry/server.go
+++ b/entry/server.go
@@ -69,11 +69,14 @@
 	background sync.WaitGroup
 	life       context.Context
 	end        context.CancelFunc
+	running    running
+	draining   atomic.Bool
 
 	mu      sync.Mutex
 	stopped bool
 	links   map[string]*wire.Link
 	flights map[string]*atomic.Int64
+	budgets map[string]*budgets
 }
 
 // New returns an entry that uses the given platform systems.
@@ -91,7 +94,8 @@
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
-		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
+		running: running{counts: map[accountKey]int{}},
+		links:   map[string]*wire.Link{}, flights: map[string]*atomic.Int64{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
 }
@@ -205,8 +209,12 @@
 	return f
 }
 
-// Ready reports whether the entry has a configuration and an endpoint.
+// Ready reports whether the entry has a configuration and an endpoint and is
+// not draining.
 func (s *Server) Ready() bool {
+	if s.draining.Load() {
+		return false
+	}
 	for _, name := range s.Config.Services() {
 		for _, m := range s.Members.Service(name) {
 			if m.State == member.Ready {
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -47,7 +47,7 @@
 }
 
 // Stop closes every open connection to the address and refuses new ones until
-// Resume.
+// Restore.
 func (m *Memory) Stop(address string) {
 	m.mu.Lock()
 	m.stopped[address] = true
@@ -55,8 +55,8 @@
 	m.Cut(address)
 }
 
-// Resume ends Stop.
-func (m *Memory) Resume(address string) {
+// Restore ends Stop.
+func (m *Memory) Restore(address string) {
 	m.mu.Lock()
 	delete(m.stopped, address)
 	m.mu.Unlock()
--- a/standin/fleet/once_test.go
+++ b/standin/fleet/once_test.go
@@ -197,7 +197,7 @@
 			time.Sleep(500 * time.Millisecond)
 			for _, ag := range f.Agents {
 				n.Stop(ag.Address)
-				time.AfterFunc(10*time.Second, func() { n.Resume(ag.Address) })
+				time.AfterFunc(10*time.Second, func() { n.Restore(ag.Address) })
 			}
 			a := <-c
 			is.True(!a.says("not_run")) // the revoke finds the attempt finished
