--- a/agent/server.go
+++ b/agent/server.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/order"
 	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire/pb"
@@ -62,6 +63,9 @@
 type Server struct {
 	pb.UnimplementedAgentServer
 
+	// Config holds the records that entries offered.
+	Config *config.Table
+
 	opts        Options
 	log         *zap.Logger
 	incarnation string
@@ -85,6 +89,7 @@
 		opts.Log = zap.NewNop()
 	}
 	s := &Server{
+		Config:      config.NewTable(),
 		opts:        opts,
 		log:         opts.Log,
 		incarnation: uuid.NewString(),
@@ -148,7 +153,9 @@
 		if refused = s.check(o); refused != nil {
 			return nil, false
 		}
-		return newAttempt(key, o, s.opts.StreamBuffer), true
+		a := newAttempt(key, o, s.opts.StreamBuffer)
+		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
+		return a, true
 	})
 	if created {
 		if p := s.enqueue(a, o); p != nil {
@@ -229,7 +236,7 @@
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
 	ep.queue.Done(p.ticket)
 	if err == nil {
-		m.observe(o.Service, o.Account, p.prompt)
+		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
 	}
 	end := s.endOf(a, err)
 	end.Load = ep.load()
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -105,7 +105,7 @@
 	is.Equal(code, 404)
 }
 
-// streamedText returns the text of a stream that must be complete.
+// streamedText returns the text of a stream that has its closing event.
 func streamedText(t *testing.T, body string) string {
 	t.Helper()
 	text, done := StreamedText(body)
