--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -84,6 +84,7 @@
 	if r.guard != nil {
 		if err := r.guard.beforeOpen(ctx, m, open); err != nil {
 			flight.Add(-1)
+			err.ended = true
 			return nil, err
 		}
 	}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -194,5 +194,5 @@
 
 // final reports whether no other endpoint would answer differently.
 func (e *Error) final() bool {
-	return e.Status >= http.StatusBadRequest && e.Status < http.StatusInternalServerError && e.Status != http.StatusTooManyRequests
+	return e.ended || (e.Status >= http.StatusBadRequest && e.Status < http.StatusInternalServerError && e.Status != http.StatusTooManyRequests)
 }
