prefix: add piece levels inside long messages and bound their number

Levels ended at message boundaries only, so two long messages with equal beginnings shared none, and a prompt of many messages gave unbounded work. A message now also has a level every 2,000 tokens, boundaries nearer than 64 tokens to the previous level add none, and hashing stops at 64 levels. The segment length moves behind the content, because in front of it equal beginnings of messages of unequal length hashed differently.

Ruled out: hashing the rest of prompts beyond 64 levels (128,000 tokens); no lookup would use it.

--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -38,27 +38,89 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Level is a prefix that ends at a message boundary.
+// Level is a prefix that ends at a message boundary or at a piece boundary
+// inside a long message.
 type Level struct {
 	Hash uint64
 	// Tokens is the estimated length from the start of the prompt.
 	Tokens int64
 }
 
-// Chain returns one level per segment of the prompt. Each hash covers the
-// scope and all segments up to its own.
+const (
+	// PieceTokens is the length of the pieces of a long message. The stores of
+	// saved KV cache use pieces of about the same length.
+	PieceTokens = 2000
+	// MaxLevels bounds the levels of a prompt. At 2,000 tokens a piece they
+	// cover 128,000 tokens; what follows is neither hashed nor looked up.
+	MaxLevels = 64
+	// minLevelTokens is the least distance between a level and a message
+	// boundary after it, so that chats of many short messages don't use up
+	// MaxLevels. Recomputing 64 tokens costs about as much as a lookup.
+	minLevelTokens = 64
+
+	pieceBytes    = PieceTokens * bytesPerToken
+	minLevelBytes = minLevelTokens * bytesPerToken
+)
+
+// Tokens returns the estimated length of a prompt in tokens.
+func Tokens(segments [][]byte) int64 {
+	n := 0
+	for _, s := range segments {
+		n += len(s)
+	}
+	return int64(n / bytesPerToken)
+}
+
+// Chain returns the levels of a prompt, shortest first and at most MaxLevels.
+// Each hash covers the scope and the whole prompt up to the level's end. The
+// length of a segment is hashed after its content, so that messages with equal
+// beginnings share their pieces.
 func Chain(s Scope, segments [][]byte) []Level {
-	h := xxhash.New()
-	_, _ = h.Write(s.bytes())
-	levels := make([]Level, 0, len(segments))
-	total := 0
+	c := chain{levels: make([]Level, 0, min(MaxLevels, len(segments)+4))}
+	c.digest.Reset()
+	_, _ = c.digest.Write(s.bytes())
+	for i, seg := range segments {
+		if !c.segment(seg, i == len(segments)-1) {
+			break
+		}
+	}
+	return c.levels
+}
+
+type chain struct {
+	digest xxhash.Digest
+	levels []Level
+	total  int
+	// end is the offset of the last level.
+	end int
+}
+
+// segment adds the levels of one segment; false means that MaxLevels is reached.
+func (c *chain) segment(seg []byte, last bool) bool {
 	var size [8]byte
-	for _, seg := range segments {
-		binary.LittleEndian.PutUint64(size[:], uint64(len(seg)))
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(seg)
-		total += len(seg)
-		levels = append(levels, Level{Hash: h.Sum64(), Tokens: int64(total / bytesPerToken)})
+	binary.LittleEndian.PutUint64(size[:], uint64(len(seg)))
+	for len(seg) > pieceBytes {
+		c.write(seg[:pieceBytes])
+		seg = seg[pieceBytes:]
+		if !c.level() {
+			return false
+		}
+	}
+	c.write(seg)
+	_, _ = c.digest.Write(size[:])
+	if !last && c.total-c.end < minLevelBytes {
+		return true
 	}
-	return levels
+	return c.level()
+}
+
+func (c *chain) write(b []byte) {
+	_, _ = c.digest.Write(b)
+	c.total += len(b)
+}
+
+func (c *chain) level() bool {
+	c.levels = append(c.levels, Level{Hash: c.digest.Sum64(), Tokens: int64(c.total / bytesPerToken)})
+	c.end = c.total
+	return len(c.levels) < MaxLevels
 }
