route: choose by expected time to first token with plug-ins and feedback

Choice counted requests in flight and hashed one level; it knew nothing of cached prefixes, load reports, stragglers or failing endpoints. The entry reports accepted, first token, usage, refusal and failure to it.

Others keep the prefixes, so an ejected endpoint may never win. A due probe takes the next idempotent request. Ruled out: full candidate lists in decision records; 4,096 records of 2,000 candidates exceed 32 MB. A record keeps 16.

--- /dev/null
+++ b/entry/candidates.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/plugins/lowest"
+	"github.com/citrontiller/citrontiller/plugins/prefixcache"
+	"github.com/citrontiller/citrontiller/plugins/queue"
+	"github.com/citrontiller/citrontiller/plugins/ready"
+	"github.com/citrontiller/citrontiller/plugins/region"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/wire"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// newScheduler loads the plug-ins of endpoint selection. They are linked in
+// and need no settings, so a failure is a programming error.
+func newScheduler(log *zap.Logger) *route.Scheduler {
+	set := kernel.Settings{Log: log}
+	return &route.Scheduler{
+		Filters: []route.Filter{load[route.Filter](ready.ID, set)},
+		Scorers: []route.Scorer{load[route.Scorer](queue.ID, set), load[route.Scorer](prefixcache.ID, set), load[route.Scorer](region.ID, set)},
+		Picker:  load[route.Picker](lowest.ID, set),
+	}
+}
+
+func load[T any](id string, set kernel.Settings) T {
+	p, err := kernel.Load[T](context.Background(), id, set)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+func (s *Server) routeRequest(r *Request) *route.Request {
+	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
+		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.Chain(r.Scope(), r.Segments),
+		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: rand.Uint64(), Exclude: map[string]bool{}}
+}
+
+// choose decides on an endpoint, logs the decision and starts its feedback.
+func (s *Server) choose(r *route.Request) (route.Decision, *feedback) {
+	now := time.Now()
+	candidates := s.candidates(r, now)
+	d := s.scheduler.Choose(r, candidates)
+	s.logDecision(d)
+	for i := range candidates {
+		if candidates[i].ID == d.Chosen {
+			return d, &feedback{attempt: s.tracker.Dispatch(r, &candidates[i], d, now)}
+		}
+	}
+	return d, nil
+}
+
+func (s *Server) logDecision(d route.Decision) {
+	s.decisions.add(d)
+	s.log.Info("route", zap.String("request", d.RequestID), zap.String("service", d.Service), zap.String("chosen", d.Chosen),
+		zap.String("reason", d.Reason), zap.Float64("score_ms", d.Score), zap.Int("total", d.Total), zap.Stringer("candidates", d))
+}
+
+// candidates returns the snapshot for a request. Each agent's state is read once.
+func (s *Server) candidates(r *route.Request, now time.Time) []route.Endpoint {
+	members := s.Members.Service(r.Service)
+	states := s.agentStates(members)
+	return s.tracker.Snapshot(r, members, func(m member.Endpoint) route.Report {
+		st, ok := states[m.Agent]
+		if !ok {
+			return route.Report{}
+		}
+		return reportOf(st.Loads[m.ID], st.RTT)
+	}, now)
+}
+
+func (s *Server) agentStates(members []member.Endpoint) map[string]wire.State {
+	links := make(map[string]*wire.Link, len(members))
+	s.mu.Lock()
+	for _, m := range members {
+		if l := s.links[m.Agent]; l != nil {
+			links[m.Agent] = l
+		}
+	}
+	s.mu.Unlock()
+	out := make(map[string]wire.State, len(links))
+	for addr, l := range links {
+		out[addr] = l.State()
+	}
+	return out
+}
+
+// reportOf converts a load report. The message's address identifies it: the
+// link replaces the message with each reply.
+func reportOf(l *pb.EndpointLoad, rtt time.Duration) route.Report {
+	if l == nil {
+		return route.Report{RTT: rtt}
+	}
+	return route.Report{Key: l, RTT: rtt, Load: route.Load{BootID: l.BootId, Version: l.Version, Running: l.Running, Queued: l.Queued,
+		Limit: l.Limit, Wait: time.Duration(l.PredictedWaitMs) * time.Millisecond, PrefillPerSecond: float64(l.PrefillTokensPerSecond),
+		BlockLifetime: time.Duration(l.BlockLifetimeMs) * time.Millisecond}}
+}
+
+func (s *Server) pruneTracker(hosts []platform.Host) {
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.ID] = true
+	}
+	s.tracker.Prune(listed)
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -7,11 +7,9 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire"
@@ -29,18 +27,16 @@
 // dispatch runs a request: it chooses an endpoint, opens an attempt there and
 // returns when the response head has arrived.
 func (s *Server) dispatch(ctx context.Context, r *Request) (*Response, error) {
-	rr := &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
-		Region: s.opts.Region, Idempotent: r.Idempotent, Exclude: map[string]bool{}, Levels: prefix.Chain(r.Scope(), r.Segments)}
+	rr := s.routeRequest(r)
 	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
 	var last *Error
 	for range r.Document.Budgets.MaxAttemptsPerRequest {
-		d := s.scheduler.Choose(rr, s.candidates(r.Service))
-		s.logDecision(d)
+		d, feedback := s.choose(rr)
 		if d.Chosen == "" {
 			break
 		}
 		rr.Exclude[d.Chosen] = true
-		resp, err := s.attempt(ctx, r, rr, d.Chosen)
+		resp, err := s.attempt(ctx, r, rr, d.Chosen, feedback)
 		if err == nil {
 			resp.close = closeBoth(resp.close, cancel)
 			return resp, nil
@@ -60,42 +56,27 @@
 
 func closeBoth(a func(), b context.CancelFunc) func() { return func() { a(); b() } }
 
-func (s *Server) logDecision(d route.Decision) {
-	s.decisions.add(d)
-	s.log.Info("route", zap.String("request", d.RequestID), zap.String("service", d.Service), zap.String("chosen", d.Chosen),
-		zap.String("reason", d.Reason), zap.Stringer("candidates", d))
-}
-
-func (s *Server) candidates(service string) []route.Endpoint {
-	members := s.Members.Service(service)
-	out := make([]route.Endpoint, len(members))
-	for i, m := range members {
-		out[i] = route.Endpoint{Endpoint: m, InFlight: s.flight(m.ID).Load()}
-	}
-	return out
-}
-
 // attempt opens one attempt and waits for the response head.
-func (s *Server) attempt(ctx context.Context, r *Request, rr *route.Request, endpoint string) (*Response, *Error) {
+func (s *Server) attempt(ctx context.Context, r *Request, rr *route.Request, endpoint string, fb *feedback) (*Response, *Error) {
 	m, link := s.target(r.Service, endpoint)
 	if link == nil {
+		fb.close()
 		return nil, &Error{Status: http.StatusServiceUnavailable, Code: CodeNoEndpoint, Message: "the endpoint has no agent", Run: call.NotRun}
 	}
 	ticket, err := link.Ticket(ctx)
 	if err != nil {
+		fb.failed(ctx)
 		return nil, fromWire(err)
 	}
-	flight := s.flight(endpoint)
-	flight.Add(1)
 	open := s.openMessage(r, rr, m, ticket)
 	if r.guard != nil {
 		if err := r.guard.beforeOpen(ctx, m, open); err != nil {
-			flight.Add(-1)
+			fb.close()
 			return nil, err
 		}
 	}
 	c := link.Start(ctx, open)
-	a := &attempt{server: s, request: r, endpoint: endpoint, link: link, open: open, call: c, release: func() { flight.Add(-1) }}
+	a := &attempt{server: s, request: r, endpoint: endpoint, link: link, open: open, call: c, feedback: fb}
 	head, aerr := a.head(ctx)
 	if aerr != nil {
 		a.close()
@@ -130,7 +111,7 @@
 	link     *wire.Link
 	open     *pb.Open
 	call     *wire.Call
-	release  func()
+	feedback *feedback
 	pending  []stream.Part
 	ended    bool
 	closed   bool
@@ -184,6 +165,7 @@
 }
 
 func (a *attempt) message(ctx context.Context, m wire.Message) *Error {
+	a.feedback.message(ctx, m)
 	switch {
 	case m.Parts != nil:
 		a.pending = m.Parts
@@ -226,7 +208,7 @@
 	go func() {
 		for range a.call.Messages() {
 		}
-		a.release()
+		a.feedback.close()
 	}()
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -57,11 +56,11 @@
 	store     *config.Store
 	hosts     platform.HostList
 	scheduler *route.Scheduler
+	tracker   *route.Tracker
 	decisions *decisions
 
-	mu      sync.Mutex
-	links   map[string]*wire.Link
-	flights map[string]*atomic.Int64
+	mu    sync.Mutex
+	links map[string]*wire.Link
 }
 
 // New returns an entry that uses the given platform systems.
@@ -77,8 +76,8 @@
 	return &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
-		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
-		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{},
+		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
+		links: map[string]*wire.Link{},
 	}
 }
 
@@ -107,6 +106,7 @@
 			s.log.Warn("host list not read", zap.Error(err))
 		} else {
 			s.Members.SetHosts(hosts)
+			s.pruneTracker(hosts)
 			s.connect()
 		}
 		select {
@@ -164,17 +164,6 @@
 	return member.Endpoint{}, nil
 }
 
-func (s *Server) flight(endpoint string) *atomic.Int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f, ok := s.flights[endpoint]
-	if !ok {
-		f = new(atomic.Int64)
-		s.flights[endpoint] = f
-	}
-	return f
-}
-
 // Ready reports whether the entry has a configuration and an endpoint.
 func (s *Server) Ready() bool {
 	for _, name := range s.Config.Services() {
--- /dev/null
+++ b/plugins/queue/queue.go
@@ -0,0 +1,33 @@
+// Package queue scores the wait before an endpoint starts a request, id
+// "scorer.queue".
+package queue
+
+import "github.com/citrontiller/citrontiller/route"
+
+const (
+	// tokenMs is the time between output tokens that the service aims at.
+	tokenMs = 64
+	// defaultOutput is assumed for accounts without observed answers.
+	defaultOutput = 100
+)
+
+// Scorer adds the expected wait.
+type Scorer struct{}
+
+// Score implements route.Scorer. An endpoint at its concurrency limit adds the
+// time until enough running answers have ended; their length is the observed
+// one, because max_tokens says little about it.
+func (Scorer) Score(r *route.Request, endpoints []route.Endpoint, scores []float64) {
+	output := r.OutputTokens
+	if output <= 0 {
+		output = defaultOutput
+	}
+	for i := range endpoints {
+		e := &endpoints[i]
+		scores[i] += e.WaitMs
+		running := max(e.Load.Running+e.Load.Queued, e.InFlight)
+		if excess := running - e.Load.Limit + 1; e.Load.Limit > 0 && excess > 0 && e.Load.Wait == 0 {
+			scores[i] += float64(excess) * output * tokenMs / float64(e.Load.Limit)
+		}
+	}
+}
--- /dev/null
+++ b/plugins/region/region.go
@@ -0,0 +1,35 @@
+// Package region scores the way to endpoints of other regions, id
+// "scorer.region".
+package region
+
+import "github.com/citrontiller/citrontiller/route"
+
+const (
+	// defaultRTTMs is assumed for another region before the first measurement:
+	// regions are about 20 ms apart.
+	defaultRTTMs = 40
+	// priceMsPerKiB is the time to first token that a KiB between regions must save.
+	priceMsPerKiB = 1
+	// streamBytesPerToken is the size of a streamed token with its event frame.
+	streamBytesPerToken = 200
+)
+
+// Scorer adds the round trip and the price of bytes between regions.
+type Scorer struct{}
+
+// Score implements route.Scorer.
+func (Scorer) Score(r *route.Request, endpoints []route.Endpoint, scores []float64) {
+	bytes := float64(r.Bytes) + r.OutputTokens*streamBytesPerToken
+	price := bytes / 1024 * priceMsPerKiB
+	for i := range endpoints {
+		e := &endpoints[i]
+		scores[i] += float64(e.RTT) / 1e6
+		if e.Region == r.Region {
+			continue
+		}
+		scores[i] += price
+		if e.RTT == 0 {
+			scores[i] += defaultRTTMs
+		}
+	}
+}
--- /dev/null
+++ b/plugins/region/setup.go
@@ -0,0 +1,8 @@
+package region
+
+import "github.com/citrontiller/citrontiller/kernel"
+
+// ID is the plug-in's id in the kernel.
+const ID = "scorer.region"
+
+func init() { kernel.Register(kernel.Plugin{ID: ID, New: func() any { return new(Scorer) }}) }
--- a/route/route.go
+++ b/route/route.go
@@ -1,13 +1,13 @@
 // Package route chooses the endpoint of a request. The choice is a pure
 // function of the request and a snapshot of the candidates: filters drop
 // candidates, scorers give each a cost in milliseconds, a picker takes one.
+// A Tracker keeps what earlier requests have shown and makes the snapshots.
 package route
 
 import (
 	"fmt"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
+	"time"
 
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/prefix"
@@ -22,16 +22,68 @@
 	Version    string
 	Region     string
 	Idempotent bool
-	Levels     []prefix.Level
+	// Stream is true when the first token is seen before the whole answer.
+	Stream bool
+	Levels []prefix.Level
+	// Tokens is the estimated prompt length.
+	Tokens int64
+	// Bytes is the size of the request body.
+	Bytes int64
+	// OutputTokens is the length expected from earlier answers, 0 when unknown.
+	OutputTokens float64
+	// Seed is the randomness of the choice; it breaks ties.
+	Seed uint64
 	// Exclude names endpoints that have refused or failed this request.
 	Exclude map[string]bool
+	// LastResort admits ejected endpoints, for want of any other.
+	LastResort bool
+}
+
+// Load is an endpoint's last load report; zero fields are unknown.
+type Load struct {
+	BootID  string
+	Version string
+	Running int64
+	Queued  int64
+	Limit   int64
+	// Wait is the wait that the agent predicted when it made the report.
+	Wait             time.Duration
+	PrefillPerSecond float64
+	// BlockLifetime is the time within which an unused block is evicted.
+	BlockLifetime time.Duration
 }
 
-// Endpoint is a candidate with what is known of it.
+// Endpoint is a candidate with what is known of it at the time of the choice.
 type Endpoint struct {
 	member.Endpoint
+	Load Load
 	// InFlight counts this entry's requests at the endpoint.
 	InFlight int64
+	// WaitMs is the expected wait before prefill starts, in milliseconds.
+	WaitMs float64
+	// CachedTokens is the expected length of the cached prefix, from the placement table.
+	CachedTokens float64
+	// Residual is the ratio of observed to predicted time to first token.
+	Residual float64
+	// Ejected is true while the endpoint receives probes only.
+	Ejected bool
+	// Probe is true when an ejected endpoint's next probe is due.
+	Probe bool
+	// RTT is the round-trip time to the endpoint's agent, 0 when unknown.
+	RTT time.Duration
+}
+
+// DefaultPrefillPerSecond is assumed for endpoints that report no prefill
+// speed. A wrong value is absorbed by the residual.
+const DefaultPrefillPerSecond = 10_000
+
+// PrefillMs returns the time to compute tokens at the endpoint, in milliseconds.
+func (e *Endpoint) PrefillMs(tokens float64) float64 {
+	rate := e.Load.PrefillPerSecond
+	if rate <= 0 {
+		rate = DefaultPrefillPerSecond
+	}
+	return tokens / rate * 1000
 }
 
 // Candidate is an endpoint's result in a decision.
@@ -43,12 +95,25 @@
 	Excluded string
 }
 
+// Reasons of decisions.
+const (
+	ReasonLowest     = "lowest cost"
+	ReasonLastResort = "only ejected endpoints left"
+	ReasonProbe      = "probe of an ejected endpoint"
+	ReasonNone       = "no endpoint available"
+)
+
 // Decision records a choice and why it was made.
 type Decision struct {
-	RequestID  string
-	Service    string
-	Chosen     string
-	Reason     string
+	RequestID string
+	Service   string
+	Chosen    string
+	Reason    string
+	// Score is the predicted time to first token of the choice in milliseconds.
+	Score float64
+	// Total is the number of endpoints considered.
+	Total int
+	// Candidates holds the best endpoints, at most 16 of Total.
 	Candidates []Candidate
 }
 
@@ -65,61 +130,8 @@
 		}
 		fmt.Fprintf(&b, "%s:%.1f", c.ID, c.Score)
 	}
-	return b.String()
-}
-
-// Scheduler chooses endpoints.
-type Scheduler struct{}
-
-// waitPerRequestMs is the assumed cost of one request already in flight.
-const waitPerRequestMs = 20
-
-// Choose returns the decision for a request. Chosen is empty when no endpoint
-// may take it.
-func (s *Scheduler) Choose(r *Request, endpoints []Endpoint) Decision {
-	d := Decision{RequestID: r.ID, Service: r.Service}
-	best := -1
-	var bestWeight uint64
-	for i := range endpoints {
-		ep := &endpoints[i]
-		c := Candidate{ID: ep.ID}
-		switch {
-		case r.Exclude[ep.ID]:
-			c.Excluded = "tried"
-		case ep.State != member.Ready:
-			c.Excluded = string(ep.State)
-		default:
-			c.Score = float64(ep.InFlight) * waitPerRequestMs
-			if ep.Region != r.Region {
-				c.Score += 40
-			}
-		}
-		d.Candidates = append(d.Candidates, c)
-		if c.Excluded != "" {
-			continue
-		}
-		w := weight(r, ep.ID)
-		if best < 0 || c.Score < d.Candidates[best].Score || (c.Score == d.Candidates[best].Score && w > bestWeight) {
-			best, bestWeight = i, w
-		}
-	}
-	if best < 0 {
-		d.Reason = "no endpoint available"
-		return d
-	}
-	d.Chosen = d.Candidates[best].ID
-	d.Reason = "lowest cost"
-	return d
-}
-
-// weight is the rendezvous weight of an endpoint for the request's prefix.
-func weight(r *Request, id string) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	if n := len(r.Levels); n > 0 {
-		level := r.Levels[max(0, n-2)]
-		_, _ = fmt.Fprintf(&h, "%x", level.Hash)
+	if more := d.Total - len(d.Candidates); more > 0 {
+		fmt.Fprintf(&b, ",+%d", more)
 	}
-	_, _ = h.WriteString(id)
-	return h.Sum64()
+	return b.String()
 }
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,174 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/plugins/lowest"
+	"github.com/citrontiller/citrontiller/plugins/prefixcache"
+	"github.com/citrontiller/citrontiller/plugins/queue"
+	"github.com/citrontiller/citrontiller/plugins/ready"
+	"github.com/citrontiller/citrontiller/plugins/region"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+func scheduler() *route.Scheduler {
+	return &route.Scheduler{Filters: []route.Filter{ready.Filter{}},
+		Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Picker: lowest.Picker{}}
+}
+
+func members(n int) []member.Endpoint {
+	out := make([]member.Endpoint, n)
+	for i := range out {
+		out[i] = member.Endpoint{Host: platform.Host{ID: fmt.Sprintf("e%04d", i), Region: "a"}, State: member.Ready}
+	}
+	return out
+}
+
+func request(key int) *route.Request {
+	text := [][]byte{make([]byte, 4000), fmt.Appendf(nil, "%08000d", key), []byte("question")}
+	return &route.Request{Region: "a", Stream: true, Idempotent: true, Levels: prefix.Chain(prefix.Scope{}, text), Tokens: prefix.Tokens(text)}
+}
+
+// fixture is one entry under a clock of its own.
+type fixture struct {
+	*route.Scheduler
+	tracker *route.Tracker
+	members []member.Endpoint
+	load    route.Load
+	now     time.Time
+}
+
+func newFixture(n int) *fixture {
+	return &fixture{scheduler(), route.NewTracker(), members(n), route.Load{BootID: "1"}, time.Unix(0, 0)}
+}
+
+func (f *fixture) snapshot(r *route.Request) []route.Endpoint {
+	rep := route.Report{Key: f.load.BootID, Load: f.load}
+	return f.tracker.Snapshot(r, f.members, func(member.Endpoint) route.Report { return rep }, f.now)
+}
+
+func (f *fixture) send(r *route.Request) (string, *route.Attempt) {
+	eps := f.snapshot(r)
+	d := f.Choose(r, eps)
+	for i := range eps {
+		if eps[i].ID == d.Chosen {
+			return d.Chosen, f.tracker.Dispatch(r, &eps[i], d, f.now)
+		}
+	}
+	return "", nil
+}
+
+// Guards against entries that disagree on the home of a prefix, and against a
+// restarted entry that loses its hit rate.
+func TestEntriesAgreeOnHome(t *testing.T) {
+	is := is.New(t)
+	homes := map[string]bool{}
+	for key := range 40 {
+		a, _ := newFixture(12).send(request(key))
+		b, _ := newFixture(12).send(request(key))
+		is.Equal(a, b)
+		homes[a] = true
+	}
+	is.True(len(homes) > 6)
+}
+
+// Guards against a hot prefix that queues at its home while others are idle,
+// and against one that scatters instead of going to the next in order.
+func TestHotPrefixSpreads(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(6)
+	home, a := f.send(request(1))
+	a.FirstToken(f.now)
+	busy := func(m member.Endpoint) route.Report {
+		if m.ID == home {
+			return route.Report{Key: 1, Load: route.Load{BootID: "1", Wait: time.Second}}
+		}
+		return route.Report{Key: 1, Load: route.Load{BootID: "1"}}
+	}
+	used := map[string]bool{}
+	for range 5 {
+		r := request(1)
+		d := f.Choose(r, f.tracker.Snapshot(r, f.members, busy, f.now))
+		used[d.Chosen] = true
+	}
+	is.Equal(len(used), 1)
+	is.True(!used[home])
+}
+
+// Guards against requests sent to a straggler whose load report is still normal.
+func TestStragglerIsAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	home, a := f.send(request(1))
+	f.now = f.now.Add(8 * time.Second)
+	a.FirstToken(f.now)
+	a.End(10, 10)
+	next, _ := f.send(request(1))
+	is.True(next != home)
+}
+
+// Guards against failing endpoints that keep their share of requests, and
+// against ejected ones that are never tried again.
+func TestEjectionAndProbes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	bad, first := f.send(request(1))
+	first.Failed(f.now)
+	probes := 0
+	for i := range 600 {
+		id, a := f.send(request(i % 20))
+		f.now = f.now.Add(100 * time.Millisecond)
+		if id == bad {
+			probes++
+			a.Failed(f.now)
+			continue
+		}
+		a.FirstToken(f.now)
+		a.End(1, 1)
+	}
+	is.True(probes >= 3)
+	is.True(probes < 15)
+}
+
+// Guards against cache expectations that outlive the engine's process.
+func TestNewBootForgetsPlacement(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	_, a := f.send(request(1))
+	a.FirstToken(f.now)
+	is.True(f.snapshot(request(1))[0].CachedTokens > 2000)
+	f.load.BootID = "2"
+	f.snapshot(request(1))
+	is.Equal(f.snapshot(request(1))[0].CachedTokens, 0.0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{50, 2000} {
+		f := newFixture(n)
+		for i := range n {
+			_, a := f.send(request(i % 100))
+			a.FirstToken(f.now)
+		}
+		r := request(7)
+		eps := f.snapshot(r)
+		b.Run(fmt.Sprintf("choose/endpoints=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.Choose(r, eps)
+			}
+		})
+		b.Run(fmt.Sprintf("snapshot/endpoints=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.snapshot(r)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/route/scheduler.go
@@ -0,0 +1,113 @@
+package route
+
+import "slices"
+
+// Filter drops endpoints that must not get a request.
+type Filter interface {
+	// Exclude returns why the endpoint is dropped, or "" to keep it.
+	Exclude(r *Request, e *Endpoint) string
+}
+
+// Scorer adds the cost of one aspect.
+type Scorer interface {
+	// Score adds the cost of endpoints[i] in milliseconds to scores[i].
+	Score(r *Request, endpoints []Endpoint, scores []float64)
+}
+
+// Picker takes one of the scored endpoints.
+type Picker interface {
+	// Pick returns an index into scores, which is not empty.
+	Pick(r *Request, endpoints []Endpoint, scores []float64) int
+}
+
+// Scheduler chooses endpoints. It holds no state.
+type Scheduler struct {
+	Filters []Filter
+	Scorers []Scorer
+	Picker  Picker
+}
+
+const (
+	// baseMs is the time to first token of an idle endpoint with the whole
+	// prompt cached. It keeps the residual effective when all scores are zero.
+	baseMs = 5
+	// maxRecorded bounds a decision record; 4,096 records of 2,000 candidates
+	// would exceed the 32 MB of a daemon.
+	maxRecorded = 16
+)
+
+// Choose returns the decision for a request. Chosen is empty when no endpoint
+// may take it. It reorders endpoints.
+func (s *Scheduler) Choose(r *Request, endpoints []Endpoint) Decision {
+	d := Decision{RequestID: r.ID, Service: r.Service, Reason: ReasonLowest, Total: len(endpoints)}
+	kept := s.filter(r, endpoints, &d)
+	if len(kept) == 0 && !r.LastResort {
+		last := *r
+		last.LastResort = true
+		d.Candidates, d.Reason = nil, ReasonLastResort
+		kept = s.filter(&last, endpoints, &d)
+	}
+	if len(kept) == 0 {
+		d.Reason = ReasonNone
+		return d
+	}
+	scores := make([]float64, len(kept))
+	for i := range scores {
+		scores[i] = baseMs
+	}
+	for _, sc := range s.Scorers {
+		sc.Score(r, kept, scores)
+	}
+	for i := range kept {
+		scores[i] *= max(1, kept[i].Residual)
+	}
+	best := s.Picker.Pick(r, kept, scores)
+	if i := slices.IndexFunc(kept, func(e Endpoint) bool { return e.Probe }); i >= 0 && d.Reason == ReasonLowest {
+		// By score a probe would wait for as long as others hold the prefixes.
+		best, d.Reason = i, ReasonProbe
+	}
+	d.Chosen, d.Score = kept[best].ID, scores[best]
+	d.record(kept, scores)
+	return d
+}
+
+// filter moves the kept endpoints to the front and returns them.
+func (s *Scheduler) filter(r *Request, endpoints []Endpoint, d *Decision) []Endpoint {
+	n := 0
+next:
+	for i := range endpoints {
+		for _, f := range s.Filters {
+			if why := f.Exclude(r, &endpoints[i]); why != "" {
+				if len(d.Candidates) < maxRecorded/2 {
+					d.Candidates = append(d.Candidates, Candidate{ID: endpoints[i].ID, Excluded: why})
+				}
+				continue next
+			}
+		}
+		if n != i {
+			endpoints[n], endpoints[i] = endpoints[i], endpoints[n]
+		}
+		n++
+	}
+	return endpoints[:n]
+}
+
+// record keeps the best candidates in front of the excluded ones.
+func (d *Decision) record(kept []Endpoint, scores []float64) {
+	room := maxRecorded - len(d.Candidates)
+	best := make([]Candidate, 0, room+1)
+	for i := range kept {
+		if len(best) == room && scores[i] >= best[room-1].Score {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, scores[i], func(c Candidate, score float64) int {
+			if c.Score <= score {
+				return -1
+			}
+			return 1
+		})
+		best = slices.Insert(best, at, Candidate{ID: kept[i].ID, Score: scores[i]})
+		best = best[:min(len(best), room)]
+	}
+	d.Candidates = append(best, d.Candidates...)
+}
