route: keep placement entries near certain for most of the block lifetime

Cause: the chance that a holder still has a level fell exponentially from the first moment, while engines evict the least recently used blocks late. Now 1-(age/lifetime)^4.

--- a/route/placement.go
+++ b/route/placement.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -41,13 +40,14 @@
 	return placement{c}
 }
 
-// probability is the chance that the holder still has the level.
+// probability is the chance that the holder still has the level. It stays near
+// 1 for most of the lifetime, because engines evict the least recently used.
 func (h *holder) probability(now time.Time) float64 {
 	if h.boot != h.state.load.BootID {
 		return 0
 	}
-	age := now.Sub(h.at)
-	return math.Exp(-float64(age) / float64(h.state.lifetime()))
+	x := float64(now.Sub(h.at)) / float64(h.state.lifetime())
+	return max(0, 1-x*x*x*x)
 }
 
 // expect adds the expected cached tokens of each holder to out.
