queue: count the wait for a slot beside a predicted wait

The time until a slot is free counted only when the report predicted no wait, so any predicted prefill wait hid an endpoint at its concurrency limit. The larger of the two now counts.

--- a/plugins/queue/queue.go
+++ b/plugins/queue/queue.go
@@ -14,8 +14,8 @@
 // Scorer adds the expected wait.
 type Scorer struct{}
 
-// Score implements route.Scorer. An endpoint at its concurrency limit adds the
-// time until enough running answers have ended; their length is the observed
+// Score implements route.Scorer. An endpoint at its concurrency limit costs at
+// least the time until enough running answers have ended; their length is the observed
 // one, because max_tokens says little about it.
 func (Scorer) Score(r *route.Request, endpoints []route.Endpoint, scores []float64) {
 	output := r.OutputTokens
@@ -24,10 +24,11 @@
 	}
 	for i := range endpoints {
 		e := &endpoints[i]
-		scores[i] += e.WaitMs
+		wait := e.WaitMs
 		running := max(e.Load.Running+e.Load.Queued, e.InFlight)
-		if excess := running - e.Load.Limit + 1; e.Load.Limit > 0 && excess > 0 && e.Load.Wait == 0 {
-			scores[i] += float64(excess) * output * tokenMs / float64(e.Load.Limit)
+		if excess := running - e.Load.Limit + 1; e.Load.Limit > 0 && excess > 0 {
+			wait = max(wait, float64(excess)*output*tokenMs/float64(e.Load.Limit))
 		}
+		scores[i] += wait
 	}
 }
