prefixcache: raise the rendezvous prior to 0.8

Cause: with several entries the hit rate was lowest, because a prior of 0.5 for the home of a history lost to a known copy of the shorter guide, and each entry knows other copies.

--- a/plugins/prefixcache/prefixcache.go
+++ b/plugins/prefixcache/prefixcache.go
@@ -19,7 +19,7 @@
 	// priorHome is the assumed chance that the first endpoint in rendezvous
 	// order holds a level of which this entry knows nothing; each next
 	// endpoint has half. Below what a recent use gives, so that knowledge wins.
-	priorHome = 0.5
+	priorHome = 0.8
 )
 
 // Scorer adds the prefill time of missing tokens.
