route: count an unanswered request as evidence of a straggler

The residual changed only at a first token, which a straggler delays by as much as it is slow. It is now at least the ratio that the oldest unanswered request has reached.

--- a/route/tracker.go
+++ b/route/tracker.go
@@ -186,7 +186,25 @@
 	return max(0, q.total-ms(now.Sub(q.oldest)))
 }
 
+// residualNow returns the residual, or the ratio that the oldest request
+// without a first token has reached, if that is larger: a straggler shows by
+// what it has not answered.
 func (s *endpointState) residualNow(now time.Time) float64 {
+	residual := s.decayed(now)
+	for _, a := range s.pending {
+		if a.request.Stream {
+			return max(residual, ratio(ms(now.Sub(a.start)), a.predicted))
+		}
+	}
+	return residual
+}
+
+// ratio compares times to first token in milliseconds.
+func ratio(observed, predicted float64) float64 {
+	return min(maxResidual, (observed+residualFloorMs)/(predicted+residualFloorMs))
+}
+
+func (s *endpointState) decayed(now time.Time) float64 {
 	age := float64(now.Sub(s.residualAt)) / float64(residualHalfLife)
 	if s.residualAt.IsZero() || age < 0 {
 		return s.residual
@@ -195,13 +213,12 @@
 }
 
 func (s *endpointState) observe(observedMs, predictedMs float64, now time.Time) {
-	ratio := min(maxResidual, (observedMs+residualFloorMs)/(predictedMs+residualFloorMs))
-	current := s.residualNow(now)
+	seen, current := ratio(observedMs, predictedMs), s.decayed(now)
 	w := residualDown
-	if ratio > current {
+	if seen > current {
 		w = residualUp
 	}
-	s.residual, s.residualAt = max(1, current+w*(ratio-current)), now
+	s.residual, s.residualAt = max(1, current+w*(seen-current)), now
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
