--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,7 +42,7 @@
 func (s *Server) routeRequest(r *Request) *route.Request {
 	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
 		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.Chain(r.Scope(), r.Segments),
-		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: rand.Uint64(), Exclude: map[string]bool{}}
+		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: s.opts.Random(), Exclude: map[string]bool{}}
 }
 
 // choose decides on an endpoint, logs the decision and starts its feedback.
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,8 +33,11 @@
 	RevokeTimeout time.Duration
 	// DecisionRecords is how many decisions are kept for explain.
 	DecisionRecords int
-	Wire            wire.Options
-	Log             *zap.Logger
+	// Random returns the seed of a decision, which breaks ties between
+	// endpoints; nil means the runtime's generator. It is called concurrently.
+	Random func() uint64
+	Wire   wire.Options
+	Log    *zap.Logger
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -58,9 +63,12 @@
 	scheduler *route.Scheduler
 	tracker   *route.Tracker
 	decisions *decisions
+	running   running
+	draining  atomic.Bool
 
-	mu    sync.Mutex
-	links map[string]*wire.Link
+	mu      sync.Mutex
+	links   map[string]*wire.Link
+	budgets map[string]*budgets
 }
 
 // New returns an entry that uses the given platform systems.
@@ -71,13 +79,17 @@
 	if opts.ID == "" {
 		opts.ID = uuid.NewString()
 	}
+	if opts.Random == nil {
+		opts.Random = rand.Uint64
+	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
 	return &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
-		links: map[string]*wire.Link{},
+		running: running{counts: map[accountKey]int{}},
+		links:   map[string]*wire.Link{}, budgets: map[string]*budgets{},
 	}
 }
 
@@ -164,8 +176,12 @@
 	return member.Endpoint{}, nil
 }
 
-// Ready reports whether the entry has a configuration and an endpoint.
+// Ready reports whether the entry has a configuration and an endpoint and is
+// not draining.
 func (s *Server) Ready() bool {
+	if s.draining.Load() {
+		return false
+	}
 	for _, name := range s.Config.Services() {
 		for _, m := range s.Members.Service(name) {
 			if m.State == member.Ready {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,6 +44,8 @@
 	// KVAddress and HostsAddress are where the platform's stand-ins listen.
 	KVAddress    string
 	HostsAddress string
+	// Recorder notes every message; nil records nothing.
+	Recorder *Recorder
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -61,17 +65,32 @@
 type Entry struct {
 	*entry.Server
 	Address string
-	HTTP    *http.Server
+
+	drain   context.CancelFunc
+	drained chan struct{}
+}
+
+// Drain stops the entry as SIGTERM does. The channel closes when its last
+// request has finished.
+func (e *Entry) Drain() <-chan struct{} {
+	e.drain()
+	return e.drained
 }
 
+// DrainDelay is how long a draining entry of the fleet keeps its listener.
+const DrainDelay = 3 * time.Second
+
 // New starts the platform's stand-ins on the network.
-func New(n Network, log *zap.Logger) (*Fleet, error) {
+func New(n Network, log *zap.Logger) (*Fleet, error) { return NewRecorded(n, log, nil) }
+
+// NewRecorded is New with a recorder of all messages; nil records nothing.
+func NewRecorded(n Network, log *zap.Logger, r *Recorder) (*Fleet, error) {
 	if log == nil {
 		log = zap.NewNop()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{Network: n, KV: kv.New(), Hosts: hosts.New(), Log: log, Engines: map[string]*engine.Server{},
-		Plains: map[string]*plain.Server{}, ctx: ctx, cancel: cancel}
+		Plains: map[string]*plain.Server{}, Recorder: r, ctx: ctx, cancel: cancel}
 	var err error
 	if f.KVAddress, err = f.Serve("kv", f.KV); err != nil {
 		return nil, err
@@ -88,7 +107,7 @@
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return f.ctx }}
+	srv := &http.Server{Handler: f.Recorder.handler(name, h), ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return f.ctx }}
 	f.wg.Go(func() { _ = srv.Serve(l) })
 	f.wg.Go(func() {
 		<-f.ctx.Done()
@@ -122,30 +141,27 @@
 	}
 	var eps []agent.Endpoint
 	var list []platform.Host
-	add := func(id string, kind platform.Kind, h http.Handler) error {
-		a, err := f.Serve(id, h)
-		if err != nil {
-			return err
-		}
-		ep := agent.Endpoint{ID: id, Service: spec.Service(id), Kind: kind, Address: a}
+	add := func(id string, kind platform.Kind, address string) {
+		ep := agent.Endpoint{ID: id, Service: spec.Service(id), Kind: kind, Address: address}
 		eps = append(eps, ep)
-		list = append(list, platform.Host{ID: id, Service: ep.Service, Kind: kind, Address: a, Agent: addr,
+		list = append(list, platform.Host{ID: id, Service: ep.Service, Kind: kind, Address: address, Agent: addr,
 			Region: spec.Region, FailureDomain: spec.FailureDomain, State: platform.Live})
-		return nil
 	}
 	for _, o := range spec.Engines {
-		f.Engines[o.ID] = engine.New(o)
-		if err := add(o.ID, platform.Engine, f.Engines[o.ID]); err != nil {
+		a, err := f.StartEngine(o)
+		if err != nil {
 			return nil, err
 		}
+		add(o.ID, platform.Engine, a)
 	}
 	for _, id := range spec.Plains {
-		f.Plains[id] = plain.New(id)
-		if err := add(id, platform.Plain, f.Plains[id]); err != nil {
+		a, err := f.StartPlain(id)
+		if err != nil {
 			return nil, err
 		}
+		add(id, platform.Plain, a)
 	}
-	a, err := f.startAgent(spec.Options, l, addr, eps)
+	a, err := f.startAgent(spec.Name, spec.Options, l, addr, eps)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +173,7 @@
 	return a, nil
 }
 
-func (f *Fleet) startAgent(opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
+func (f *Fleet) startAgent(name string, opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
 	if opts.Concurrency == 0 {
 		opts = agent.DefaultOptions()
 	}
@@ -172,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := grpc.NewServer()
+	g := grpc.NewServer(grpc.StreamInterceptor(f.Recorder.interceptor(name)))
 	pb.RegisterAgentServer(g, srv)
 	f.wg.Go(func() { _ = g.Serve(l) })
 	f.wg.Go(func() {
@@ -180,6 +196,7 @@
 		g.Stop()
 	})
 	f.wg.Go(func() { srv.Sweep(f.ctx, 10*time.Second) })
+	f.wg.Go(func() { srv.Follow(f.ctx) })
 	return &Agent{Server: srv, Address: addr, GRPC: g}, nil
 }
 
@@ -197,12 +214,25 @@
 	opts.Log = f.Log
 	opts.Wire.Dial = f.Network.Dial
 	srv := entry.New(opts, kvd, hl)
-	addr, err := f.Serve(name, srv.Handler())
+	l, addr, err := f.Network.Listen(name)
 	if err != nil {
 		return nil, err
 	}
 	f.wg.Go(func() { srv.Run(f.ctx) })
-	e := &Entry{Server: srv, Address: addr}
+	ctx, drain := context.WithCancel(context.Background())
+	e := &Entry{Server: srv, Address: addr, drain: drain, drained: make(chan struct{})}
+	h := srv.HTTPServer()
+	h.Handler = f.Recorder.handler(name, h.Handler)
+	f.wg.Go(func() {
+		<-f.ctx.Done()
+		_ = h.Close()
+	})
+	f.wg.Go(func() {
+		defer close(e.drained)
+		if err := srv.Serve(ctx, h, l, DrainDelay); err != nil {
+			f.Log.Error("entry", zap.String("entry", name), zap.Error(err))
+		}
+	})
 	f.Entries = append(f.Entries, e)
 	return e, nil
 }
@@ -241,6 +271,41 @@
 	f.wg.Wait()
 }
 
+// StartEngine serves an engine without an agent and returns its address.
+func (f *Fleet) StartEngine(o engine.Options) (string, error) {
+	f.Engines[o.ID] = engine.New(o)
+	return f.Serve(o.ID, f.Engines[o.ID])
+}
+
+// StartPlain serves a plain service without an agent and returns its address.
+func (f *Fleet) StartPlain(id string) (string, error) {
+	f.Plains[id] = plain.New(id)
+	return f.Serve(id, f.Plains[id])
+}
+
+// StreamedText returns the text of a streamed chat answer, and whether the
+// stream has its closing event.
+func StreamedText(body string) (text string, done bool) {
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			text += chunk.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
+
 // KeyHash returns the hash of a caller's key as a document holds it.
 func KeyHash(key string) string {
 	sum := sha256.Sum256([]byte(key))
