--- a/entry/server.go
+++ b/entry/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/config"
@@ -38,6 +39,8 @@
 	Random func() uint64
 	Wire   wire.Options
 	Log    *zap.Logger
+	// Registry receives the entry's metrics; nil means none.
+	Registry prometheus.Registerer
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -64,7 +67,9 @@
 	tracker   *route.Tracker
 	decisions *decisions
 	running   running
+	metrics   *metrics
 	draining  atomic.Bool
+	sync      *configSync
 
 	mu      sync.Mutex
 	links   map[string]*wire.Link
@@ -84,13 +89,15 @@
 	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
-	return &Server{
+	s := &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
-		running: running{counts: map[accountKey]int{}},
-		links:   map[string]*wire.Link{}, budgets: map[string]*budgets{},
+		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
+		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 	}
+	s.sync = newConfigSync(s)
+	return s
 }
 
 // Run follows the configuration and the host list until ctx ends, then closes
@@ -99,6 +106,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.store.Follow(ctx, s.Config, s.opts.ConfigInterval) })
 	wg.Go(func() { s.followHosts(ctx) })
+	wg.Go(func() { s.sync.run(ctx) })
 	wg.Wait()
 	s.mu.Lock()
 	links := s.links
@@ -141,7 +149,10 @@
 		if ok {
 			continue
 		}
-		l, err := wire.NewLink(addr, s.opts.Wire, func(st wire.State) { s.Members.SetAgent(addr, st.Up, st.Leaving) })
+		l, err := wire.NewLink(addr, s.opts.Wire, func(st wire.State) {
+			s.Members.SetAgent(addr, st.Up, st.Leaving)
+			s.sync.observe(addr, st)
+		})
 		if err != nil {
 			s.log.Warn("link", zap.String("agent", addr), zap.Error(err))
 			continue
