--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -45,7 +45,7 @@
 	call   *wire.Call
 	// answered is set with the agent's first message.
 	answered *atomic.Bool
-	release  func()
+	feedback *feedback
 	pending  []stream.Part
 	ended    bool
 	closed   bool
@@ -110,6 +110,7 @@
 	if m.Err == nil {
 		a.answered.Store(true)
 	}
+	a.feedback.message(ctx, m)
 	switch {
 	case m.Parts != nil:
 		a.pending = m.Parts
@@ -153,6 +154,6 @@
 	go func() {
 		for range a.call.Messages() {
 		}
-		a.release()
+		a.feedback.close()
 	}()
 }
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -173,17 +173,18 @@
 func (s *Server) join(ctx context.Context, r *Request, held *call.Claim, link *wire.Link) (*Response, *Error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
 	open := &pb.Open{RequestId: held.RequestID, AttemptId: held.AttemptID, Incarnation: held.Incarnation, TicketMs: held.TicketMs}
-	a := &attempt{server: s, request: r, endpoint: held.Endpoint, link: link, open: open, release: cancel, answered: new(atomic.Bool),
+	a := &attempt{server: s, request: r, endpoint: held.Endpoint, link: link, open: open, answered: new(atomic.Bool),
 		call: link.StartAttached(ctx, held.RequestID, held.AttemptID, held.Incarnation)}
 	head, err := a.head(ctx)
 	if err != nil {
 		a.close()
+		cancel()
 		if err.Run == call.NotRun {
 			return nil, nil
 		}
 		return nil, err
 	}
-	resp := &Response{RequestID: held.RequestID, Endpoint: held.Endpoint, Head: *head, next: a.next, close: a.close,
+	resp := &Response{RequestID: held.RequestID, Endpoint: held.Endpoint, Head: *head, next: a.next, close: func() { a.close(); cancel() },
 		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}
 	return s.recording(resp, held), nil
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,11 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -28,8 +25,7 @@
 // dispatch runs a request: it chooses an endpoint, opens an attempt there and
 // returns when the response head has arrived.
 func (s *Server) dispatch(ctx context.Context, r *Request) (*Response, error) {
-	rr := &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
-		Region: s.opts.Region, Idempotent: r.Idempotent, Exclude: map[string]bool{}, Levels: prefix.Chain(r.Scope(), r.Segments)}
+	rr := s.routeRequest(r)
 	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
 	b := s.budgetsOf(r.Service)
 	b.retry.earn(r.Document.Budgets.RetryPercent)
@@ -53,43 +49,28 @@
 
 func closeBoth(a func(), b context.CancelFunc) func() { return func() { a(); b() } }
 
-func (s *Server) logDecision(d route.Decision) {
-	s.decisions.add(d)
-	s.log.Info("route", zap.String("request", d.RequestID), zap.String("service", d.Service), zap.String("chosen", d.Chosen),
-		zap.String("reason", d.Reason), zap.Stringer("candidates", d))
-}
-
-func (s *Server) candidates(service string) []route.Endpoint {
-	members := s.Members.Service(service)
-	out := make([]route.Endpoint, len(members))
-	for i, m := range members {
-		out[i] = route.Endpoint{Endpoint: m, InFlight: s.flight(m.ID).Load()}
-	}
-	return out
-}
-
 // attempt opens one attempt and waits for the response head.
-func (s *Server) attempt(ctx context.Context, r *Request, rr *route.Request, endpoint string, answered *atomic.Bool) (*Response, *Error) {
+func (s *Server) attempt(ctx context.Context, r *Request, rr *route.Request, endpoint string, answered *atomic.Bool, fb *feedback) (*Response, *Error) {
 	m, link := s.target(r.Service, endpoint)
 	if link == nil {
+		fb.close()
 		return nil, &Error{Status: http.StatusServiceUnavailable, Code: CodeNoEndpoint, Message: "the endpoint has no agent", Run: call.NotRun}
 	}
 	ticket, err := link.Ticket(ctx)
 	if err != nil {
+		fb.failed(ctx)
 		return nil, fromWire(err)
 	}
-	flight := s.flight(endpoint)
-	flight.Add(1)
 	open := s.openMessage(r, rr, m, ticket)
 	if r.guard != nil {
 		if err := r.guard.beforeOpen(ctx, m, open); err != nil {
-			flight.Add(-1)
+			fb.close()
 			err.ended = true
 			return nil, err
 		}
 	}
 	c := link.Start(ctx, open)
-	a := &attempt{server: s, request: r, endpoint: endpoint, remote: m.Region != s.opts.Region, link: link, open: open, call: c, answered: answered, release: func() { flight.Add(-1) }}
+	a := &attempt{server: s, request: r, endpoint: endpoint, remote: m.Region != s.opts.Region, link: link, open: open, call: c, answered: answered, feedback: fb}
 	head, aerr := a.head(ctx)
 	if aerr != nil {
 		a.close()
--- a/entry/first.go
+++ b/entry/first.go
@@ -18,8 +18,8 @@
 // first event, for an idempotent whole answer all of it. answered is set when
 // the agent has replied. With an error answer of the endpoint, both the
 // response and the error are returned.
-func (s *Server) first(ctx context.Context, r *Request, rr *route.Request, endpoint string, answered *atomic.Bool) (*Response, *Error) {
-	resp, err := s.attempt(ctx, r, rr, endpoint, answered)
+func (s *Server) first(ctx context.Context, r *Request, rr *route.Request, endpoint string, answered *atomic.Bool, fb *feedback) (*Response, *Error) {
+	resp, err := s.attempt(ctx, r, rr, endpoint, answered, fb)
 	if err != nil || !r.Idempotent {
 		return resp, err
 	}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -149,8 +149,7 @@
 		return false
 	}
 	s, rr := c.server, c.route
-	d := s.scheduler.Choose(rr, s.candidates(rr.Service))
-	s.logDecision(d)
+	d, fb := s.choose(rr)
 	if d.Chosen == "" {
 		return false
 	}
@@ -161,7 +160,7 @@
 	c.live[n] = answered
 	go func() {
 		start := time.Now()
-		resp, err := s.first(actx, c.request, rr, d.Chosen, answered)
+		resp, err := s.first(actx, c.request, rr, d.Chosen, answered, fb)
 		c.results <- try{n, resp, err, time.Since(start)}
 	}()
 	return true
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,9 @@
 	RevokeTimeout time.Duration
 	// DecisionRecords is how many decisions are kept for explain.
 	DecisionRecords int
+	// Random returns the seed of a decision, which breaks ties between
+	// endpoints; nil means the runtime's generator. It is called concurrently.
+	Random func() uint64
 	// ResultTimeout bounds the reading of a keyed response whose caller left.
 	ResultTimeout time.Duration
 	Claims        call.ClaimOptions
@@ -66,6 +70,7 @@
 	store     *config.Store
 	hosts     platform.HostList
 	scheduler *route.Scheduler
+	tracker   *route.Tracker
 	decisions *decisions
 	claims    *call.Claims
 	// background counts the work that outlives its caller; life ends with Run.
@@ -80,7 +85,6 @@
 	mu      sync.Mutex
 	stopped bool
 	links   map[string]*wire.Link
-	flights map[string]*atomic.Int64
 	budgets map[string]*budgets
 }
 
@@ -92,15 +96,18 @@
 	if opts.ID == "" {
 		opts.ID = uuid.NewString()
 	}
+	if opts.Random == nil {
+		opts.Random = rand.Uint64
+	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
 	life, end := context.WithCancel(context.Background())
 	s := &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
-		scheduler: &route.Scheduler{}, decisions: newDecisions(opts.DecisionRecords),
+		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
 		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
-		links: map[string]*wire.Link{}, flights: map[string]*atomic.Int64{}, budgets: map[string]*budgets{},
+		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
 	s.sync = newConfigSync(s)
@@ -138,6 +145,7 @@
 			s.log.Warn("host list not read", zap.Error(err))
 		} else {
 			s.Members.SetHosts(hosts)
+			s.pruneTracker(hosts)
 			s.connect()
 		}
 		select {
@@ -209,17 +217,6 @@
 	return member.Endpoint{}, nil
 }
 
-func (s *Server) flight(endpoint string) *atomic.Int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f, ok := s.flights[endpoint]
-	if !ok {
-		f = new(atomic.Int64)
-		s.flights[endpoint] = f
-	}
-	return f
-}
-
 // Ready reports whether the entry has a configuration and an endpoint and is
 // not draining.
 func (s *Server) Ready() bool {
