entry: move a stream that falls silent after its first token

Cause: after the first token only the link watched a stream. A silent link was noticed after the stall timeout (3 s), a paused agent after the stall timeout and GiveUp (3 s + 8 s + the last acknowledgement wait), a frozen engine of a live agent not at all.

A resumable stream now predicts the longest normal gap between tokens from its own gaps and those of the service. When a token is later, the rest of the answer is started on another endpoint while the old call attaches again on a new connection; the first token wins and the other side is cancelled. A move is taken from the hedge budget, and returned when the agent did not answer.

wire: a call gives an agent up GiveUp after its last message. It had counted from the end of the last session, which a silent one delays by the stall timeout.

Ruled out: waiting for the new connection before the move (adds the acknowledgement timeout to each frozen engine and paused agent); Progress as the sign of a live agent (once a second is too rare).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -46,6 +47,10 @@
 	// answered is set with the agent's first message.
 	answered *atomic.Bool
 	feedback *feedback
+	// patience is how long a read waits before it returns errSilent; 0 means
+	// without limit.
+	patience time.Duration
+	alarm    *time.Timer
 	pending  []stream.Part
 	ended    bool
 	closed   bool
@@ -86,16 +91,8 @@
 		if a.ended {
 			return nil, nil
 		}
-		select {
-		case m, ok := <-a.call.Messages():
-			if !ok {
-				return nil, a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown})
-			}
-			if err := a.message(ctx, m); err != nil {
-				return nil, err
-			}
-		case <-ctx.Done():
-			return nil, a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown, Err: ctx.Err()})
+		if err := a.wait(ctx); err != nil {
+			return nil, err
 		}
 	}
 	p := a.pending[0]
@@ -106,6 +103,42 @@
 	return &p, nil
 }
 
+// errSilent means that no message came within the attempt's patience. The
+// attempt goes on and can be read again.
+var errSilent = &Error{Status: http.StatusGatewayTimeout, Code: CodeOutcomeUnknown, Message: "the endpoint is silent", Run: call.Unknown}
+
+// wait handles the next message.
+func (a *attempt) wait(ctx context.Context) *Error {
+	select {
+	case m, ok := <-a.call.Messages():
+		return a.received(ctx, m, ok)
+	case <-a.limit():
+		return errSilent
+	case <-ctx.Done():
+		return a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown, Err: ctx.Err()})
+	}
+}
+
+func (a *attempt) received(ctx context.Context, m wire.Message, ok bool) *Error {
+	if !ok {
+		return a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown})
+	}
+	return a.message(ctx, m)
+}
+
+// limit starts the timer of the attempt's patience.
+func (a *attempt) limit() <-chan time.Time {
+	if a.patience == 0 {
+		return nil
+	}
+	if a.alarm == nil {
+		a.alarm = time.NewTimer(a.patience)
+	} else {
+		a.alarm.Reset(a.patience)
+	}
+	return a.alarm.C
+}
+
 func (a *attempt) message(ctx context.Context, m wire.Message) *Error {
 	if m.Err == nil {
 		a.answered.Store(true)
@@ -150,6 +183,9 @@
 		return
 	}
 	a.closed = true
+	if a.alarm != nil {
+		a.alarm.Stop()
+	}
 	a.call.Cancel()
 	go func() {
 		for range a.call.Messages() {
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -31,6 +31,13 @@
 	return true
 }
 
+// refund returns an extra attempt that turned out not to count.
+func (b *budget) refund() {
+	b.mu.Lock()
+	b.tokens = min(b.burst, b.tokens+1)
+	b.mu.Unlock()
+}
+
 // budgetBurst is the number of extra attempts that may come at once: an agent
 // with 5 engines of 16 requests each leaves 80 when it dies or is paused.
 const budgetBurst = 96
@@ -39,6 +46,8 @@
 type budgets struct {
 	retry, hedge    *budget
 	streamed, whole *tail
+	// gaps predicts the longest of gapBlock gaps between the tokens of a stream.
+	gaps *tail
 }
 
 // budgetsOf returns the budgets of a service.
@@ -47,7 +56,8 @@
 	defer s.mu.Unlock()
 	b, ok := s.budgets[service]
 	if !ok {
-		b = &budgets{retry: newBudget(budgetBurst), hedge: newBudget(budgetBurst), streamed: newTail(), whole: newTail()}
+		b = &budgets{retry: newBudget(budgetBurst), hedge: newBudget(budgetBurst), streamed: newTail(tailDefault, tailMin), whole: newTail(tailDefault, tailMin),
+			gaps: newTail(gapDefault, 0)}
 		s.budgets[service] = b
 	}
 	return b
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -76,6 +76,6 @@
 		a.close()
 		return nil, aerr
 	}
-	return &Response{RequestID: r.ID, Endpoint: endpoint, Head: *head, next: a.next, close: a.close,
+	return &Response{RequestID: r.ID, Endpoint: endpoint, Head: *head, next: a.next, close: a.close, attempt: a,
 		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}, nil
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,7 @@
 	firstToken  *prometheus.HistogramVec
 	retries     *prometheus.CounterVec
 	hedges      *prometheus.CounterVec
+	moves       *prometheus.CounterVec
 	resumes     *prometheus.CounterVec
 	cancelled   *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
@@ -42,6 +43,7 @@
 	m := &metrics{
 		requests:    counter("requests_total", "Requests by service, outcome and whether an endpoint ran them.", "service", "outcome", "run"),
 		retries:     counter("retries_total", "Attempts after a failed one.", "service"),
+		moves:       counter("moves_total", "Continuations started because a stream fell silent.", "service"),
 		hedges:      counter("hedges_total", "Attempts started because the first token was late.", "service"),
 		resumes:     counter("resumes_total", "Streams continued on another endpoint.", "service"),
 		cancelled:   counter("cancelled_total", "Requests whose caller left.", "service"),
--- a/entry/response.go
+++ b/entry/response.go
@@ -20,6 +20,8 @@
 	// next returns the following body bytes, nil at the end.
 	next  func(ctx context.Context) ([]byte, error)
 	close func()
+	// attempt is what next reads; nil for a result that is read as a whole.
+	attempt *attempt
 	// outcome is set when the answer has ended, for logs and metrics.
 	outcome string
 }
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -171,17 +171,22 @@
 	resumes int
 	// deadline is the request's.
 	deadline time.Time
-	// next and close belong to the attempt that is being read.
-	next  func(context.Context) ([]byte, error)
-	close func()
+	// gaps and moves serve the prediction of silence and the bound on moves.
+	gaps  gaps
+	moves int
+	// attempt, next and close belong to the attempt that is being read.
+	attempt *attempt
+	next    func(context.Context) ([]byte, error)
+	close   func()
 }
 
 // resuming makes an event stream survive the loss of its endpoint.
 func (s *Server) resuming(ctx context.Context, r *Request, rr *route.Request, resp *Response) *Response {
-	if !r.resumable || !resp.events() || resp.Head.Status != http.StatusOK {
+	if !r.resumable || resp.attempt == nil || !resp.events() || resp.Head.Status != http.StatusOK {
 		return resp
 	}
-	m := &resumer{server: s, request: r, route: rr, resp: resp, next: resp.next, close: resp.close}
+	m := &resumer{server: s, request: r, route: rr, resp: resp, attempt: resp.attempt, next: resp.next, close: resp.close,
+		gaps: gaps{service: s.budgetsOf(r.Service).gaps}}
 	m.deadline, _ = ctx.Deadline()
 	resp.next = m.read
 	resp.close = func() { m.close() }
@@ -191,7 +196,7 @@
 // read returns the next events for the caller.
 func (m *resumer) read(ctx context.Context) ([]byte, error) {
 	for {
-		b, err := m.next(ctx)
+		b, err := m.await(ctx)
 		switch {
 		case err != nil:
 			if b, err = m.recover(ctx, err); err != nil || b != nil {
@@ -252,39 +257,61 @@
 	return e
 }
 
-// reopen starts the continuation at the next candidate.
+// reopen starts the continuation of a cut stream at the next candidate.
 func (m *resumer) reopen(ctx context.Context) error {
 	if m.resumes+1 >= m.request.Document.Budgets.MaxAttemptsPerRequest {
 		return errBudget
 	}
-	body, err := m.request.continued(string(m.seen.text))
+	m.close()
+	m.close = func() {}
+	run, err := m.continuation(map[string]bool{m.resp.Endpoint: true})
 	if err != nil {
 		return err
 	}
-	next := *m.request
-	next.Body = body
-	m.close()
-	m.close = func() {}
-	m.resumes++
-	// Endpoints that refused the request earlier may take it by now; only the
-	// one that broke is avoided.
-	m.route.Exclude = map[string]bool{m.resp.Endpoint: true}
-	ctx, cancel := context.WithDeadline(ctx, m.deadline)
-	resp, rerr := m.server.newRace(&next, m.route).run(ctx)
-	if resp == nil {
-		cancel()
-		return errors.Join(errNoContinuation, rerr.orNil())
-	}
-	if resp.Head.Status != http.StatusOK || !resp.events() {
-		resp.close()
-		cancel()
-		return errNoContinuation
+	resp, err := run(ctx)
+	if err != nil {
+		return err
 	}
+	m.adopt(resp)
+	return nil
+}
+
+// continuation returns a function that runs the rest of the answer on another
+// endpoint and returns with its first token. The function doesn't use what the
+// resumer changes, so that the old stream can be read meanwhile. Endpoints that
+// refused the request earlier may take it by now; only the given ones are avoided.
+func (m *resumer) continuation(exclude map[string]bool) (func(context.Context) (*Response, error), error) {
+	body, err := m.request.continued(string(m.seen.text))
+	if err != nil {
+		return nil, err
+	}
+	next, rr := *m.request, *m.route
+	next.Body, rr.Exclude = body, exclude
+	s, deadline := m.server, m.deadline
+	return func(ctx context.Context) (*Response, error) {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		resp, rerr := s.newRace(&next, &rr).run(ctx)
+		if resp == nil {
+			cancel()
+			return nil, errors.Join(errNoContinuation, rerr.orNil())
+		}
+		resp.close = closeBoth(resp.close, cancel)
+		if resp.Head.Status != http.StatusOK || !resp.events() {
+			resp.close()
+			return nil, errNoContinuation
+		}
+		return resp, nil
+	}, nil
+}
+
+// adopt reads on from a continuation.
+func (m *resumer) adopt(resp *Response) {
+	m.resumes++
 	m.server.metrics.resumes.WithLabelValues(m.request.Service).Inc()
 	m.server.log.Info("resume", zap.String("request", m.request.ID), zap.String("from", m.resp.Endpoint),
 		zap.String("to", resp.Endpoint), zap.Int("bytes", len(m.seen.text)))
-	m.resp.Endpoint, m.next, m.close = resp.Endpoint, resp.next, closeBoth(resp.close, cancel)
-	return nil
+	m.resp.Endpoint, m.attempt, m.next, m.close = resp.Endpoint, resp.attempt, resp.next, resp.close
+	m.gaps.restart()
 }
 
 // continued returns the request body that continues the answer after text.
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -25,9 +25,12 @@
 	tailMaxMs = 600_000
 )
 
-// tail predicts the tail of the time to first token of a service. It forgets
-// samples after one to two windows.
+// tail predicts the tail of the times to first token, or of the gaps between
+// tokens, of a service. It forgets samples after one to two windows.
 type tail struct {
+	// initial is the prediction without enough samples, least the smallest one.
+	initial, least time.Duration
+
 	mu        sync.Mutex
 	now, last *hdrhistogram.Histogram
 	started   time.Time
@@ -35,11 +38,11 @@
 	computed  time.Time
 }
 
-func newTail() *tail {
-	return &tail{now: hdrhistogram.New(1, tailMaxMs, 2), last: hdrhistogram.New(1, tailMaxMs, 2), started: time.Now(), predicted: tailDefault}
+func newTail(initial, least time.Duration) *tail {
+	return &tail{initial: initial, least: least, now: hdrhistogram.New(1, tailMaxMs, 2), last: hdrhistogram.New(1, tailMaxMs, 2), started: time.Now(), predicted: initial}
 }
 
-// record adds one observed time to first token.
+// record adds one observed time.
 func (t *tail) record(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,7 +54,7 @@
 	_ = t.now.RecordValue(min(max(1, d.Milliseconds()), tailMaxMs))
 }
 
-// predict returns the time after which a first token is unusually late.
+// predict returns the time after which a token is unusually late.
 func (t *tail) predict() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,9 +67,9 @@
 		h = t.last
 	}
 	if h.TotalCount() < tailSamples {
-		t.predicted = tailDefault
+		t.predicted = t.initial
 		return t.predicted
 	}
-	t.predicted = max(tailMin, time.Duration(h.ValueAtQuantile(tailQuantile)+1)*time.Millisecond)
+	t.predicted = max(t.least, time.Duration(h.ValueAtQuantile(tailQuantile)+1)*time.Millisecond)
 	return t.predicted
 }
--- a/wire/call.go
+++ b/wire/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +39,11 @@
 	stop context.CancelFunc
 	// attached calls leave the attempt to the call that opened it.
 	attached bool
+	// reattach asks the call's goroutine for a new connection.
+	reattach chan struct{}
+	// heard is when the agent's last message arrived, in nanoseconds since the
+	// link was made; a monotonic time, unlike one since the epoch.
+	heard atomic.Int64
 
 	// The fields below belong to the call's goroutine.
 	sequencer *stream.Sequencer
@@ -55,7 +61,7 @@
 // the channel closes.
 func (l *Link) Start(ctx context.Context, open *pb.Open) *Call {
 	ctx, stop := context.WithCancel(ctx)
-	c := &Call{link: l, open: open, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer()}
+	c := &Call{link: l, open: open, out: make(chan Message, 4), stop: stop, reattach: make(chan struct{}, 1), sequencer: stream.NewSequencer()}
 	go c.loop(ctx)
 	return c
 }
@@ -64,7 +70,8 @@
 // leaves the attempt alone.
 func (l *Link) StartAttached(ctx context.Context, requestID, attemptID, incarnation string) *Call {
 	ctx, stop := context.WithCancel(ctx)
-	c := &Call{link: l, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer(), sent: true, accepted: true, attached: true,
+	c := &Call{link: l, out: make(chan Message, 4), stop: stop, reattach: make(chan struct{}, 1), sequencer: stream.NewSequencer(),
+		sent: true, accepted: true, attached: true,
 		open: &pb.Open{RequestId: requestID, AttemptId: attemptID, Incarnation: incarnation}}
 	go c.loop(ctx)
 	return c
@@ -76,6 +83,24 @@
 // Cancel stops the attempt if it may be stopped.
 func (c *Call) Cancel() { c.stop() }
 
+// Reattach makes the call continue on a new connection, as if the present one
+// had gone silent for the stall timeout.
+func (c *Call) Reattach() {
+	select {
+	case c.reattach <- struct{}{}:
+	default:
+	}
+}
+
+// Heard returns when the agent's last message for this call arrived, the zero
+// time if none has.
+func (c *Call) Heard() time.Time {
+	if ns := c.heard.Load(); ns != 0 {
+		return c.link.made.Add(time.Duration(ns))
+	}
+	return time.Time{}
+}
+
 var (
 	errSilent  = errors.New("the agent is silent")
 	errStopped = errors.New("the call was cancelled")
@@ -95,7 +120,7 @@
 			return
 		}
 		if heard {
-			lastContact = time.Now()
+			lastContact = c.Heard()
 			timeout = c.link.ackTimeout()
 		}
 		if errors.Is(err, errStopped) {
@@ -196,6 +221,10 @@
 		_, err = run.Recv()
 		return false, false, err
 	}
+	select {
+	case <-c.reattach: // the request for this connection
+	default:
+	}
 	in := make(chan received)
 	go receiveAll(sctx, run, in)
 	return c.converse(ctx, run, in, start, timer)
@@ -244,8 +273,10 @@
 			if !c.mine(r.down) {
 				continue
 			}
+			now := time.Now()
+			c.heard.Store(int64(now.Sub(c.link.made)))
 			if !heard {
-				c.link.observeRTT(time.Since(start))
+				c.link.observeRTT(now.Sub(start))
 				heard = true
 			}
 			done, err := c.handle(ctx, r.down)
@@ -255,6 +286,8 @@
 			silence.Reset(c.link.opts.StallTimeout)
 		case <-silence.C:
 			return false, heard, errSilent
+		case <-c.reattach:
+			return false, heard, errSilent
 		case <-ack.C:
 			if err := c.acknowledge(run); err != nil {
 				return false, heard, err
--- a/wire/link.go
+++ b/wire/link.go
@@ -105,6 +105,7 @@
 	log     *zap.Logger
 	cancel  context.CancelFunc
 	done    chan struct{}
+	made    time.Time
 
 	mu       sync.Mutex
 	conn     *conn
@@ -133,7 +134,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{address: address, opts: opts, log: opts.Log.With(zap.String("agent", address)), cancel: cancel,
-		done: make(chan struct{}), onChange: onChange, state: State{Loads: map[string]*pb.EndpointLoad{}}}
+		done: make(chan struct{}), made: time.Now(), onChange: onChange, state: State{Loads: map[string]*pb.EndpointLoad{}}}
 	c, err := l.dial()
 	if err != nil {
 		cancel()
@@ -262,6 +263,10 @@
 	return s
 }
 
+// AckTimeout returns how long an agent that is well takes at most to answer on
+// a new connection.
+func (l *Link) AckTimeout() time.Duration { return l.ackTimeout() }
+
 // ackTimeout is the wait for Accepted.
 func (l *Link) ackTimeout() time.Duration {
 	l.mu.Lock()
