member: keep the endpoints of a service until something changes

Cause: each decision copied all 2,000 endpoints of a service out of a map under the tracker's lock, and a second time to find the chosen one.

The tracker now builds the list of each service once after a change of the host list or of an agent's state, at the next read. Readers share it. target looks an endpoint up by id.

--- a/entry/server.go
+++ b/entry/server.go
@@ -207,14 +207,13 @@
 
 // target returns the endpoint and the link to its agent.
 func (s *Server) target(service, id string) (member.Endpoint, *wire.Link) {
-	for _, m := range s.Members.Service(service) {
-		if m.ID == id {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return m, s.links[m.Agent]
-		}
+	m, ok := s.Members.Endpoint(id)
+	if !ok || m.Service != service {
+		return member.Endpoint{}, nil
 	}
-	return member.Endpoint{}, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m, s.links[m.Agent]
 }
 
 // Ready reports whether the entry has a configuration and an endpoint and is
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -158,16 +158,11 @@
 // silent agent when another agent has a ready one, else the silent one alone.
 func (c *contest) avoid() map[string]bool {
 	all := c.server.Members.Service(c.request.Service)
-	agent := ""
-	for _, e := range all {
-		if e.ID == c.resp.Endpoint {
-			agent = e.Agent
-		}
-	}
+	old, _ := c.server.Members.Endpoint(c.resp.Endpoint)
 	out := map[string]bool{c.resp.Endpoint: true}
 	other := false
 	for _, e := range all {
-		if e.Agent == agent {
+		if e.Agent == old.Agent {
 			out[e.ID] = true
 		} else if e.State == member.Ready {
 			other = true
--- a/member/member.go
+++ b/member/member.go
@@ -3,6 +3,9 @@
 package member
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/citrontiller/citrontiller/platform"
@@ -30,6 +33,10 @@
 	mu     sync.RWMutex
 	hosts  map[string]platform.Host
 	agents map[string]agentState
+	// services holds the endpoints of each service in the order of their ids,
+	// byID all of them; both are rebuilt by the first reader after a change.
+	services map[string][]Endpoint
+	byID     map[string]Endpoint
 }
 
 type agentState struct {
@@ -49,15 +56,48 @@
 		m[h.ID] = h
 	}
 	t.mu.Lock()
-	t.hosts = m
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	if !maps.Equal(m, t.hosts) {
+		t.hosts, t.services = m, nil
+	}
 }
 
 // SetAgent records what an agent says of itself, or that it can't be reached.
 func (t *Tracker) SetAgent(address string, up, leaving bool) {
 	t.mu.Lock()
-	t.agents[address] = agentState{up: up, leaving: leaving}
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	if st := (agentState{up: up, leaving: leaving}); t.agents[address] != st {
+		t.agents[address], t.services = st, nil
+	}
+}
+
+// index returns the endpoints by service and by id. Neither is changed later.
+func (t *Tracker) index() (map[string][]Endpoint, map[string]Endpoint) {
+	t.mu.RLock()
+	services, byID := t.services, t.byID
+	t.mu.RUnlock()
+	if services != nil {
+		return services, byID
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.services == nil {
+		t.rebuild()
+	}
+	return t.services, t.byID
+}
+
+// rebuild renews the index; the caller holds mu.
+func (t *Tracker) rebuild() {
+	t.services, t.byID = map[string][]Endpoint{}, make(map[string]Endpoint, len(t.hosts))
+	for id, h := range t.hosts {
+		e := Endpoint{Host: h, State: t.state(h)}
+		t.byID[id] = e
+		t.services[h.Service] = append(t.services[h.Service], e)
+	}
+	for _, list := range t.services {
+		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
 }
 
 // Hosts returns the host list.
@@ -86,17 +126,18 @@
 	return out
 }
 
-// Service returns the endpoints of a service with their states.
+// Service returns the endpoints of a service with their states. The slice is
+// shared and must not be changed.
 func (t *Tracker) Service(name string) []Endpoint {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var out []Endpoint
-	for _, h := range t.hosts {
-		if h.Service == name {
-			out = append(out, Endpoint{Host: h, State: t.state(h)})
-		}
-	}
-	return out
+	services, _ := t.index()
+	return services[name]
+}
+
+// Endpoint returns an endpoint with its state.
+func (t *Tracker) Endpoint(id string) (Endpoint, bool) {
+	_, byID := t.index()
+	e, ok := byID[id]
+	return e, ok
 }
 
 // state merges the sources; the caller holds mu.
