entry: don't take this process's own stall for silent streams

On a busy machine the entry stalled for longer than the predicted silence, every stream then dialled a new connection and started a second attempt, and the load of these caused the next stall. Streams of fewer than 64 tokens never gave the service a sample, so the prediction stayed at its default. BenchmarkFirstToken showed it; the tests in virtual time can't.

- A timer that fires late shows that the process has not run; the wait starts again.
Messages that have arrived come before the timer.
- A new connection is dialled only when no call on the old one has heard from the agent during the silence.
- The end of a stream gives a sample as well.

TestMovesKeepToTheBudget: 29 of 130 streams wait when engines freeze, none when agents pause.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -107,15 +107,29 @@
 // attempt goes on and can be read again.
 var errSilent = &Error{Status: http.StatusGatewayTimeout, Code: CodeOutcomeUnknown, Message: "the endpoint is silent", Run: call.Unknown}
 
+// maxLate is how late the timer of a silence may be. A later one shows that this
+// process has not run, and that messages may not have been read.
+const maxLate = 5 * time.Millisecond
+
 // wait handles the next message.
 func (a *attempt) wait(ctx context.Context) *Error {
-	select {
-	case m, ok := <-a.call.Messages():
-		return a.received(ctx, m, ok)
-	case <-a.limit():
-		return errSilent
-	case <-ctx.Done():
-		return a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown, Err: ctx.Err()})
+	for {
+		start := time.Now()
+		select {
+		case m, ok := <-a.call.Messages():
+			return a.received(ctx, m, ok)
+		case <-a.limit():
+		case <-ctx.Done():
+			return a.fail(ctx, &wire.Error{Code: wire.CodeCancelled, Run: call.Unknown, Err: ctx.Err()})
+		}
+		select {
+		case m, ok := <-a.call.Messages():
+			return a.received(ctx, m, ok)
+		default:
+		}
+		if time.Since(start) <= a.patience+maxLate {
+			return errSilent
+		}
 	}
 }
 
--- a/entry/gaps.go
+++ b/entry/gaps.go
@@ -14,7 +14,8 @@
 	// in 20 exceeds the prediction itself in each block of tokens.
 	gapMargin = 2
 	// gapBlock is how many gaps of a stream give one sample to the service's
-	// prediction, so that streams share its lock rarely.
+	// prediction, so that streams share its lock rarely. The end of a stream gives
+	// one too: short streams alone would leave the service without a prediction.
 	gapBlock = 64
 	// gapWeight and gapDevWeight are the weights of a new gap in the mean and
 	// the mean deviation; gapDeviations is how many deviations above the mean
@@ -45,9 +46,16 @@
 	g.dev += (max(diff, -diff) - g.dev) * gapDevWeight
 	g.longest = max(g.longest, d)
 	if g.count++; g.count == gapBlock {
+		g.end()
+	}
+}
+
+// end gives the service a sample of the gaps since the last one.
+func (g *gaps) end() {
+	if g.count > 0 {
 		g.service.record(g.longest)
-		g.longest, g.count, g.predicted = 0, 0, 0
 	}
+	g.longest, g.count, g.predicted = 0, 0, 0
 }
 
 // restart forgets the stream's own gaps when it continues on another endpoint.
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -24,8 +24,11 @@
 			return b, err
 		}
 	}
-	if err == nil {
+	switch {
+	case err == nil && b != nil:
 		m.gaps.add(time.Since(start))
+	case err == nil:
+		m.gaps.end()
 	}
 	return b, err
 }
@@ -50,7 +53,7 @@
 // run returns the next events of whichever endpoint has them first.
 func (c *contest) run(ctx context.Context) ([]byte, error) {
 	c.seen.parse()
-	c.attempt.call.Reattach()
+	c.attempt.call.Reattach(c.begun.Add(-c.silence))
 	wait := c.attempt.link.AckTimeout()
 	for {
 		if c.movable() && c.pay() {
@@ -78,7 +81,7 @@
 // agentSilent reports whether the agent has had time to answer on a new
 // connection and has not.
 func (c *contest) agentSilent() bool {
-	return c.attempt.call.Heard().Before(c.begun) && time.Since(c.begun) >= c.attempt.link.AckTimeout()
+	return !c.attempt.call.Heard().After(c.begun.Add(-c.silence)) && time.Since(c.begun) >= c.attempt.link.AckTimeout()
 }
 
 // pay takes a move from the hedge budget, unless the agent itself is silent:
@@ -138,10 +141,10 @@
 // leave closes the old attempt once its agent has had time to answer on a new
 // connection. A move away from a silent agent costs no budget.
 func (c *contest) leave() {
-	old, end, begun, timeout := c.attempt, c.close, c.begun, c.attempt.link.AckTimeout()
+	old, end, timeout, silent := c.attempt, c.close, c.attempt.link.AckTimeout(), c.begun.Add(-c.silence)
 	budget, paid := c.server.budgetsOf(c.request.Service).hedge, c.paid
-	time.AfterFunc(timeout-time.Since(begun), func() {
-		if paid && old.call.Heard().Before(begun) {
+	time.AfterFunc(timeout-time.Since(c.begun), func() {
+		if paid && !old.call.Heard().After(silent) {
 			budget.refund()
 		}
 		end()
--- a/wire/call.go
+++ b/wire/call.go
@@ -44,6 +44,7 @@
 	// heard is when the agent's last message arrived, in nanoseconds since the
 	// link was made; a monotonic time, unlike one since the epoch.
 	heard atomic.Int64
+	conn  atomic.Pointer[conn]
 
 	// The fields below belong to the call's goroutine.
 	sequencer *stream.Sequencer
@@ -84,21 +85,26 @@
 func (c *Call) Cancel() { c.stop() }
 
 // Reattach makes the call continue on a new connection, as if the present one
-// had gone silent for the stall timeout.
-func (c *Call) Reattach() {
+// had gone silent for the stall timeout. It does nothing when any call on the
+// connection has heard from the agent since the given time.
+func (c *Call) Reattach(since time.Time) {
+	if c.Heard().After(since) {
+		return
+	}
 	select {
 	case c.reattach <- struct{}{}:
 	default:
 	}
 }
 
-// Heard returns when the agent's last message for this call arrived, the zero
-// time if none has.
+// Heard returns when the agent's last message arrived on the call's connection,
+// for this call or another, the time of the link's creation if none has.
 func (c *Call) Heard() time.Time {
-	if ns := c.heard.Load(); ns != 0 {
-		return c.link.made.Add(time.Duration(ns))
+	heard := c.heard.Load()
+	if cn := c.conn.Load(); cn != nil {
+		heard = max(heard, cn.heard.Load())
 	}
-	return time.Time{}
+	return c.link.made.Add(time.Duration(heard))
 }
 
 var (
@@ -120,7 +126,7 @@
 			return
 		}
 		if heard {
-			lastContact = c.Heard()
+			lastContact = c.link.made.Add(time.Duration(c.heard.Load()))
 			timeout = c.link.ackTimeout()
 		}
 		if errors.Is(err, errStopped) {
@@ -213,6 +219,7 @@
 	if openErr != nil {
 		return false, false, openErr
 	}
+	c.conn.Store(cn)
 	c.sent = true
 	if !c.accepted {
 		c.opens++
@@ -227,7 +234,7 @@
 	}
 	in := make(chan received)
 	go receiveAll(sctx, run, in)
-	return c.converse(ctx, run, in, start, timer)
+	return c.converse(ctx, cn, run, in, start, timer)
 }
 
 func (c *Call) first() *pb.Up {
@@ -261,7 +268,7 @@
 const ackInterval = 100 * time.Millisecond
 
 // converse handles messages until the stream ends or goes silent.
-func (c *Call) converse(ctx context.Context, run pb.Agent_RunClient, in <-chan received, start time.Time, silence *time.Timer) (ended, heard bool, err error) {
+func (c *Call) converse(ctx context.Context, cn *conn, run pb.Agent_RunClient, in <-chan received, start time.Time, silence *time.Timer) (ended, heard bool, err error) {
 	ack := time.NewTicker(ackInterval)
 	defer ack.Stop()
 	for {
@@ -275,6 +282,7 @@
 			}
 			now := time.Now()
 			c.heard.Store(int64(now.Sub(c.link.made)))
+			cn.heard.Store(int64(now.Sub(c.link.made)))
 			if !heard {
 				c.link.observeRTT(now.Sub(start))
 				heard = true
--- a/wire/link.go
+++ b/wire/link.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -127,6 +128,9 @@
 	cc      *grpc.ClientConn
 	users   int
 	retired bool
+	// heard is when the last message of a call arrived, in nanoseconds since the
+	// link was made.
+	heard atomic.Int64
 	// life ends when the connection is retired, so that the watch leaves it.
 	life context.Context
 	end  context.CancelFunc
