standin/fleet: warm up both endpoints before crossed answers

Cause: TestClaims/crossed_answers failed when its four first calls all went to one endpoint and the keyed call to the other, which had no earlier answer to give. The fault was then never injected.

The check is the same; a warm-up that doesn't reach both endpoints in 64 calls fails the test.

--- a/standin/fleet/once_test.go
+++ b/standin/fleet/once_test.go
@@ -225,7 +225,9 @@
 			return []answer{a, b}
 		}},
 		{"crossed answers", func(is *is.I, f *Fleet, n *Memory) []answer {
-			for i := range 4 {
+			// Each endpoint needs an earlier answer to give to the next call.
+			for i := 0; f.Plains["desk-0"].Total() == 0 || f.Plains["desk-1"].Total() == 0; i++ {
+				is.True(i < 64)
 				<-ask(f, 0, fmt.Sprint("warm", i), "")
 			}
 			setFaults(f, plain.Faults{CrossAnswers: 1})
