entry: send orders to engines under a lease, and serve during a rollout

One entry holds a lease and makes engines load the document's weights: absolute orders with the lease's fencing number, through the agents, at most weight_load_slots engines at a time, the idle ones first, and only weights that the weight store has. The lease is checked just before each order.

Cause of the window: an edit of the version excluded every endpoint until the first engine had loaded the new weights. For 18 s after an edit an endpoint may serve with the weights it reports; the cache salt and the Open name those, and a continuation of a stream is pinned to the weights it began with.

--- a/agent/queue.go
+++ b/agent/queue.go
@@ -162,7 +162,7 @@
 }
 
 // setReport records the engine's own report. It returns whether the engine
-// restarted or has another model or version.
+// restarted, has another model or version, or began or finished loading.
 func (l *local) setReport(r Load) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,7 +172,7 @@
 	if old.BootID != r.BootID && l.reconnect != nil {
 		l.reconnect() // the new engine numbers its events from 1 again
 	}
-	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version
+	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version || old.Loading != r.Loading
 }
 
 // load returns what the agent knows of the endpoint.
@@ -184,7 +184,7 @@
 	l.mu.Unlock()
 	return &pb.EndpointLoad{EndpointId: l.ID, Running: int64(running), Queued: int64(queued), Limit: int64(limit),
 		PredictedWaitMs: l.queue.Wait(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
-		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version}
+		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version, Loading: report.Loading}
 }
 
 // overloaded returns the refusal of a request that would wait too long.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -16,13 +16,13 @@
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
-func (s *Server) openMessage(r *Request, rr *route.Request, m member.Endpoint, t wire.Ticket) *pb.Open {
+func (s *Server) openMessage(r *Request, rr *route.Request, m member.Endpoint, t wire.Ticket, version string) *pb.Open {
 	o := &pb.Open{RequestId: r.ID, AttemptId: uuid.NewString(), EndpointId: m.ID, Incarnation: t.Incarnation, TicketMs: t.Ms,
 		Service: r.Service, Account: r.Account, Idempotent: r.Idempotent, MaxWaitMs: r.Document.Timeouts.MaxWaitMs,
-		Model: r.Model, Version: r.Document.Version, ConfigGeneration: r.Generation, Stream: r.Stream,
+		Model: r.Model, Version: version, ConfigGeneration: r.Generation, Stream: r.Stream,
 		Http: &pb.HttpRequest{Method: r.Method, Path: r.Path, Body: r.Body}}
 	if r.Model != "" {
-		o.CacheSalt = r.Scope().Salt()
+		o.CacheSalt = r.scopeOf(version).Salt()
 	}
 	for _, h := range r.Headers {
 		o.Http.Headers = append(o.Http.Headers, &pb.Header{Name: h.Name, Value: h.Value})
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -40,7 +40,7 @@
 }
 
 func (s *Server) routeRequest(r *Request) *route.Request {
-	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
+	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: s.rollouts.required(r.Service, r.Document.Version, time.Now()),
 		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.Chain(r.Scope(), r.Segments),
 		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: s.opts.Random(), Exclude: map[string]bool{}}
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -61,7 +61,8 @@
 		fb.failed(ctx)
 		return nil, fromWire(err)
 	}
-	open := s.openMessage(r, rr, m, ticket)
+	version := versionOf(rr, r.Document.Version, link, m.ID)
+	open := s.openMessage(r, rr, m, ticket, version)
 	if r.guard != nil {
 		if err := r.guard.beforeOpen(ctx, m, open); err != nil {
 			fb.close()
@@ -76,6 +77,6 @@
 		a.close()
 		return nil, aerr
 	}
-	return &Response{RequestID: r.ID, Endpoint: endpoint, Head: *head, next: a.next, close: a.close,
+	return &Response{RequestID: r.ID, Endpoint: endpoint, version: version, Head: *head, next: a.next, close: a.close,
 		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}, nil
 }
--- /dev/null
+++ b/entry/orders_test.go
@@ -0,0 +1,188 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/standin/engine"
+	"github.com/citrontiller/citrontiller/standin/fleet"
+	"github.com/citrontiller/citrontiller/standin/kv"
+)
+
+// store is a weight store with versions v1 and v2.
+type store struct{}
+
+func (store) Stat(_ context.Context, _, version string) error {
+	if version != "v1" && version != "v2" {
+		return &platform.Error{Code: platform.NotFound, Op: "stat " + version}
+	}
+	return nil
+}
+
+const engines = 6
+
+func document(version string) []byte {
+	return fmt.Appendf(nil, `{"format_version":1,"service":"llm","kind":"engine","model":"m","version":%q,"engine":{"weight_load_slots":2},
+		"accounts":[{"name":"a","key_sha256":[%q],"weight":1}]}`, version, fleet.KeyHash("secret"))
+}
+
+// rollout runs a fleet of six engines behind three agents with two entries.
+func rollout(t *testing.T, play func(t *testing.T, f *fleet.Fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, err := fleet.New(fleet.NewMemory(), nil)
+		is.NoErr(err)
+		st, err := f.Store()
+		is.NoErr(err)
+		_, err = st.Apply(t.Context(), document("v1"), 0, "test")
+		is.NoErr(err)
+		for i := range engines / 2 {
+			spec := fleet.Spec{Name: fmt.Sprintf("agent-%d", i), Region: "r1", Service: func(string) string { return "llm" }}
+			for j := range 2 {
+				spec.Engines = append(spec.Engines, engine.Options{ID: fmt.Sprintf("engine-%d", 2*i+j), Model: "m", Version: "v1",
+					TokenGap: time.Millisecond, LoadTime: time.Second, ChecksFence: j == 0})
+			}
+			_, err = f.AddAgent(spec)
+			is.NoErr(err)
+		}
+		for i := range 2 {
+			opts := entry.DefaultOptions()
+			opts.Region, opts.Weights = "r1", store{}
+			_, err = f.AddEntry(fmt.Sprintf("entry-%d", i), opts)
+			is.NoErr(err)
+		}
+		is.NoErr(f.WaitReady(t.Context()))
+		time.Sleep(time.Minute)
+		play(t, f)
+		f.Close()
+		// Virtual time stops when the test returns; goroutines in flight need some.
+		time.Sleep(6 * time.Minute)
+	})
+}
+
+func ask(f *fleet.Fleet, i int) error {
+	body := fmt.Sprintf(`{"model":"m","max_tokens":2,"messages":[{"role":"user","content":"question %d"}]}`, i)
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[i%len(f.Entries)].Address+"/v1/chat/completions", bytes.NewBufferString(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	c := f.Client()
+	defer c.CloseIdleConnections()
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+	return err
+}
+
+// loaded counts the engines that were told to load a version.
+func loaded(f *fleet.Fleet, version string) (n, orders int) {
+	for _, e := range f.Engines {
+		c := e.Counts()
+		orders += len(c.Orders)
+		if len(c.Orders) > 0 && c.Orders[len(c.Orders)-1].Version == version {
+			n++
+		}
+	}
+	return n, orders
+}
+
+// Guards against an edit of the weights version that takes longer than 19 s,
+// loads more engines at once than the document allows, or leaves the service
+// without endpoints while the engines load.
+func TestRolloutServesThroughout(t *testing.T) {
+	rollout(t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		st, err := f.Store()
+		is.NoErr(err)
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		var failures []error
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				if err := ask(f, i); err != nil {
+					failures = append(failures, err)
+				}
+			}
+		})
+		begin := time.Now()
+		_, err = st.Apply(t.Context(), document("v2"), 1, "test")
+		is.NoErr(err)
+		most := 0
+		for n := 0; n < engines; n, _ = loaded(f, "v2") {
+			busy := 0
+			for _, e := range f.Engines {
+				if e.Loading() {
+					busy++
+				}
+			}
+			most = max(most, busy)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		took := time.Since(begin)
+		t.Logf("%d engines changed within %s, at most %d at once", engines, took, most)
+		is.True(took < 19*time.Second)
+		is.True(most <= 2)
+		time.Sleep(19 * time.Second)
+		close(stop)
+		wg.Wait()
+		is.Equal(failures, nil)
+		_, orders := loaded(f, "v2")
+		is.Equal(orders, engines) // one order an engine
+	})
+}
+
+// Guards against orders for weights that don't exist, and against two
+// controllers after an outage of the key-value service.
+func TestControllerThroughOutage(t *testing.T) {
+	rollout(t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		st, err := f.Store()
+		is.NoErr(err)
+		_, err = st.Apply(t.Context(), document("v9"), 1, "test")
+		is.NoErr(err)
+		time.Sleep(30 * time.Second)
+		_, orders := loaded(f, "v9")
+		is.Equal(orders, 0)
+		_, err = st.Apply(t.Context(), document("v2"), 2, "test")
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		f.KV.SetFaults(kv.Faults{Down: true})
+		time.Sleep(time.Minute)
+		f.KV.SetFaults(kv.Faults{})
+		time.Sleep(time.Minute)
+		n, orders := loaded(f, "v2")
+		is.Equal(n, engines)
+		is.Equal(orders, engines)
+		fences := map[int64]bool{}
+		for _, e := range f.Engines {
+			for _, o := range e.Counts().Orders {
+				fences[o.Fence] = true
+			}
+		}
+		is.True(len(fences) <= 2)
+	})
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -55,8 +55,11 @@
 }
 
 // Scope is the request's cache scope.
-func (r *Request) Scope() prefix.Scope {
-	return prefix.Scope{Account: r.Account, Model: r.Document.Model, Adapter: r.adapter(), Version: r.Document.Version}
+func (r *Request) Scope() prefix.Scope { return r.scopeOf(r.Document.Version) }
+
+// scopeOf is the request's cache scope at an endpoint with these weights.
+func (r *Request) scopeOf(version string) prefix.Scope {
+	return prefix.Scope{Account: r.Account, Model: r.Document.Model, Adapter: r.adapter(), Version: version}
 }
 
 func (r *Request) adapter() string {
--- a/entry/response.go
+++ b/entry/response.go
@@ -13,8 +13,10 @@
 
 // Response is an answer on its way to the caller.
 type Response struct {
-	RequestID  string
-	Endpoint   string
+	RequestID string
+	Endpoint  string
+	// version is the version of the weights that answer.
+	version    string
 	Head       stream.Head
 	WriteStall time.Duration
 	// next returns the following body bytes, nil at the end.
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -181,7 +181,10 @@
 	if !r.resumable || !resp.events() || resp.Head.Status != http.StatusOK {
 		return resp
 	}
-	m := &resumer{server: s, request: r, route: rr, resp: resp, next: resp.next, close: resp.close}
+	// The rest of the answer must come from the same weights.
+	pinned := *rr
+	pinned.Version = resp.version
+	m := &resumer{server: s, request: r, route: &pinned, resp: resp, next: resp.next, close: resp.close}
 	m.deadline, _ = ctx.Deadline()
 	resp.next = m.read
 	resp.close = func() { m.close() }
--- a/entry/server.go
+++ b/entry/server.go
@@ -38,6 +38,12 @@
 	// Random returns the seed of a decision, which breaks ties between
 	// endpoints; nil means the runtime's generator. It is called concurrently.
 	Random func() uint64
+	// Weights is asked whether weights exist before engines are told to load
+	// them; nil means that nothing is asked.
+	Weights platform.WeightStore
+	// LeaseTTL is the length of the order controller's lease. Another entry
+	// takes over at most one and a half times this after the holder is lost.
+	LeaseTTL time.Duration
 	// ResultTimeout bounds the reading of a keyed response whose caller left.
 	ResultTimeout time.Duration
 	Claims        call.ClaimOptions
@@ -51,6 +57,7 @@
 func DefaultOptions() Options {
 	return Options{
 		HostInterval:    time.Second,
+		LeaseTTL:        8 * time.Second,
 		ConfigInterval:  5 * time.Second,
 		RevokeTimeout:   5 * time.Second,
 		DecisionRecords: 4096,
@@ -81,6 +88,7 @@
 	metrics    *metrics
 	draining   atomic.Bool
 	sync       *configSync
+	rollouts   *rollouts
 
 	mu      sync.Mutex
 	stopped bool
@@ -111,6 +119,7 @@
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
 	s.sync = newConfigSync(s)
+	s.rollouts = newRollouts(s.Config)
 	return s
 }
 
@@ -121,6 +130,7 @@
 	wg.Go(func() { s.store.Follow(ctx, s.Config, s.opts.ConfigInterval) })
 	wg.Go(func() { s.followHosts(ctx) })
 	wg.Go(func() { s.sync.run(ctx) })
+	wg.Go(func() { newController(s).run(ctx) })
 	wg.Wait()
 	s.mu.Lock()
 	s.stopped = true
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -85,7 +85,7 @@
 		opts := entry.DefaultOptions()
 		opts.Region = "r1"
 		// The session ends before the first regular polls, whose times are random.
-		opts.HostInterval, opts.ConfigInterval = time.Hour, time.Hour
+		opts.HostInterval, opts.ConfigInterval, opts.LeaseTTL = time.Hour, time.Hour, time.Hour
 		opts.Random = func() uint64 { return 1 }
 		_, err = f.AddEntry(fmt.Sprintf("entry-%d", i), opts)
 		is.NoErr(err)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -600,3 +600,10 @@
 	}
 	w.WriteHeader(http.StatusAccepted)
 }
+
+// Loading reports whether the engine is loading weights.
+func (s *Server) Loading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loading
+}
