agent: count Attach as an acknowledgement of the parts before it

An entry sends each acknowledgement once. When it is lost with a silent connection, the entry attaches with its next sequence number, but the agent's replay buffer stayed full: no new part, so no new acknowledgement.

So far TestSilentConnection passed because the 64 KiB buffer took one part more than its limit, so that a part was left to send after the Attach.

--- a/agent/server.go
+++ b/agent/server.go
@@ -207,6 +207,11 @@
 	case a == nil:
 		return refuse(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked", pb.Run_RUN_NOT_RUN)
 	}
+	if at.NextSeq > 1 {
+		// The entry has the parts before. Its acknowledgement of them may have
+		// been lost with the last connection and isn't repeated.
+		a.replay.Ack(at.NextSeq - 1)
+	}
 	return s.serve(srv, a, at.NextSeq)
 }
 
