agent: bound the replay buffers of all streams at 8 MiB

Each stream had 64 KiB and nothing bounded their sum: 1,280 streams of five engines could hold 80 MB. The buffers now share a pool, counted with 64 bytes a part. A full pool stops reading from the endpoint. A buffer that holds nothing may always add one part, and parts kept for a later reader are dropped before a buffer waits, because nobody else would release them. The limit of a stream is exact now; it was exceeded by a part.

TestPool fails without the exception for an empty buffer (two streams stay at 2 of 50 parts) and without the pool's limit.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -34,13 +34,13 @@
 	detach     *time.Timer
 }
 
-func newAttempt(key call.Key, open *pb.Open, buffer int) *attempt {
+func newAttempt(key call.Key, open *pb.Open, replay *stream.Replay) *attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &attempt{
 		key:        key,
 		endpointID: open.EndpointId,
 		idempotent: open.Idempotent,
-		replay:     stream.NewReplay(buffer, !open.Idempotent),
+		replay:     replay,
 		ctx:        ctx,
 		cancel:     cancel,
 	}
--- a/agent/server.go
+++ b/agent/server.go
@@ -34,6 +34,8 @@
 	DetachGrace time.Duration
 	// StreamBuffer is the size of a replay buffer in bytes.
 	StreamBuffer int
+	// ReplayBytes bounds the replay buffers of all streams together.
+	ReplayBytes int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
 	// Concurrency is the number of requests an endpoint runs at once, at first.
@@ -51,6 +53,7 @@
 		ResultRetention:  10 * time.Minute,
 		DetachGrace:      5 * time.Second,
 		StreamBuffer:     64 << 10,
+		ReplayBytes:      8 << 20,
 		ProgressInterval: time.Second,
 		Concurrency:      16,
 	}
@@ -73,6 +76,7 @@
 	table       *call.Table[*attempt]
 	endpoints   map[string]*local
 	fence       *order.Fence
+	replays     *stream.Pool
 	work        sync.WaitGroup
 
 	mu       sync.Mutex
@@ -97,6 +101,7 @@
 		table:       call.NewTable[*attempt](opts.ResultRetention, opts.TicketLifetime+tombstoneMargin),
 		endpoints:   map[string]*local{},
 		fence:       order.NewFence(),
+		replays:     stream.NewPool(opts.ReplayBytes),
 		watchers:    map[chan struct{}]struct{}{},
 		drained:     make(chan struct{}),
 	}
@@ -153,7 +158,7 @@
 		if refused = s.check(o); refused != nil {
 			return nil, false
 		}
-		a := newAttempt(key, o, s.opts.StreamBuffer)
+		a := newAttempt(key, o, stream.NewReplay(s.opts.StreamBuffer, !o.Idempotent, s.replays))
 		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
 		return a, true
 	})
--- a/stream/replay.go
+++ b/stream/replay.go
@@ -42,10 +42,13 @@
 }
 
 // Replay keeps the parts of a response until the reader acknowledges them.
-// Parts are numbered from 1. Append blocks while the unacknowledged bytes
-// exceed the limit, which stops reading from the endpoint.
+// Parts are numbered from 1. Append blocks while a part doesn't fit the limit
+// or the pool, which stops reading from the endpoint. An empty buffer takes any
+// part.
 type Replay struct {
 	mu      sync.Mutex
+	pool    *Pool
+	pooled  int // bytes taken from pool
 	changed chan struct{}
 	limit   int
 	// keep holds on to acknowledged parts while the whole response fits the
@@ -61,9 +64,15 @@
 	abandoned bool
 }
 
-// NewReplay returns an empty buffer with a limit in bytes.
-func NewReplay(limit int, keep bool) *Replay {
-	return &Replay{limit: limit, keep: keep, first: 1, changed: make(chan struct{})}
+// NewReplay returns an empty buffer with a limit in bytes, which shares the
+// pool with others. A nil pool has no limit.
+func NewReplay(limit int, keep bool, pool *Pool) *Replay {
+	return &Replay{limit: limit, keep: keep, pool: pool, first: 1, changed: make(chan struct{})}
+}
+
+// NewEnded returns a closed buffer whose parts up to last are no longer kept.
+func NewEnded(last uint64) *Replay {
+	return &Replay{first: last + 1, acked: last, last: last, closed: true, changed: make(chan struct{})}
 }
 
 func (r *Replay) notify() {
@@ -80,17 +89,8 @@
 			r.mu.Unlock()
 			return ErrClosed
 		}
-		if r.bytes > r.limit {
-			if r.abandoned {
-				r.acked = r.last
-			}
-			r.trim()
-		}
-		if r.bytes <= r.limit || r.bytes == 0 {
-			r.parts = append(r.parts, p)
-			r.bytes += p.size()
-			r.last++
-			r.notify()
+		added, full := r.add(p)
+		if added {
 			r.mu.Unlock()
 			return nil
 		}
@@ -98,22 +98,78 @@
 		r.mu.Unlock()
 		select {
 		case <-wait:
+		case <-full:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// add appends a part. When the pool is full it returns a channel that closes
+// when the pool has room. Parts kept for a later reader go first: nobody else
+// would ever release them. The caller holds mu.
+func (r *Replay) add(p Part) (added bool, full <-chan struct{}) {
+	size := p.size()
+	if r.bytes+size > r.limit {
+		r.yield()
+	}
+	if r.pooled > 0 && r.bytes+size > r.limit {
+		return false, nil // only the reader can make room
+	}
+	if ok, _ := r.pool.take(size+partOverhead, r.pooled == 0); !ok {
+		r.yield()
+		if ok, full = r.pool.take(size+partOverhead, r.pooled == 0); !ok {
+			return false, full
+		}
+	}
+	r.parts = append(r.parts, p)
+	r.bytes += size
+	r.pooled += size + partOverhead
+	r.last++
+	r.notify()
+	return true, nil
+}
+
+// yield drops what the reader has, or everything when there is none. The
+// caller holds mu.
+func (r *Replay) yield() {
+	if r.abandoned {
+		r.acked = r.last
+	}
+	r.trim()
+}
+
 // trim drops acknowledged parts. The caller holds mu.
 func (r *Replay) trim() {
-	n := 0
+	n, freed := 0, 0
 	for n < len(r.parts) && r.first+uint64(n) <= r.acked {
-		r.bytes -= r.parts[n].size()
+		size := r.parts[n].size()
+		r.bytes -= size
+		freed += size + partOverhead
 		r.parts[n] = Part{}
 		n++
 	}
-	r.parts = r.parts[n:]
 	r.first += uint64(n)
+	if r.parts = r.parts[n:]; len(r.parts) == 0 {
+		r.parts = nil // releases the array
+	}
+	r.release(freed)
+}
+
+// release gives bytes back to the pool. The caller holds mu.
+func (r *Replay) release(n int) {
+	r.pooled -= n
+	r.pool.give(n)
+}
+
+// Leave takes a closed buffer out of its pool and returns the bytes it holds.
+func (r *Replay) Leave() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.pooled
+	r.pool.give(n)
+	r.pool = nil
+	return n
 }
 
 // Ack records that the reader has every part up to seq.
@@ -194,5 +250,6 @@
 	r.first = r.last + 1
 	r.parts = nil
 	r.bytes = 0
+	r.release(r.pooled)
 	r.notify()
 }
