agent: bound ended attempts and their results

Ended attempts stayed whole in the table for 10 min, with context, replay buffer and End; at 37 requests/s that is 22,200 of them. Responses of finished idempotent attempts without a reader stayed as long, and so did every kept result, without any bound on their sum.

- A finished idempotent response is dropped when acknowledged, or after detach_grace without a reader.
- Kept results leave the replay pool and have 4 MiB, oldest dropped first; they then answer RESULT_EXPIRED with run=ran (TestResultsAreBounded).
A full table evicts the oldest ones after the tombstone time, and a Revoke of an unknown attempt is a proof only for tickets issued after the last end evicted early (TestTableIsBounded).
If nothing may be evicted, an Open is declined as overloaded.

Keeping idempotent records for the tombstone time only was ruled out: a Revoke that comes later would answer 'not run' for an attempt that ran.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -27,11 +27,16 @@
 	end        *pb.End
 	dispatched bool
 	done       bool
-	cached     int64
-	readers    int
-	session    int
-	supersede  chan struct{}
-	detach     *time.Timer
+	// unread is set when no reader came within the grace period.
+	unread bool
+	// settled is set when the finished attempt's response was dropped or moved
+	// to the kept results.
+	settled   bool
+	cached    int64
+	readers   int
+	session   int
+	supersede chan struct{}
+	detach    *time.Timer
 }
 
 func newAttempt(key call.Key, open *pb.Open, replay *stream.Replay) *attempt {
@@ -124,6 +129,7 @@
 	a.supersede = make(chan struct{})
 	a.session++
 	a.readers++
+	a.unread = false
 	a.replay.Abandon(false)
 	return a.session, a.supersede
 }
@@ -135,26 +141,49 @@
 	return a.readers <= 1
 }
 
+// settle reports, once, that a finished attempt's response need not stay in
+// the replay pool: its reader has all of it or is gone.
+func (a *attempt) settle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.end == nil || a.settled {
+		return false
+	}
+	read := a.replay.Acked() >= a.end.LastSeq
+	gone := a.unread || (!a.idempotent && a.readers == 0)
+	a.settled = read || gone
+	return a.settled
+}
+
 // detached is called when a reader's stream ended. If no reader is left after
 // the grace period, an idempotent attempt is cancelled; a non-idempotent one
 // runs on and no longer waits for a reader, which would hold its slot for good.
-func (a *attempt) detached(session int, grace time.Duration) {
+// expired is called then.
+func (a *attempt) detached(session int, grace time.Duration, expired func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
-	if a.done || (a.idempotent && session != a.session) || (!a.idempotent && a.readers > 0) {
+	if a.settled || a.refused != nil || (a.idempotent && session != a.session) || (!a.idempotent && a.readers > 0) {
 		return
 	}
 	session = a.session
 	a.detach = time.AfterFunc(grace, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		switch {
-		case session != a.session:
-		case a.idempotent:
-			a.cancel()
-		default:
-			a.replay.Abandon(true)
-		}
+		a.expire(session)
+		expired()
 	})
 }
+
+// expire is called when the grace period of a session ended.
+func (a *attempt) expire(session int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if session != a.session {
+		return
+	}
+	a.unread = true
+	if a.idempotent {
+		a.cancel()
+	} else {
+		a.replay.Abandon(true)
+	}
+}
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -195,6 +195,21 @@
 	return r
 }
 
+// refresh returns a stored refusal with the present ticket and load. An old
+// ticket would make the entry's next Open stale, an old load would keep it away
+// from an endpoint that is idle again.
+func (s *Server) refresh(a *attempt, stored *pb.Refused) *pb.Refused {
+	r := s.refusal(stored.Code, stored.Message, stored.Run)
+	if r.Code != pb.RefusalCode_REFUSAL_OVERLOADED {
+		return r
+	}
+	r.Load = s.endpoints[a.endpointID].load()
+	if r.RetryAfterMs = stored.RetryAfterMs; r.RetryAfterMs == 0 {
+		r.RetryAfterMs = max(r.Load.PredictedWaitMs, minRetryAfter.Milliseconds())
+	}
+	return r
+}
+
 // enqueue queues a new attempt. An attempt that would wait too long is revoked
 // in the table, so that no repeated Open runs it later.
 func (s *Server) enqueue(a *attempt, o *pb.Open) *place {
@@ -203,8 +218,7 @@
 	log := s.log.With(zap.String("request", o.RequestId), zap.String("attempt", o.AttemptId), zap.String("endpoint", ep.ID),
 		zap.String("account", o.Account), zap.Int64("predicted_wait_ms", wait.Milliseconds()))
 	if p == nil {
-		s.table.Revoke(a.key, always)
-		a.refuse(s.overloaded(ep, reason, wait))
+		s.refuse(a, s.overloaded(ep, reason, wait))
 		log.Info("refused", zap.String("reason", reason))
 		return nil
 	}
--- a/agent/server.go
+++ b/agent/server.go
@@ -36,6 +36,8 @@
 	StreamBuffer int
 	// ReplayBytes bounds the replay buffers of all streams together.
 	ReplayBytes int
+	// ResultBytes bounds the kept results of non-idempotent attempts together.
+	ResultBytes int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
 	// Concurrency is the number of requests an endpoint runs at once, at first.
@@ -54,6 +56,7 @@
 		DetachGrace:      5 * time.Second,
 		StreamBuffer:     64 << 10,
 		ReplayBytes:      8 << 20,
+		ResultBytes:      4 << 20,
 		ProgressInterval: time.Second,
 		Concurrency:      16,
 	}
@@ -73,8 +76,10 @@
 	log         *zap.Logger
 	incarnation string
 	start       time.Time
-	table       *call.Table[*attempt]
+	table       *call.Table[*attempt, trace]
+	results     *results
 	endpoints   map[string]*local
+	ids         []string // of the endpoints; a trace holds the index
 	fence       *order.Fence
 	replays     *stream.Pool
 	work        sync.WaitGroup
@@ -98,19 +103,22 @@
 		log:         opts.Log,
 		incarnation: uuid.NewString(),
 		start:       time.Now(),
-		table:       call.NewTable[*attempt](opts.ResultRetention, opts.TicketLifetime+tombstoneMargin),
+		results:     &results{limit: opts.ResultBytes},
 		endpoints:   map[string]*local{},
 		fence:       order.NewFence(),
 		replays:     stream.NewPool(opts.ReplayBytes),
 		watchers:    map[chan struct{}]struct{}{},
 		drained:     make(chan struct{}),
 	}
+	limits := call.Limits{Retention: opts.ResultRetention, Tombstone: opts.TicketLifetime + tombstoneMargin, Attempts: maxAttempts}
+	s.table = call.NewTable(limits, s.revive)
 	for _, ep := range endpoints {
 		d, err := driver(ep)
 		if err != nil {
 			return nil, err
 		}
 		s.endpoints[ep.ID] = newLocal(ep, d, opts)
+		s.ids = append(s.ids, ep.ID)
 	}
 	return s, nil
 }
@@ -154,10 +162,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	refused := s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked", pb.Run_RUN_NOT_RUN)
+	room := s.table.Room()
 	a, _, created := s.table.Begin(key, func() (*attempt, bool) {
 		if refused = s.check(o); refused != nil {
 			return nil, false
 		}
+		if !room {
+			refused = s.overloaded(s.endpoints[o.EndpointId], "the attempt table is full", 0)
+			return nil, false
+		}
 		a := newAttempt(key, o, stream.NewReplay(s.opts.StreamBuffer, !o.Idempotent, s.replays))
 		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
 		return a, true
@@ -227,13 +240,11 @@
 	queued := time.Now()
 	ready := p.wait(a.ctx)
 	if !ready && a.ctx.Err() == nil {
-		s.table.Revoke(a.key, always)
-		a.refuse(s.overloaded(ep, "the deadline passed in the queue", 0))
+		s.refuse(a, s.overloaded(ep, "the deadline passed in the queue", 0))
 		return
 	}
 	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
-		s.table.Revoke(a.key, always)
-		a.refuse(s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
+		s.refuse(a, s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
 		return
 	}
 	a.markDispatched()
@@ -253,6 +264,7 @@
 	end.QueueMs = wait.Milliseconds()
 	s.table.Finish(a.key)
 	a.finish(end)
+	s.settle(a)
 	s.log.Info("finish", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.String("run", end.Run.String()), zap.String("error", end.ErrorCode),
 		zap.Uint64("parts", end.LastSeq))
@@ -307,9 +319,11 @@
 		return reply, nil
 	}
 	key := call.Key{Request: r.RequestId, Attempt: r.AttemptId}
-	a, state := s.table.Revoke(key, func() bool {
+	a, state := s.table.Revoke(key, func(evicted time.Time) bool {
 		age := s.ticket() - r.TicketMs
-		return age >= 0 && age < s.opts.ResultRetention.Milliseconds()
+		// A ticket is rounded up by at most a millisecond.
+		issued := s.start.Add(time.Duration(r.TicketMs-1) * time.Millisecond)
+		return issued.After(evicted) && age >= 0 && age < s.opts.ResultRetention.Milliseconds()
 	})
 	switch state {
 	case call.Absent:
@@ -332,7 +346,7 @@
 }
 
 // always is the proof for attempts that have a record.
-func always() bool { return true }
+func always(time.Time) bool { return true }
 
 // send stamps ids on a message and sends it.
 func (s *Server) send(srv pb.Agent_RunServer, key call.Key, d *pb.Down) error {
@@ -422,6 +436,9 @@
 	for {
 		select {
 		case <-t.C:
+			for _, a := range s.results.expire(s.opts.ResultRetention) {
+				s.drop(a)
+			}
 			s.table.Sweep()
 		case <-ctx.Done():
 			return
@@ -433,7 +450,10 @@
 // and cancellation until the end is sent or the stream breaks.
 func (s *Server) serve(srv pb.Agent_RunServer, a *attempt, next uint64) error {
 	session, superseded := a.attach()
-	defer a.detached(session, s.opts.DetachGrace)
+	defer func() {
+		a.detached(session, s.opts.DetachGrace, func() { s.settle(a) })
+		s.settle(a)
+	}()
 	closed := make(chan struct{})
 	go s.receive(srv, a, closed)
 
@@ -444,7 +464,7 @@
 		view, err := a.replay.Since(next, maxChunkBytes)
 		refused, end, dispatched := a.status()
 		if refused != nil {
-			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Refused{Refused: refused}})
+			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Refused{Refused: s.refresh(a, refused)}})
 		}
 		if !accepted {
 			if err := s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Accepted{Accepted: s.accept(a)}}); err != nil {
@@ -519,6 +539,7 @@
 		switch k := up.Kind.(type) {
 		case *pb.Up_Ack:
 			a.replay.Ack(k.Ack.Seq)
+			s.settle(a)
 		case *pb.Up_Cancel:
 			s.cancelAttempt(a)
 		}
