--- a/entry/translate.go
+++ b/entry/translate.go
@@ -26,8 +26,11 @@
 	if r.Code == pb.RefusalCode_REFUSAL_OVERLOADED {
 		e.Code = CodeOverloaded
 	}
-	if e.Run != call.NotRun {
-		e.Status, e.Code = http.StatusBadGateway, CodeOutcomeUnknown
+	switch e.Run {
+	case call.Ran:
+		e.Status, e.Code, e.RetryAfter = http.StatusConflict, CodeResultUnavailable, 0
+	case call.Unknown:
+		e.Status, e.Code, e.RetryAfter = http.StatusBadGateway, CodeOutcomeUnknown, 0
 	}
 	return e
 }
