--- a/entry/orders.go
+++ b/entry/orders.go
@@ -86,10 +86,9 @@
 func (c *controller) service(ctx context.Context, h *lease.Held, d *config.Document) {
 	want := order.State{Model: d.Model, Version: d.Version, Adapters: d.Adapters}
 	members := c.server.Members.Service(d.Service)
-	states := c.server.agentStates(members)
 	observed := make([]order.Endpoint, 0, len(members))
 	for _, m := range members {
-		observed = append(observed, c.observe(m, states[m.Agent].Loads[m.ID], time.Now()))
+		observed = append(observed, c.observe(m, c.server.loadOf(m), time.Now()))
 	}
 	orders := order.Plan(want, observed, d.Engine.WeightLoadSlots)
 	if len(orders) == 0 || !c.exist(ctx, d.Model, d.Version) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -79,7 +80,9 @@
 	scheduler *route.Scheduler
 	tracker   *route.Tracker
 	decisions *decisions
-	claims    *call.Claims
+	// buffers holds candidate slices; a new one for 2,000 endpoints takes 0.6 MB.
+	buffers sync.Pool
+	claims  *call.Claims
 	// background counts the work that outlives its caller; life ends with Run.
 	background sync.WaitGroup
 	life       context.Context
@@ -92,6 +95,7 @@
 
 	mu      sync.Mutex
 	stopped bool
+	// links are the links by agent address. The map is replaced, never changed.
 	links   map[string]*wire.Link
 	budgets map[string]*budgets
 }
@@ -118,6 +122,8 @@
 		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
+	s.opts.Wire.OnLoad = s.onLoad
+	s.buffers.New = func() any { return new([]route.Endpoint) }
 	s.sync = newConfigSync(s)
 	s.rollouts = newRollouts(s.Config)
 	return s
@@ -187,17 +193,21 @@
 			continue
 		}
 		s.mu.Lock()
+		s.links = maps.Clone(s.links)
 		s.links[addr] = l
 		s.mu.Unlock()
 	}
 	var closing []*wire.Link
 	s.mu.Lock()
+	kept := make(map[string]*wire.Link, len(s.links))
 	for addr, l := range s.links {
-		if !listed[addr] {
+		if listed[addr] {
+			kept[addr] = l
+		} else {
 			closing = append(closing, l)
-			delete(s.links, addr)
 		}
 	}
+	s.links = kept
 	s.mu.Unlock()
 	for _, l := range closing {
 		l.Close()
@@ -217,14 +227,13 @@
 
 // target returns the endpoint and the link to its agent.
 func (s *Server) target(service, id string) (member.Endpoint, *wire.Link) {
-	for _, m := range s.Members.Service(service) {
-		if m.ID == id {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return m, s.links[m.Agent]
-		}
+	m, ok := s.Members.Endpoint(id)
+	if !ok || m.Service != service {
+		return member.Endpoint{}, nil
 	}
-	return member.Endpoint{}, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m, s.links[m.Agent]
 }
 
 // Ready reports whether the entry has a configuration and an endpoint and is
