operator: add the service, status and explain commands

The binary only ran an entry; documents could be applied only from Go. The commands now cover edits (apply, get, validate, diff, history, list), the state of entries, agents and endpoints (status) and decisions (explain). Their exit statuses tell a conflict (3) and an invalid document (4) from other failures.

"service get" writes the generation into the file as edited_from, so that a later apply is refused if another edit was accepted since. A comment was ruled out because JSON has none, and a field of the document because it would be stored. A refused document from standard input is written back.

The entry's operator API gains /status, /healthz and /readyz. What an agent holds is what it answered to the last offer; asking every agent per status call was ruled out, as 400 agents would be asked by each of 10 entries.

--- a/cmd/citrontiller/main.go
+++ b/cmd/citrontiller/main.go
@@ -1,4 +1,5 @@
-// Command citrontiller is the entry that callers talk to.
+// Command citrontiller is the entry that callers talk to, and the operator's
+// commands.
 package main
 
 import (
@@ -16,6 +17,7 @@
 	"github.com/citrontiller/citrontiller/entry"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/operator"
 	"github.com/citrontiller/citrontiller/platform"
 	_ "github.com/citrontiller/citrontiller/plugins/etcd"   // registers kv.etcd
 	_ "github.com/citrontiller/citrontiller/plugins/httpsd" // registers hosts.httpsd
@@ -33,16 +35,23 @@
 
 type settings struct {
 	Entry *entryCommand `arg:"subcommand:entry" help:"run an entry"`
+	operator.Commands
 }
 
+// Epilogue implements go-arg's text after the help.
+func (settings) Epilogue() string { return operator.ExitHelp }
+
 // Version implements go-arg's version flag.
 func (settings) Version() string { return process.Version("citrontiller") }
 
 func main() {
 	var s settings
-	p := arg.MustParse(&s)
+	arg.MustParse(&s)
 	if s.Entry == nil {
-		p.Fail("a command is missing: entry")
+		// An interrupted write still reports its change id.
+		ctx, stop := process.UntilSignal()
+		defer stop()
+		os.Exit(s.Run(ctx, operator.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
 	}
 	if err := run(*s.Entry); err != nil {
 		fmt.Fprintln(os.Stderr, "citrontiller:", err)
--- a/config/store.go
+++ b/config/store.go
@@ -40,6 +40,9 @@
 }
 
 func (c *Conflict) Error() string {
+	if c.Current.Generation == 0 {
+		return fmt.Sprintf("service %q: edited from generation %d, but the service does not exist; generation 0 creates it", c.Service, c.Base)
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "service %q: edited from generation %d, but generation %d by %s is in force", c.Service, c.Base, c.Current.Generation, c.Current.Author)
 	for _, ch := range c.Changes {
--- a/entry/api.go
+++ b/entry/api.go
@@ -31,7 +31,7 @@
 	api := kithttp.NewServer(call, s.decodeCounted, encode,
 		kithttp.ServerErrorEncoder(func(ctx context.Context, err error, w http.ResponseWriter) { writeError(ctx, w, err) }))
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /healthz", serveHealth)
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET "+pathModels, s.serveModels)
 	mux.HandleFunc(pathModels, func(w http.ResponseWriter, r *http.Request) {
@@ -74,16 +74,6 @@
 	})
 }
 
-// OperatorHandler returns the API for operators: decision records.
-func (s *Server) OperatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /decisions/{request}", func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.decisions.of(r.PathValue("request")))
-	})
-	return mux
-}
-
 // resolving is the middleware that finds the service and checks the account.
 func (s *Server) resolving(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, request any) (any, error) {
--- a/entry/configsync.go
+++ b/entry/configsync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	incarnation string
 	// settled holds the generation of each service that needs no exchange.
 	settled map[string]int64
+	// holds is the generation of each service that the agent said it has.
+	holds map[string]int64
 }
 
 func newConfigSync(s *Server) *configSync {
@@ -63,7 +66,7 @@
 	if !st.Up {
 		delete(c.agents, addr)
 	} else if a == nil || a.incarnation != st.Incarnation {
-		c.agents[addr] = &agentSync{incarnation: st.Incarnation, settled: map[string]int64{}}
+		c.agents[addr] = &agentSync{incarnation: st.Incarnation, settled: map[string]int64{}, holds: map[string]int64{}}
 		c.poke()
 	}
 	c.mu.Unlock()
@@ -124,14 +127,25 @@
 	return !ok || settled != generation
 }
 
-func (c *configSync) settle(addr, service string, generation int64) {
+func (c *configSync) settle(addr, service string, generation, holds int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a := c.agents[addr]; a != nil {
-		a.settled[service] = generation
+		a.settled[service], a.holds[service] = generation, holds
 	}
 }
 
+// heldBy returns the generations an agent holds, by service.
+func (c *configSync) heldBy(addr string) map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]int64{}
+	if a := c.agents[addr]; a != nil {
+		maps.Copy(out, a.holds)
+	}
+	return out
+}
+
 func (c *configSync) exchange(ctx context.Context, addr, service string, generation int64, digest string) error {
 	c.server.mu.Lock()
 	link := c.server.links[addr]
@@ -146,7 +160,7 @@
 		return err
 	}
 	if need {
-		err = c.put(ctx, link, service)
+		agent, err = c.put(ctx, link, service, agent)
 	} else if agent > generation {
 		err = c.take(ctx, link, addr)
 	}
@@ -155,25 +169,28 @@
 	}
 	// A higher generation that arrived meanwhile makes the agent due again. A
 	// refused one is not exchanged again until either side changes.
-	c.settle(addr, service, generation)
+	c.settle(addr, service, generation, agent)
 	return nil
 }
 
-func (c *configSync) put(ctx context.Context, link *wire.Link, service string) error {
+// put hands the agent the record in force and returns the generation that the
+// agent then holds, which is the one before when it refuses the record.
+func (c *configSync) put(ctx context.Context, link *wire.Link, service string, before int64) (int64, error) {
 	e, ok := c.server.Config.Get(service)
 	if !ok {
-		return nil
+		return before, nil
 	}
 	data, err := e.Record.Encode()
 	if err != nil {
-		return err
+		return before, err
 	}
 	refused, err := link.Put(ctx, service, data)
 	if refused != "" {
 		c.server.log.Error("configuration refused by an agent", zap.String("service", service),
 			zap.Int64("generation", e.Record.Generation), zap.String("error", refused))
+		return before, err
 	}
-	return err
+	return e.Record.Generation, err
 }
 
 // take offers an agent's records to this entry's table.
--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -33,7 +33,7 @@
 func (d *decisions) of(requestID string) []Explanation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []Explanation
+	out := []Explanation{}
 	for i := range d.ring {
 		e := d.ring[(d.next+i)%len(d.ring)]
 		if e.Decision.RequestID == requestID {
--- /dev/null
+++ b/operator/explain.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+// Explain shows the decisions on a request.
+type Explain struct {
+	Output
+	Entries
+	Request string `arg:"positional,required" placeholder:"REQUEST-ID" help:"the response's X-Request-Id"`
+}
+
+func (e *Explain) run(ctx context.Context, io Streams) error {
+	answers, err := askAll[[]entry.Explanation](ctx, e.Entries, "/decisions/"+url.PathEscape(e.Request))
+	if err != nil {
+		return err
+	}
+	found := 0
+	for _, a := range answers {
+		found += len(a.Value)
+	}
+	if e.JSON {
+		err = printJSON(io.Out, answers)
+	} else {
+		err = printDecisions(io.Out, answers)
+	}
+	if err != nil || found > 0 {
+		return err
+	}
+	if err := unanswered(answers); err != nil {
+		return err
+	}
+	return &Error{Exit: ExitFailed, Message: fmt.Sprintf("no entry has a decision on request %q; each keeps only the latest (--decision-records)", e.Request)}
+}
+
+func printDecisions(w io.Writer, answers []answer[[]entry.Explanation]) error {
+	for _, a := range answers {
+		for _, x := range a.Value {
+			d := x.Decision
+			fmt.Fprintf(w, "%s  entry %s  service %s  chosen %s  reason: %s  expected first token %.1f ms\n",
+				x.Time.Format(time.RFC3339Nano), a.Address, d.Service, orNone(d.Chosen), d.Reason, d.Score)
+			if err := printCandidates(w, d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
+
+func printCandidates(w io.Writer, d route.Decision) error {
+	t := newTable(w, "  ENDPOINT", "SCORE MS", "DROPPED BECAUSE")
+	for _, c := range d.Candidates {
+		score := ""
+		if c.Excluded == "" {
+			score = fmt.Sprintf("%.1f", c.Score)
+		}
+		t.row("  "+c.ID, score, c.Excluded)
+	}
+	if more := d.Total - len(d.Candidates); more > 0 {
+		t.row(fmt.Sprintf("  and %d more", more), "", "")
+	}
+	return t.flush()
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,301 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/platform"
+)
+
+// Service are the commands on service documents.
+type Service struct {
+	Apply    *apply    `arg:"subcommand:apply" help:"check a document and put it in force"`
+	Get      *get      `arg:"subcommand:get" help:"print a document with the generation it is edited from"`
+	Validate *validate `arg:"subcommand:validate" help:"check a document without any network"`
+	Diff     *diff     `arg:"subcommand:diff" help:"compare a document with the one in force"`
+	History  *history  `arg:"subcommand:history" help:"list the accepted edits of a service"`
+	List     *list     `arg:"subcommand:list" help:"list the services"`
+}
+
+// file is a document given on the command line.
+type file struct {
+	File string `arg:"positional,required" help:"the document; - is standard input"`
+}
+
+// read returns the file as it is.
+func (f file) read(in io.Reader) ([]byte, error) {
+	if f.File != "-" {
+		opened, err := os.Open(f.File)
+		if err != nil {
+			return nil, usage("FILE: %v", err)
+		}
+		defer opened.Close()
+		in = opened
+	}
+	data, err := io.ReadAll(in)
+	if err != nil {
+		return nil, &Error{Exit: ExitFailed, Message: "FILE " + f.File, Err: err}
+	}
+	return data, nil
+}
+
+type apply struct {
+	Output
+	Access
+	file
+	Base   *int64 `arg:"--base,env:CITRONTILLER_BASE" help:"generation the document was edited from, 0 for a new service [default: the file's edited_from, else the generation read just before]"`
+	Author string `arg:"--author,env:CITRONTILLER_AUTHOR" help:"who makes the edit [default: the environment's USER]"`
+}
+
+// accepted is the result of an accepted edit.
+type accepted struct {
+	Service    string          `json:"service"`
+	Base       int64           `json:"base"`
+	Generation int64           `json:"generation"`
+	ChangeID   string          `json:"change_id"`
+	Author     string          `json:"author"`
+	Time       time.Time       `json:"time"`
+	Changes    []config.Change `json:"changes"`
+}
+
+func (a *apply) run(ctx context.Context, io Streams) error {
+	if a.Author == "" {
+		a.Author = os.Getenv("USER")
+	}
+	if a.Author == "" {
+		return usage("--author: got nothing, allowed: a name; the environment's USER is empty too")
+	}
+	if a.Base != nil && *a.Base < 0 {
+		return usage("--base: got %d, allowed: a generation of 0 or more", *a.Base)
+	}
+	input, err := a.read(io.In)
+	if err != nil {
+		return err
+	}
+	err = a.apply(ctx, io, input)
+	if err == nil || a.File != "-" {
+		return err
+	}
+	e := asError(err)
+	e.Input = string(input)
+	return e
+}
+
+func (a *apply) apply(ctx context.Context, io Streams, input []byte) error {
+	document, base, err := unannotate(input)
+	if err != nil {
+		return err
+	}
+	doc, err := config.Parse(document)
+	if err != nil {
+		return err
+	}
+	store, err := a.store(ctx)
+	if err != nil {
+		return err
+	}
+	changes, current, err := store.Diff(ctx, document)
+	if err != nil {
+		return err
+	}
+	switch {
+	case a.Base != nil:
+		base = a.Base
+	case base == nil:
+		base = &current.Generation
+		fmt.Fprintf(io.Err, "citrontiller: service %q: edited from generation %d, which was read just now\n", doc.Service, *base)
+	}
+	r, err := store.Apply(ctx, document, *base, a.Author)
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return printJSON(io.Out, accepted{doc.Service, *base, r.Generation, r.ChangeID, r.Author, r.Time, changes})
+	}
+	fmt.Fprintf(io.Out, "service %q: generation %d accepted, change %s by %s; in force everywhere within 19 s\n", doc.Service, r.Generation, r.ChangeID, r.Author)
+	printChanges(io.Out, changes)
+	return nil
+}
+
+type get struct {
+	Output
+	Access
+	Name string `arg:"positional,required" help:"name of the service"`
+}
+
+func (g *get) run(ctx context.Context, io Streams) error {
+	store, err := g.store(ctx)
+	if err != nil {
+		return err
+	}
+	r, _, err := store.Get(ctx, g.Name)
+	if err != nil {
+		return unknownService(err, g.Name)
+	}
+	if g.JSON {
+		return printJSON(io.Out, r)
+	}
+	text, err := annotate(r.Document, r.Generation)
+	if err != nil {
+		return err
+	}
+	_, err = io.Out.Write(text)
+	return err
+}
+
+func unknownService(err error, name string) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return &Error{Exit: ExitFailed, Message: fmt.Sprintf("service %q does not exist; \"citrontiller service list\" shows the names", name)}
+	}
+	return err
+}
+
+type validate struct {
+	Output
+	file
+}
+
+func (v *validate) run(_ context.Context, io Streams) error {
+	input, err := v.read(io.In)
+	if err != nil {
+		return err
+	}
+	document, _, err := unannotate(input)
+	if err != nil {
+		return err
+	}
+	doc, err := config.Parse(document)
+	if err != nil {
+		return err
+	}
+	if v.JSON {
+		return printJSON(io.Out, doc)
+	}
+	fmt.Fprintf(io.Out, "service %q: the document is valid\n", doc.Service)
+	return nil
+}
+
+type diff struct {
+	Output
+	Access
+	file
+}
+
+// difference is the result of diff.
+type difference struct {
+	Generation int64           `json:"generation"`
+	Changes    []config.Change `json:"changes"`
+}
+
+func (d *diff) run(ctx context.Context, io Streams) error {
+	input, err := d.read(io.In)
+	if err != nil {
+		return err
+	}
+	document, _, err := unannotate(input)
+	if err != nil {
+		return err
+	}
+	if _, err := config.Parse(document); err != nil {
+		return err
+	}
+	store, err := d.store(ctx)
+	if err != nil {
+		return err
+	}
+	changes, current, err := store.Diff(ctx, document)
+	if err != nil {
+		return err
+	}
+	if d.JSON {
+		return printJSON(io.Out, difference{current.Generation, changes})
+	}
+	fmt.Fprintf(io.Out, "generation %d -> %s: %d changes\n", current.Generation, d.File, len(changes))
+	printChanges(io.Out, changes)
+	return nil
+}
+
+type history struct {
+	Output
+	Access
+	Name string `arg:"positional,required" help:"name of the service"`
+}
+
+// edit is one row of the history.
+type edit struct {
+	Generation int64           `json:"generation"`
+	Time       time.Time       `json:"time"`
+	Author     string          `json:"author"`
+	ChangeID   string          `json:"change_id"`
+	Changes    []config.Change `json:"changes"`
+	Document   json.RawMessage `json:"document"`
+}
+
+func (h *history) run(ctx context.Context, io Streams) error {
+	store, err := h.store(ctx)
+	if err != nil {
+		return err
+	}
+	records, err := store.History(ctx, h.Name)
+	if err != nil {
+		return unknownService(err, h.Name)
+	}
+	edits := editsOf(records)
+	if h.JSON {
+		return printJSON(io.Out, edits)
+	}
+	t := newTable(io.Out, "GENERATION", "TIME", "AUTHOR", "CHANGE", "CHANGES")
+	for _, e := range edits {
+		t.row(e.Generation, e.Time.Format(time.RFC3339), e.Author, e.ChangeID, len(e.Changes))
+	}
+	return t.flush()
+}
+
+// editsOf compares each record with the one before it.
+func editsOf(records []*config.Record) []edit {
+	var before *config.Document
+	out := []edit{}
+	for _, r := range records {
+		// A document of an earlier format counts as one without fields.
+		doc, err := config.Parse(r.Document)
+		if err != nil {
+			doc = nil
+		}
+		out = append(out, edit{r.Generation, r.Time, r.Author, r.ChangeID, config.Diff(before, doc), r.Document})
+		before = doc
+	}
+	return out
+}
+
+type list struct {
+	Output
+	Access
+}
+
+func (l *list) run(ctx context.Context, io Streams) error {
+	store, err := l.store(ctx)
+	if err != nil {
+		return err
+	}
+	records, err := store.List(ctx)
+	if err != nil {
+		return err
+	}
+	if l.JSON {
+		return printJSON(io.Out, records)
+	}
+	t := newTable(io.Out, "SERVICE", "GENERATION", "TIME", "AUTHOR", "CHANGE")
+	for _, name := range slices.Sorted(maps.Keys(records)) {
+		r := records[name]
+		t.row(name, r.Generation, r.Time.Format(time.RFC3339), r.Author, r.ChangeID)
+	}
+	return t.flush()
+}
--- a/route/route.go
+++ b/route/route.go
@@ -88,11 +88,11 @@
 
 // Candidate is an endpoint's result in a decision.
 type Candidate struct {
-	ID string
+	ID string `json:"id"`
 	// Score is the expected time to first token in milliseconds.
-	Score float64
+	Score float64 `json:"score_ms"`
 	// Excluded says why the endpoint was dropped; empty for scored candidates.
-	Excluded string
+	Excluded string `json:"excluded,omitempty"`
 }
 
 // Reasons of decisions.
@@ -105,16 +105,16 @@
 
 // Decision records a choice and why it was made.
 type Decision struct {
-	RequestID string
-	Service   string
-	Chosen    string
-	Reason    string
+	RequestID string `json:"request_id"`
+	Service   string `json:"service"`
+	Chosen    string `json:"chosen"`
+	Reason    string `json:"reason"`
 	// Score is the predicted time to first token of the choice in milliseconds.
-	Score float64
+	Score float64 `json:"score_ms"`
 	// Total is the number of endpoints considered.
-	Total int
+	Total int `json:"total"`
 	// Candidates holds the best endpoints, at most 16 of Total.
-	Candidates []Candidate
+	Candidates []Candidate `json:"candidates"`
 }
 
 // String returns the candidates with their scores for the log.
