fleet tests: wait for both services before the first request

TestWholePath answered 404 once in 61 runs: an entry is ready with its first service, and the test's second one was not in force yet. Waiting in WaitReady was ruled out, since tests with a store outage start entries that never get every service. go test -race ./standin/fleet: ok.

--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -51,6 +51,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	is.NoErr(f.WaitReady(ctx))
+	// An entry is ready with its first service; the tests use both.
+	for _, ok := f.Entries[0].Config.Get("desk"); !ok; _, ok = f.Entries[0].Config.Get("desk") {
+		is.NoErr(ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
 	return f
 }
 
