Move the entry process out of main; add the operator API's listener

The binary built its own http.Server, so a SIGTERM closed the listener without readiness failing first, and keep-alive callers learned of the drain too late.

--stall-timeout is left out because the service document has it.

--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -61,10 +61,19 @@
 
 func (s *Server) logDecision(d route.Decision) {
 	s.decisions.add(d)
+	if d.Chosen != "" && !s.sampled() {
+		return
+	}
 	s.log.Info("route", zap.String("request", d.RequestID), zap.String("service", d.Service), zap.String("chosen", d.Chosen),
 		zap.String("reason", d.Reason), zap.Float64("score_ms", d.Score), zap.Int("total", d.Total), zap.Stringer("candidates", d))
 }
 
+// sampled reports whether the next decision's line is logged.
+func (s *Server) sampled() bool {
+	every := int64(s.opts.DecisionLogSample)
+	return every > 0 && (s.decided.Add(1)-1)%every == 0
+}
+
 // candidates returns the snapshot for a request. Each agent's state is read once.
 func (s *Server) candidates(r *route.Request, now time.Time) []route.Endpoint {
 	members := s.Members.Service(r.Service)
--- a/entry/server.go
+++ b/entry/server.go
@@ -35,6 +35,9 @@
 	RevokeTimeout time.Duration
 	// DecisionRecords is how many decisions are kept for explain.
 	DecisionRecords int
+	// DecisionLogSample logs one of this many decisions that found an endpoint;
+	// 0 logs none of them. Decisions without an endpoint are always logged.
+	DecisionLogSample int
 	// Random returns the seed of a decision, which breaks ties between
 	// endpoints; nil means the runtime's generator. It is called concurrently.
 	Random func() uint64
@@ -50,13 +53,14 @@
 // DefaultOptions returns the settings used when nothing else is given.
 func DefaultOptions() Options {
 	return Options{
-		HostInterval:    time.Second,
-		ConfigInterval:  5 * time.Second,
-		RevokeTimeout:   5 * time.Second,
-		DecisionRecords: 4096,
-		ResultTimeout:   5 * time.Minute,
-		Claims:          call.DefaultClaimOptions(),
-		Wire:            wire.DefaultOptions(),
+		HostInterval:      time.Second,
+		ConfigInterval:    5 * time.Second,
+		RevokeTimeout:     5 * time.Second,
+		DecisionRecords:   4096,
+		DecisionLogSample: 1,
+		ResultTimeout:     5 * time.Minute,
+		Claims:            call.DefaultClaimOptions(),
+		Wire:              wire.DefaultOptions(),
 	}
 }
 
@@ -72,7 +76,9 @@
 	scheduler *route.Scheduler
 	tracker   *route.Tracker
 	decisions *decisions
-	claims    *call.Claims
+	// decided counts the decisions that found an endpoint.
+	decided atomic.Int64
+	claims  *call.Claims
 	// background counts the work that outlives its caller; life ends with Run.
 	background sync.WaitGroup
 	life       context.Context
--- /dev/null
+++ b/internal/entryd/entryd.go
@@ -0,0 +1,118 @@
+package entryd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/internal/process"
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/platform"
+)
+
+// operatorTimeout bounds how long an operator's client may take to send its
+// headers, and the end of running calls when the entry exits.
+const operatorTimeout = 5 * time.Second
+
+// Run runs an entry until ctx ends and its running requests have finished. The
+// error is a *process.SettingError, or several joined, for a bad setting.
+func Run(ctx context.Context, s Settings) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	log, err := process.Logger(s.LogLevel)
+	if err != nil {
+		return &process.SettingError{Flag: "--log-level", Value: s.LogLevel, Allowed: "debug, info, warn, error"}
+	}
+	reg := newRegistry()
+	srv, err := newServer(ctx, s, log, reg)
+	if err != nil {
+		return err
+	}
+	l, err := listen("--listen", s.Listen)
+	if err != nil {
+		return err
+	}
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	stopOperator, err := serveOperator(srv, s.OperatorListen, reg, log)
+	if err != nil {
+		finish()
+		_ = l.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		srv.Run(running)
+	}()
+	err = srv.Serve(ctx, srv.HTTPServer(), l, s.DrainDelay)
+	stopOperator()
+	finish()
+	<-ended // results of keyed calls whose callers left are stored by then
+	return err
+}
+
+func newServer(ctx context.Context, s Settings, log *zap.Logger, reg prometheus.Registerer) (*entry.Server, error) {
+	kv, err := kernel.Load[platform.KV](ctx, "kv.etcd", kernel.Settings{Address: s.KV, Timeout: s.KVTimeout, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	hosts, err := kernel.Load[platform.HostList](ctx, "hosts.httpsd", kernel.Settings{Address: s.Hosts, Timeout: s.HostsTimeout, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	opts := s.options()
+	opts.Log, opts.Registry = log, reg
+	return entry.New(opts, kv, hosts), nil
+}
+
+func listen(flag, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s: %w", flag, address, err)
+	}
+	return l, nil
+}
+
+// newRegistry returns a registry with the metrics of the process itself.
+func newRegistry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return reg
+}
+
+// serveOperator serves the operator API and returns what stops it. It serves
+// on while the entry drains. An empty address serves nothing.
+func serveOperator(srv *entry.Server, address string, reg *prometheus.Registry, log *zap.Logger) (stop func(), err error) {
+	if address == "" {
+		return func() {}, nil
+	}
+	l, err := listen("--operator-listen", address)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{Registry: reg}))
+	mux.Handle("/", srv.OperatorHandler())
+	h := &http.Server{Handler: mux, ReadHeaderTimeout: operatorTimeout}
+	go func() {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("operator API", zap.Error(err))
+		}
+	}()
+	log.Info("operator API", zap.String("address", l.Addr().String()))
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+		defer cancel()
+		_ = h.Shutdown(ctx)
+	}, nil
+}
--- /dev/null
+++ b/internal/entryd/entryd_test.go
@@ -0,0 +1,128 @@
+package entryd_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/internal/entryd"
+	"github.com/citrontiller/citrontiller/standin/engine"
+	"github.com/citrontiller/citrontiller/standin/fleet"
+)
+
+func parse(t *testing.T, args ...string) entryd.Settings {
+	t.Helper()
+	var s entryd.Settings
+	p, err := arg.NewParser(arg.Config{}, &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Parse(args); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a setting out of range that starts an entry, one that is
+// reported without its flag, and problems reported one at a time.
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	good := []string{"--listen", ":1", "--kv", "h:1", "--hosts", "http://h:1", "--region", "r", "--failure-domain", "d"}
+	is.NoErr(parse(t, good...).Check())
+	for _, flag := range []string{"--drain-delay", "--kv-timeout", "--hosts-timeout", "--host-interval", "--config-interval", "--revoke-timeout",
+		"--result-timeout", "--claim-lease-span", "--min-ack-timeout", "--agent-give-up", "--ticket-lifetime"} {
+		for _, bad := range []string{"-1s", "99h"} {
+			err := parse(t, append(good, flag+"="+bad)...).Check()
+			is.True(err != nil && strings.HasPrefix(err.Error(), flag+" ("))
+		}
+	}
+	for flag, bad := range map[string]string{"--decision-records": "0", "--decision-log-sample": "-1", "--operator-listen": "x"} {
+		err := parse(t, append(good, flag+"="+bad)...).Check()
+		is.True(err != nil && strings.HasPrefix(err.Error(), flag+" ("))
+	}
+	is.Equal(strings.Count(parse(t).Check().Error(), "got nothing"), 5)
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against an operator API that lacks a path, and a drain in which the
+// listener closes before readiness has failed.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	f, err := fleet.New(fleet.Loopback{}, nil)
+	is.NoErr(err)
+	defer f.Close()
+	_, err = f.AddAgent(fleet.Spec{Name: "agent", Region: "r", Service: func(string) string { return "llm" },
+		Engines: []engine.Options{{ID: "engine-0", Model: "m"}}})
+	is.NoErr(err)
+	store, err := f.Store()
+	is.NoErr(err)
+	_, err = store.Apply(t.Context(), []byte(`{"service":"llm","model":"m"}`), 0, "test")
+	is.NoErr(err)
+	listen, api := free(t), free(t)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- entryd.Run(ctx, parse(t, "--listen", listen, "--operator-listen", api, "--kv", f.KVAddress, "--hosts", f.HostsAddress,
+			"--region", "r", "--failure-domain", "d", "--id", "one", "--drain-delay", "400ms", "--log-level", "error"))
+	}()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	get := func(url string) (int, string) {
+		resp, err := client.Get("http://" + url)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(b)
+	}
+	until := func(want int, url string) {
+		t.Helper()
+		for range 200 {
+			if code, _ := get(url); code == want {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Fatalf("%s never answered %d", url, want)
+	}
+	until(http.StatusOK, listen+"/readyz")
+	for _, path := range []string{"/healthz", "/readyz", "/decisions/none"} {
+		code, _ := get(api + path)
+		is.Equal(code, http.StatusOK)
+	}
+	get(listen + "/v1/chat/completions")
+	_, metrics := get(api + "/metrics")
+	is.True(strings.Contains(metrics, "citrontiller_entry_requests_total{"))
+	var st entry.Status
+	_, body := get(api + "/status")
+	is.NoErr(json.Unmarshal([]byte(body), &st))
+	is.Equal(st.Entry, "one")
+	is.Equal(st.Services[0].Generation, int64(1))
+	is.Equal(st.Endpoints[0].ID, "engine-0")
+
+	stop()
+	until(http.StatusServiceUnavailable, listen+"/readyz")
+	code, _ := get(api + "/readyz")
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.NoErr(<-ended)
+	code, _ = get(listen + "/readyz")
+	is.Equal(code, 0)
+}
