entry: obey the document's stall timeout, account, claim, retry and body limits

Five groups of settings were ignored or held from the start of the process: timeouts.stall_timeout_ms (the link's 3 s), accounts[].max_running and accounts[].requests_per_second (unused), timeouts.claim_retention_s (24 h), budgets.retry_percent and hedge_percent of 0 (96 saved attempts stayed), and body limits below the defaults. Each now takes effect with the next request after a generation arrives. limits.write_stall_ms, max_body_bytes, the attempt bound and claim_writes_per_second were in effect already.

The stall timeout is a call's option, because a link serves many services. Claims of one retention share a lease; renewing leases on a change was ruled out, since claims made before it keep what they were promised. The body limits are those of the services that the key may use, as the service stands in the body.

--- a/call/claims.go
+++ b/call/claims.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/url"
 	"sync"
 	"time"
@@ -89,6 +90,9 @@
 	// Key and Revision are where the claim was read or written.
 	Key      string `json:"-"`
 	Revision int64  `json:"-"`
+	// Retention is how long a write keeps the claim at least; 0 means the
+	// retention of ClaimOptions.
+	Retention time.Duration `json:"-"`
 }
 
 // ClaimKey returns the store's key for a caller's idempotency key, which is
@@ -108,7 +112,7 @@
 
 // ClaimOptions are the settings of Claims.
 type ClaimOptions struct {
-	// Retention is how long a claim is kept at least.
+	// Retention is how long a claim is kept that has none of its own.
 	Retention time.Duration
 	// LeaseSpan is how long one lease is used for new claims. Its time to live
 	// is Retention plus LeaseSpan.
@@ -126,14 +130,19 @@
 	opts ClaimOptions
 
 	mu       sync.Mutex
-	lease    int64
-	granted  time.Time
+	leases   map[time.Duration]grantedLease
 	limiters map[string]*rate.Limiter
 }
 
+// grantedLease is a lease for the claims of one retention.
+type grantedLease struct {
+	id int64
+	at time.Time
+}
+
 // NewClaims returns claims in the given store.
 func NewClaims(kv platform.KV, opts ClaimOptions) *Claims {
-	return &Claims{kv: kv, opts: opts, limiters: map[string]*rate.Limiter{}}
+	return &Claims{kv: kv, opts: opts, leases: map[time.Duration]grantedLease{}, limiters: map[string]*rate.Limiter{}}
 }
 
 // Allow takes a call's share of the service's writes per second, or returns
@@ -169,7 +178,7 @@
 // updates the revision. A lost answer is settled by reading back. On any error
 // the claim must be taken as not made.
 func (c *Claims) Write(ctx context.Context, cl *Claim) error {
-	lease, err := c.currentLease(ctx)
+	lease, err := c.currentLease(ctx, cl.Retention)
 	if err != nil {
 		return &ClaimError{Code: ClaimStore, Err: err}
 	}
@@ -219,23 +228,28 @@
 	return c.kv.Delete(ctx, cl.Key, cl.Revision)
 }
 
-// currentLease returns the lease shared by the claims of one span. The span
-// counts from before the grant was sent, so that a claim lives at least as long
-// as the retention.
-func (c *Claims) currentLease(ctx context.Context) (int64, error) {
+// currentLease returns the lease shared by the claims of one retention and
+// span. The span counts from before the grant was sent, so that a claim lives at
+// least as long as the retention.
+func (c *Claims) currentLease(ctx context.Context, retention time.Duration) (int64, error) {
+	if retention <= 0 {
+		retention = c.opts.Retention
+	}
 	c.mu.Lock()
-	lease, granted := c.lease, c.granted
+	l, ok := c.leases[retention]
 	c.mu.Unlock()
-	if lease != 0 && time.Since(granted) < c.opts.LeaseSpan {
-		return lease, nil
+	if ok && time.Since(l.at) < c.opts.LeaseSpan {
+		return l.id, nil
 	}
 	start := time.Now()
-	lease, err := c.kv.Grant(ctx, c.opts.Retention+c.opts.LeaseSpan)
+	id, err := c.kv.Grant(ctx, retention+c.opts.LeaseSpan)
 	if err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease, c.granted = lease, start
-	return lease, nil
+	// Leases of retentions that no document has any more would stay otherwise.
+	maps.DeleteFunc(c.leases, func(_ time.Duration, l grantedLease) bool { return time.Since(l.at) >= c.opts.LeaseSpan })
+	c.leases[retention] = grantedLease{id, start}
+	return id, nil
 }
--- a/config/document.go
+++ b/config/document.go
@@ -92,6 +92,16 @@
 // Request returns the deadline of a request.
 func (t Timeouts) Request() time.Duration { return time.Duration(t.RequestMs) * time.Millisecond }
 
+// StallTimeout returns how long an accepted call may go without any message.
+func (t Timeouts) StallTimeout() time.Duration {
+	return time.Duration(t.StallTimeoutMs) * time.Millisecond
+}
+
+// ClaimRetention returns how long an idempotency claim is kept at least.
+func (t Timeouts) ClaimRetention() time.Duration {
+	return time.Duration(t.ClaimRetentionS) * time.Second
+}
+
 // Budgets bound repeated work.
 type Budgets struct {
 	RetryPercent          int `json:"retry_percent" range:"0..100" unit:"%" doc:"Retries, as a share of requests."`
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -13,9 +13,13 @@
 
 func newBudget(burst float64) *budget { return &budget{tokens: burst, burst: burst} }
 
-// earn credits one request at the given percentage.
+// earn credits one request at the given percentage. A percentage of 0 allows
+// nothing, not even what was saved up.
 func (b *budget) earn(percent int) {
 	b.mu.Lock()
+	if percent == 0 {
+		b.tokens = 0
+	}
 	b.tokens = min(b.burst, b.tokens+float64(percent)/100)
 	b.mu.Unlock()
 }
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -46,7 +46,7 @@
 	r := g.request
 	cl := &call.Claim{Key: g.key, Revision: g.revision, RequestID: open.RequestId, AttemptID: open.AttemptId,
 		BodySHA256: call.BodyDigest(r.Method, r.Path, r.Body), Endpoint: m.ID, Agent: m.Agent,
-		Incarnation: open.Incarnation, TicketMs: open.TicketMs}
+		Incarnation: open.Incarnation, TicketMs: open.TicketMs, Retention: r.Document.Timeouts.ClaimRetention()}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	if err := g.server.claims.Write(ctx, cl); err != nil {
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Document.Timeouts.Request())
 	open := &pb.Open{RequestId: held.RequestID, AttemptId: held.AttemptID, Incarnation: held.Incarnation, TicketMs: held.TicketMs}
 	a := &attempt{server: s, request: r, endpoint: held.Endpoint, link: link, open: open, answered: new(atomic.Bool),
-		call: link.StartAttached(ctx, held.RequestID, held.AttemptID, held.Incarnation)}
+		call: link.StartAttached(ctx, held.RequestID, held.AttemptID, held.Incarnation, wire.WithStallTimeout(r.Document.Timeouts.StallTimeout()))}
 	head, err := a.head(ctx)
 	if err != nil {
 		a.close()
@@ -186,6 +186,7 @@
 	}
 	resp := &Response{RequestID: held.RequestID, Endpoint: held.Endpoint, Head: *head, next: a.next, close: func() { a.close(); cancel() },
 		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}
+	held.Retention = r.Document.Timeouts.ClaimRetention()
 	return s.recording(resp, held), nil
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/wire"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
@@ -69,7 +70,7 @@
 			return nil, err
 		}
 	}
-	c := link.Start(ctx, open)
+	c := link.Start(ctx, open, wire.WithStallTimeout(r.Document.Timeouts.StallTimeout()))
 	a := &attempt{server: s, request: r, endpoint: endpoint, remote: m.Region != s.opts.Region, link: link, open: open, call: c, answered: answered, feedback: fb}
 	head, aerr := a.head(ctx)
 	if aerr != nil {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -2,17 +2,48 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
+	"golang.org/x/time/rate"
 
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/config"
 )
 
 type accountKey struct{ service, account string }
 
+// rates limits the new requests of each account at this entry. An account
+// without a limit has no limiter.
+type rates struct {
+	mu       sync.Mutex
+	limiters map[accountKey]*rate.Limiter
+}
+
+// allow takes one request out of perSecond, saved up for one second at most.
+// 0 means no limit.
+func (l *rates) allow(k accountKey, perSecond int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if perSecond <= 0 {
+		delete(l.limiters, k)
+		return true
+	}
+	r := l.limiters[k]
+	switch {
+	case r == nil:
+		r = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+		l.limiters[k] = r
+	case r.Burst() != perSecond:
+		r.SetLimit(rate.Limit(perSecond))
+		r.SetBurst(perSecond)
+	}
+	return r.Allow()
+}
+
 // running counts the running requests of each account at this entry.
 type running struct {
 	mu     sync.Mutex
@@ -38,16 +69,37 @@
 	}
 }
 
-// limiting is the middleware that bounds the running requests of an account.
+// limitsOf returns the limits on an account: running requests, and new requests
+// a second, where 0 means no limit.
+func limitsOf(d *config.Document, account string) (running, perSecond int) {
+	running = d.Limits.MaxRunningPerAccount
+	for _, a := range d.Accounts {
+		if a.Name != account {
+			continue
+		}
+		if a.MaxRunning > 0 {
+			running = a.MaxRunning
+		}
+		return running, a.RequestsPerSecond
+	}
+	return running, 0
+}
+
+// limiting is the middleware that bounds the running requests and the new
+// requests of an account.
 // The place is held until the response is closed.
 func (s *Server) limiting(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, request any) (any, error) {
 		r := request.(*Request)
 		k := accountKey{r.Service, r.Account}
-		limit := r.Document.Limits.MaxRunningPerAccount
+		limit, perSecond := limitsOf(r.Document, r.Account)
+		if !s.rates.allow(k, perSecond) {
+			return nil, &Error{Status: http.StatusTooManyRequests, Code: CodeTooManyRequests, Run: call.NotRun, RetryAfter: time.Second,
+				Message: fmt.Sprintf("the account may send %d requests a second to the service at this entry", perSecond)}
+		}
 		if !s.running.acquire(k, limit) {
 			return nil, &Error{Status: http.StatusTooManyRequests, Code: CodeTooManyRequests, Run: call.NotRun, RetryAfter: time.Second,
-				Message: "the account already runs as many requests as the service allows at this entry"}
+				Message: fmt.Sprintf("the account already runs %d requests of the service at this entry", limit)}
 		}
 		resp, err := next(ctx, request)
 		if err != nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -99,7 +99,7 @@
 	if err := s.authenticate(r); err != nil {
 		return nil, err
 	}
-	body, err := s.readBody(hr)
+	body, err := s.readBody(hr, keyHash(r.Token))
 	if err != nil {
 		return nil, err
 	}
@@ -115,9 +115,10 @@
 	return t
 }
 
-// readBody reads at most the largest body any service allows, within the body timeout.
-func (s *Server) readBody(hr *http.Request) ([]byte, error) {
-	limit, timeout := s.bodyLimits()
+// readBody reads at most the largest body that a service of the key allows,
+// within the body timeout.
+func (s *Server) readBody(hr *http.Request, keyHash string) ([]byte, error) {
+	limit, timeout := s.bodyLimits(keyHash)
 	if hr.ContentLength > limit {
 		return nil, invalid(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body exceeds %d bytes", limit)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
@@ -84,6 +85,7 @@
 	life       context.Context
 	end        context.CancelFunc
 	running    running
+	rates      rates
 	metrics    *metrics
 	draining   atomic.Bool
 	sync       *configSync
@@ -112,7 +114,7 @@
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
 		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
-		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
+		running: running{counts: map[accountKey]int{}}, rates: rates{limiters: map[accountKey]*rate.Limiter{}}, metrics: newMetrics(opts.Registry),
 		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
@@ -239,12 +241,16 @@
 	return false
 }
 
-// bodyLimits returns the largest body and the longest body timeout of any service.
-func (s *Server) bodyLimits() (int64, time.Duration) {
-	d := config.Default()
-	limit, timeout := d.Limits.MaxBodyBytes, d.Timeouts.BodyReadMs
+// bodyLimits returns the largest body and the longest body timeout of the
+// services that a key may use. Which of them is asked for stands in the body.
+func (s *Server) bodyLimits(keyHash string) (int64, time.Duration) {
+	var limit, timeout int64
 	for _, name := range s.Config.Services() {
-		if e, ok := s.Config.Get(name); ok {
+		e, ok := s.Config.Get(name)
+		if !ok {
+			continue
+		}
+		if _, ok := accountOf(e.Document, keyHash); ok {
 			limit = max(limit, e.Document.Limits.MaxBodyBytes)
 			timeout = max(timeout, e.Document.Timeouts.BodyReadMs)
 		}
--- a/wire/call.go
+++ b/wire/call.go
@@ -36,6 +36,8 @@
 	open *pb.Open
 	out  chan Message
 	stop context.CancelFunc
+	// stall is how long an accepted call may go without any message.
+	stall time.Duration
 	// attached calls leave the attempt to the call that opened it.
 	attached bool
 
@@ -50,22 +52,36 @@
 	echoed    uint64
 }
 
+// CallOption changes a call's settings from those of its link.
+type CallOption func(*Call)
+
+// WithStallTimeout sets how long an accepted call may go without any message
+// before it is attached on a new connection.
+func WithStallTimeout(d time.Duration) CallOption { return func(c *Call) { c.stall = d } }
+
 // Start begins an attempt. The open's incarnation and ticket must come from
 // Ticket. Cancelling ctx cancels the attempt; the caller reads Messages until
 // the channel closes.
-func (l *Link) Start(ctx context.Context, open *pb.Open) *Call {
+func (l *Link) Start(ctx context.Context, open *pb.Open, opts ...CallOption) *Call {
 	ctx, stop := context.WithCancel(ctx)
 	c := &Call{link: l, open: open, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer()}
-	go c.loop(ctx)
-	return c
+	return c.begin(ctx, opts)
 }
 
 // StartAttached joins an attempt that another call has opened. Cancelling ctx
 // leaves the attempt alone.
-func (l *Link) StartAttached(ctx context.Context, requestID, attemptID, incarnation string) *Call {
+func (l *Link) StartAttached(ctx context.Context, requestID, attemptID, incarnation string, opts ...CallOption) *Call {
 	ctx, stop := context.WithCancel(ctx)
 	c := &Call{link: l, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer(), sent: true, accepted: true, attached: true,
 		open: &pb.Open{RequestId: requestID, AttemptId: attemptID, Incarnation: incarnation}}
+	return c.begin(ctx, opts)
+}
+
+func (c *Call) begin(ctx context.Context, opts []CallOption) *Call {
+	c.stall = c.link.opts.StallTimeout
+	for _, o := range opts {
+		o(c)
+	}
 	go c.loop(ctx)
 	return c
 }
@@ -120,7 +136,7 @@
 		if !errors.Is(err, errSilent) {
 			c.link.pause(ctx, timeout)
 		}
-		timeout = min(2*timeout, c.link.opts.StallTimeout)
+		timeout = min(2*timeout, c.stall)
 	}
 }
 
@@ -252,7 +268,7 @@
 			if done || err != nil {
 				return done, heard, err
 			}
-			silence.Reset(c.link.opts.StallTimeout)
+			silence.Reset(c.stall)
 		case <-silence.C:
 			return false, heard, errSilent
 		case <-ack.C:
@@ -326,7 +342,7 @@
 	case *pb.Down_Progress:
 		c.link.observe(c.open.Incarnation, k.Progress.TicketMs, k.Progress.Load)
 		c.echoed = k.Progress.AckedSeq
-		if c.echoed < c.acked && time.Since(c.ackedAt) > c.link.opts.StallTimeout {
+		if c.echoed < c.acked && time.Since(c.ackedAt) > c.stall {
 			return false, errSilent
 		}
 	case *pb.Down_End:
