--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -109,7 +109,8 @@
 
 // hedge starts another attempt. An attempt that its agent has not answered at
 // all is lost contact rather than a slow endpoint: it is revoked as soon as
-// another one delivers, and costs no budget.
+// another one delivers, and costs no budget. A budget of 0% disables the others,
+// whatever the burst.
 func (c *race) hedge(ctx context.Context) {
 	if !c.request.Idempotent || ctx.Err() != nil {
 		return
@@ -120,7 +121,8 @@
 			answered++
 		}
 	}
-	if answered > 0 && (len(c.live) > 1 || !c.budgets.hedge.spend()) {
+	disabled := c.request.Document.Budgets.HedgePercent == 0
+	if answered > 0 && (disabled || len(c.live) > 1 || !c.budgets.hedge.spend()) {
 		return
 	}
 	if c.launch(ctx) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -38,6 +38,8 @@
 	// Random returns the seed of a decision, which breaks ties between
 	// endpoints; nil means the runtime's generator. It is called concurrently.
 	Random func() uint64
+	// Scheduler chooses endpoints; nil means the plug-ins of the design page.
+	Scheduler *route.Scheduler
 	// ResultTimeout bounds the reading of a keyed response whose caller left.
 	ResultTimeout time.Duration
 	Claims        call.ClaimOptions
@@ -99,13 +101,16 @@
 	if opts.Random == nil {
 		opts.Random = rand.Uint64
 	}
+	if opts.Scheduler == nil {
+		opts.Scheduler = newScheduler(opts.Log)
+	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
 	life, end := context.WithCancel(context.Background())
 	s := &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
-		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
+		scheduler: opts.Scheduler, tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
 		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
 		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,10 +4,13 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +27,13 @@
 	// PrefillPerToken and TokenGap are the engine's speed when it runs one request.
 	PrefillPerToken time.Duration
 	TokenGap        time.Duration
+	// GapPerRequest is added to TokenGap for each running request.
+	GapPerRequest time.Duration
+	// SerialPrefill lets one request prefill at a time.
+	SerialPrefill bool
+	// Length returns the natural length of the answer to a prompt in tokens;
+	// nil means that every answer has the caller's max_tokens.
+	Length func(prompt string) int
 	// Slots is the batch size; more requests wait.
 	Slots int
 	// CacheBlocks is the cache's capacity, BlockLifetime the time after which an
@@ -64,6 +74,10 @@
 	Cancelled    int
 	PromptTokens int
 	CachedTokens int
+	// Wasted is the number of tokens generated for streams that were cut,
+	// WastedPrompt the number of prompt tokens computed for them.
+	Wasted       int
+	WastedPrompt int
 	// ByRequest counts dispatches by X-Request-Id.
 	ByRequest map[string]int
 	// Foreign counts cache hits on blocks of another salt or boot; it must stay 0.
@@ -84,6 +98,8 @@
 type Server struct {
 	opts  Options
 	slots chan struct{}
+	// prefilling holds one element while a serial prefill runs.
+	prefilling chan struct{}
 
 	mu      sync.Mutex
 	boot    string
@@ -106,6 +122,8 @@
 	salt string
 	boot string
 	used time.Time
+	// end is the offset of the block's end in its prompt.
+	end int
 }
 
 type event struct {
@@ -139,7 +157,7 @@
 	if o.BlockLifetime == 0 {
 		o.BlockLifetime = 10 * time.Second
 	}
-	s := &Server{opts: o, slots: make(chan struct{}, o.Slots), version: o.Version, changed: make(chan struct{}),
+	s := &Server{opts: o, slots: make(chan struct{}, o.Slots), prefilling: make(chan struct{}, 1), version: o.Version, changed: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(o.ID), 1))}
 	s.counts.ByRequest = map[string]int{}
 	s.Restart()
@@ -284,8 +302,8 @@
 	defer func() { <-s.slots }()
 
 	text, seed, done := req.prompt()
-	prompt, cached := s.prefill(text, req.CacheSalt, id)
-	if !s.sleep(r, time.Duration(prompt-cached)*s.opts.PrefillPerToken) {
+	prompt, cached, ok := s.compute(r, text, req.CacheSalt, id)
+	if !ok {
 		s.done(0, -1, false)
 		return
 	}
@@ -293,10 +311,53 @@
 	if n <= 0 {
 		n = 16
 	}
-	ok := s.generate(w, r, req, id, seed, done, n, usage{prompt, n, prompt + n, cachedDetails{cached}})
+	if s.opts.Length != nil {
+		n = min(n, s.opts.Length(seed))
+	}
+	sent, ok := s.generate(w, r, req, id, seed, done, n, usage{prompt, n, prompt + n, cachedDetails{cached}})
+	if !ok {
+		s.waste(sent, prompt-cached)
+	}
 	s.done(0, -1, ok)
 }
 
+// compute prefills the prompt; ok is false when the caller left, and the part
+// computed until then counts as wasted.
+func (s *Server) compute(r *http.Request, text, salt, id string) (prompt, cached int, ok bool) {
+	if s.opts.SerialPrefill {
+		select {
+		case s.prefilling <- struct{}{}:
+			defer func() { <-s.prefilling }()
+		case <-r.Context().Done():
+			return 0, 0, false
+		}
+	}
+	prompt, cached = s.prefill(text, salt, id)
+	begin, whole := time.Now(), time.Duration(prompt-cached)*s.opts.PrefillPerToken
+	if s.sleep(r, whole) {
+		return prompt, cached, true
+	}
+	if whole > 0 {
+		share := min(1, float64(time.Since(begin))/float64(whole))
+		s.waste(0, int(share*float64(prompt-cached)))
+	}
+	return prompt, cached, false
+}
+
+func (s *Server) waste(tokens, prompt int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Wasted += tokens
+	s.counts.WastedPrompt += prompt
+}
+
+// gap returns the time to the next token.
+func (s *Server) gap() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.TokenGap + time.Duration(s.running)*s.opts.GapPerRequest
+}
+
 func (s *Server) done(waiting, running int, completed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -367,7 +428,7 @@
 			continue
 		}
 		hit = false
-		s.cache[key] = &block{salt: salt, boot: s.boot, used: now}
+		s.cache[key] = &block{salt: salt, boot: s.boot, used: now, end: end}
 		stored = append(stored, jsonBlock{key, int64(end / 4)})
 	}
 	if len(stored) > 0 {
@@ -382,18 +443,38 @@
 func (s *Server) evict(now time.Time) {
 	var gone []jsonBlock
 	for k, b := range s.cache {
-		if now.Sub(b.used) > s.opts.BlockLifetime || len(s.cache)-len(gone) > s.opts.CacheBlocks {
+		if now.Sub(b.used) > s.opts.BlockLifetime {
 			gone = append(gone, jsonBlock{Hash: k})
 		}
 	}
 	for _, g := range gone {
 		delete(s.cache, g.Hash)
 	}
+	gone = append(gone, s.displace()...)
 	if len(gone) > 0 {
 		s.emit("removed", "", gone)
 	}
 }
 
+// displace drops the least recently used blocks over capacity, of equal age the
+// deepest first; the caller holds mu.
+func (s *Server) displace() []jsonBlock {
+	over := len(s.cache) - s.opts.CacheBlocks
+	if over <= 0 {
+		return nil
+	}
+	keys := slices.SortedFunc(maps.Keys(s.cache), func(a, b uint64) int {
+		x, y := s.cache[a], s.cache[b]
+		return cmp.Or(x.used.Compare(y.used), cmp.Compare(y.end, x.end), cmp.Compare(a, b))
+	})
+	gone := make([]jsonBlock, 0, over)
+	for _, k := range keys[:over] {
+		delete(s.cache, k)
+		gone = append(gone, jsonBlock{Hash: k})
+	}
+	return gone
+}
+
 // emit adds a cache event; the caller holds mu.
 func (s *Server) emit(kind, request string, blocks []jsonBlock) {
 	seq := uint64(1)
@@ -441,8 +522,9 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
-// generate writes the tokens from done to n; it returns false when it was cut.
-func (s *Server) generate(w http.ResponseWriter, r *http.Request, req completion, id, seed string, done, n int, u usage) bool {
+// generate writes the tokens from done to n. It returns the number generated,
+// and false when it was cut.
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, req completion, id, seed string, done, n int, u usage) (int, bool) {
 	chat := r.URL.Path == "/v1/chat/completions"
 	s.mu.Lock()
 	crash := s.faults.CrashAfterTokens
@@ -455,12 +537,12 @@
 		if crash > 0 && i-done >= crash {
 			panic(http.ErrAbortHandler)
 		}
-		if !s.sleep(r, s.opts.TokenGap) {
-			return false
+		if !s.sleep(r, s.gap()) {
+			return i - done, false
 		}
 		if req.Stream {
 			if !send(w, rc, streamed(chat, id, s.opts.Model, token(seed, i), nil, nil)) {
-				return false
+				return i + 1 - done, false
 			}
 		}
 	}
@@ -468,7 +550,7 @@
 	if req.Stream {
 		ok := send(w, rc, streamed(chat, id, s.opts.Model, "", &stop, &u))
 		_, err := fmt.Fprint(w, "data: [DONE]\n\n")
-		return ok && err == nil && rc.Flush() == nil
+		return n - done, ok && err == nil && rc.Flush() == nil
 	}
 	text := ""
 	for i := done; i < n; i++ {
@@ -481,7 +563,7 @@
 		a.Object = "text_completion"
 		a.Choices = []choice{{Text: &text, FinishReason: &stop}}
 	}
-	return json.NewEncoder(w).Encode(a) == nil
+	return n - done, json.NewEncoder(w).Encode(a) == nil
 }
 
 func streamed(chat bool, id, model, text string, stop *string, u *usage) answer {
