admit: learn the prefill speed from prefill alone

Agents reported a prefill speed several times too low, so entries overrated missing tokens and kept requests at busy homes. Three causes, all in the mean of first token time per computed token: prompts with 100 computed tokens, whose time is the first decode step; prompts that waited for others inside the engine; and whole answers, whose first byte comes at the end. The speed is now the ratio of two means over streamed answers with at least 1,000 computed tokens that found no other prefill at the engine.

--- a/admit/predictor.go
+++ b/admit/predictor.go
@@ -14,8 +14,9 @@
 	// smoothing is the weight of the newest observation.
 	smoothing = 0.1
 	// minPrefill is the smallest number of computed prompt tokens whose time
-	// tells the prefill speed; below it fixed costs dominate.
-	minPrefill = 64
+	// tells the prefill speed. Below it the first decode step dominates, up to
+	// 64 ms against 25 ms for 1,000 tokens at 40,000 a second.
+	minPrefill = 1000
 	// defaultOutput and defaultService are used before any observation.
 	defaultOutput  = 128
 	defaultService = time.Second
@@ -34,7 +35,10 @@
 	// Computed is the number of prompt tokens that were not in the cache.
 	Computed int64
 	Output   int64
-	// First is the time from dispatch to the first token, Total to the end.
+	// Queued is true when another prefill delayed this one inside the endpoint.
+	Queued bool
+	// First is the time from dispatch to the first token, 0 when the answer
+	// doesn't show it; Total is the time to the end.
 	First time.Duration
 	Total time.Duration
 }
@@ -59,9 +63,11 @@
 // from what earlier requests really used, never from the caller's limits.
 // Methods are safe for concurrent use.
 type Predictor struct {
-	mu      sync.Mutex
-	keys    *lru.Cache[predictorKey, *history]
-	prefill mean // seconds per token
+	mu   sync.Mutex
+	keys *lru.Cache[predictorKey, *history]
+	// prefillTime and prefillTokens are means over the same requests; their
+	// ratio weighs each token alike. A mean of ratios overweighs short prompts.
+	prefillTime, prefillTokens mean
 }
 
 // NewPredictor returns a predictor without observations.
@@ -85,18 +91,28 @@
 	if !ok {
 		return Estimate{Output: defaultOutput, Service: defaultService}
 	}
-	seconds := h.decode.value + float64(max(0, computed))*p.prefill.value
+	seconds := h.decode.value + float64(max(0, computed))*p.secondsPerToken()
 	return Estimate{Output: int64(h.output.value + 0.5), Service: time.Duration(seconds * float64(time.Second))}
 }
 
+// Prefill estimates the time to compute prompt tokens, zero when unknown.
+func (p *Predictor) Prefill(computed int64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(float64(max(0, computed)) * p.secondsPerToken() * float64(time.Second))
+}
+
 // Observe records a finished request.
 func (p *Predictor) Observe(service, account string, o Observation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	decode := o.Total
-	if o.Computed >= minPrefill {
-		p.prefill.add(o.First.Seconds() / float64(o.Computed))
+	if o.Computed >= minPrefill && o.First > 0 {
 		decode -= o.First
+		if !o.Queued {
+			p.prefillTime.add(o.First.Seconds())
+			p.prefillTokens.add(float64(o.Computed))
+		}
 	}
 	for _, k := range []predictorKey{{service, account}, {service: service}} {
 		h, ok := p.keys.Get(k)
@@ -113,8 +129,16 @@
 func (p *Predictor) PrefillSpeed() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.prefill.value <= 0 {
+	if p.prefillTime.value <= 0 {
+		return 0
+	}
+	return int64(p.prefillTokens.value / p.prefillTime.value)
+}
+
+// secondsPerToken returns the observed prefill time; the caller holds mu.
+func (p *Predictor) secondsPerToken() float64 {
+	if p.prefillTokens.value <= 0 {
 		return 0
 	}
-	return int64(1 / p.prefill.value)
+	return p.prefillTime.value / p.prefillTokens.value
 }
--- a/admit/predictor_test.go
+++ b/admit/predictor_test.go
@@ -24,3 +24,18 @@
 	is.Equal(p.Predict("s", "b", 0).Output, int64(1000))
 	is.True(p.Predict("s", "new", 0).Output > 500) // as the service lately
 }
+
+// Guards against a prefill speed spoiled by prompts whose first token took long
+// for other reasons: few computed tokens, a queue in the engine, no streaming.
+func TestPrefillSpeed(t *testing.T) {
+	is := is.New(t)
+	p := NewPredictor()
+	for range 50 {
+		p.Observe("s", "a", Observation{Computed: 4000, First: 100 * time.Millisecond, Total: time.Second})
+		p.Observe("s", "a", Observation{Computed: 100, First: 60 * time.Millisecond, Total: time.Second})
+		p.Observe("s", "a", Observation{Computed: 4000, Queued: true, First: time.Second, Total: 2 * time.Second})
+		p.Observe("s", "a", Observation{Computed: 4000, Total: 5 * time.Second})
+	}
+	is.Equal(p.PrefillSpeed(), int64(40_000))
+	is.Equal(p.Prefill(4000).Round(time.Millisecond), 100*time.Millisecond)
+}
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -17,6 +17,7 @@
 type meter struct {
 	sink    Sink
 	ep      *local
+	prefill *admit.Prefill
 	stream  bool
 	status  int
 	started time.Time
@@ -26,8 +27,8 @@
 	tail    []byte
 }
 
-func newMeter(sink Sink, ep *local, stream bool) *meter {
-	return &meter{sink: sink, ep: ep, stream: stream, started: time.Now()}
+func newMeter(sink Sink, ep *local, prefill *admit.Prefill, stream bool) *meter {
+	return &meter{sink: sink, ep: ep, prefill: prefill, stream: stream, started: time.Now()}
 }
 
 // Head implements Sink.
@@ -42,6 +43,7 @@
 	m.parts++
 	if m.first == 0 {
 		m.first = time.Since(m.started)
+		m.prefill.Done()
 	} else if m.stream {
 		m.ep.gap(time.Since(m.last))
 	}
@@ -68,8 +70,11 @@
 	if !ok {
 		output = m.parts
 	}
-	m.ep.predictor.Observe(service, account, admit.Observation{Computed: prompt - cached, Output: output,
-		First: m.first, Total: time.Since(m.started)})
+	o := admit.Observation{Computed: prompt - cached, Output: output, Queued: m.prefill.Queued, Total: time.Since(m.started)}
+	if m.stream {
+		o.First = m.first
+	}
+	m.ep.predictor.Observe(service, account, o)
 	if !known {
 		return -1
 	}
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -42,6 +42,7 @@
 	queue     *admit.Queue
 	limiter   *admit.Limiter
 	predictor *admit.Predictor
+	backlog   *admit.Backlog
 	weight    func(service, account string) int
 
 	view *blocks.View
@@ -57,7 +58,7 @@
 	if weight == nil {
 		weight = func(string, string) int { return 1 }
 	}
-	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), view: blocks.NewView(),
+	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), backlog: &admit.Backlog{}, view: blocks.NewView(),
 		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
 		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
 }
--- a/agent/server.go
+++ b/agent/server.go
@@ -232,8 +232,10 @@
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
 	req := request(o)
 	req.Priority = p.priority()
-	m := newMeter(a, ep, o.Stream)
+	prefill := ep.backlog.Begin(ep.predictor.Prefill(p.prompt - p.cached))
+	m := newMeter(a, ep, prefill, o.Stream)
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
+	prefill.Done()
 	ep.queue.Done(p.ticket)
 	if err == nil {
 		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
