blocks: ignore late events and reports of a dead engine

Cause: an event or a load report that arrives after the engine restarted names the boot id from before.

The view now remembers the last four boot ids it left and ignores what names them. Ruled out: ordering by time, since boot ids carry none.

TestRestartAndVersion has the case; shown failing without the list of retired boot ids on a scratch copy.

--- a/blocks/view.go
+++ b/blocks/view.go
@@ -4,6 +4,7 @@
 package blocks
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -52,6 +53,8 @@
 	// maxRequests bounds the requests whose levels wait for stored events;
 	// older ones are forgotten first.
 	maxRequests = 1024
+	// maxRetired bounds the boot ids that are remembered as dead.
+	maxRetired = 4
 	// lossFactor lowers the confidence at a gap, smoothing moves it to the
 	// share of expected tokens that the engine reports as cached.
 	lossFactor = 0.9
@@ -85,7 +88,7 @@
 	Blocks int
 	Events uint64
 	// Gaps, Duplicates and Resets count jumps of the sequence number, events
-	// seen before, and new boot ids or cleared caches.
+	// seen before or of a dead engine, and new boot ids or cleared caches.
 	Gaps, Duplicates, Resets uint64
 	// Confidence is the expected share of known blocks that are still cached.
 	Confidence float64
@@ -96,9 +99,12 @@
 // View is the expected content of one engine's cache. Methods are safe for
 // concurrent use.
 type View struct {
-	mu         sync.Mutex
-	start      time.Time
-	boot       string
+	mu    sync.Mutex
+	start time.Time
+	boot  string
+	// retired are the last boot ids before boot, whose late events and reports
+	// say nothing about the running engine.
+	retired    [maxRetired]string
 	version    string
 	seq        uint64
 	blocks     map[uint64]entry
@@ -130,6 +136,9 @@
 func (v *View) SetEngine(boot, version string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if slices.Contains(v.retired[:], boot) && boot != "" {
+		return
+	}
 	if boot != v.boot {
 		v.restart(boot)
 	}
@@ -144,6 +153,8 @@
 func (v *View) restart(boot string) {
 	if v.boot != "" {
 		v.reset()
+		copy(v.retired[1:], v.retired[:])
+		v.retired[0] = v.boot
 	}
 	v.boot, v.seq = boot, 0
 }
@@ -185,6 +196,10 @@
 func (v *View) Apply(e Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if slices.Contains(v.retired[:], e.BootID) && e.BootID != "" {
+		v.stats.Duplicates++
+		return
+	}
 	if e.BootID != v.boot {
 		v.restart(e.BootID)
 	}
--- a/blocks/view_test.go
+++ b/blocks/view_test.go
@@ -65,6 +65,13 @@
 		"cleared cache":             func(v *View) { v.Apply(Event{Seq: 2, BootID: "b", Kind: Cleared}) },
 		"sequence starts at 1 anew": func(v *View) { v.Apply(stored(50, "b")); v.SetEngine("c", "v1") },
 	}
+	late := func(v *View) {
+		v.SetEngine("c", "v1")
+		v.Apply(stored(9, "b"))
+		v.SetEngine("b", "v1")
+		v.Apply(stored(10, "b"))
+	}
+	change["late event and report of a dead engine"] = late
 	for name, f := range change {
 		v := NewView()
 		v.SetEngine("b", "v1")
