Refuse other weights at dispatch and in a continuation

Cause: the entry's filter knows an engine's weights from the last load report. An engine that came back with other weights between the report and the dispatch got the request, and a stream resumed there was delivered as text of two versions.

- The agent refuses with "not run" when the engine's known version differs from the Open's at dispatch, and reads the load report at once when the event stream ends, which a crash causes before the next regular report.
- The entry compares system_fingerprint of a continuation with that of the stream's start and treats a difference as a failed continuation.
A check of reports alone was ruled out: it leaves the time between report and dispatch.
An engine without fingerprints keeps that window.
- The stand-in engine's tokens depend on its version; it can crash with its connections (Reboot), load weights at once and repeat events.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -75,6 +75,8 @@
 			pause = eventPause
 		}
 		s.log.Debug("event stream ended", zap.String("endpoint", ep.ID), zap.Error(err))
+		// A crash breaks the stream before the next regular report is due.
+		_ = s.pollLoad(ctx, ep)
 		sleep(ctx, jitter(pause))
 		pause = min(2*pause, maxBackoff)
 	}
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -175,6 +175,14 @@
 	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version
 }
 
+// otherVersion reports whether the engine is known to have other weights than
+// the wanted ones. A resumed answer would mix the text of two versions.
+func (l *local) otherVersion(wanted string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return wanted != "" && l.report.Version != "" && l.report.Version != wanted
+}
+
 // load returns what the agent knows of the endpoint.
 func (l *local) load() *pb.EndpointLoad {
 	running, queued, limit := l.queue.Counts()
--- a/agent/server.go
+++ b/agent/server.go
@@ -221,6 +221,13 @@
 		a.refuse(s.overloaded(ep, "the deadline passed in the queue", 0))
 		return
 	}
+	if ep.otherVersion(o.Version) {
+		s.table.Revoke(a.key, always)
+		r := s.refusal(pb.RefusalCode_REFUSAL_UNKNOWN_ENDPOINT, "the engine has other weights", pb.Run_RUN_NOT_RUN)
+		r.Load = ep.load()
+		a.refuse(r)
+		return
+	}
 	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
 		s.table.Revoke(a.key, always)
 		a.refuse(s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
--- a/agent/server_test.go
+++ b/agent/server_test.go
@@ -239,29 +239,70 @@
 	})
 }
 
-// Guards against a cache view that learns nothing from the engine's events or
-// outlives the engine's restart.
-func TestCachedTokens(t *testing.T) {
-	virtual(t, 2, func(r *rig) {
-		is := is.New(r)
-		cached := func(id string) int64 {
-			o := r.open(id, "a", 1)
-			o.Http.Body = []byte(fmt.Sprintf(`{"max_tokens":1,"stream":true,"messages":[{"role":"user","content":%q}]}`, strings.Repeat("x", 2000)))
-			o.Levels = []*pb.Level{{Hash: 7, Tokens: 500}}
-			s, err := r.client.Run(context.Background())
-			is.NoErr(err)
-			is.NoErr(s.Send(&pb.Up{Kind: &pb.Up_Open{Open: o}}))
-			d, err := s.Recv()
-			is.NoErr(err)
+// cached runs a request with a prompt of 500 tokens and the given weights. It
+// returns the cached tokens that the agent expected, -1 when it refused.
+func (r *rig) cached(id, version string) int64 {
+	is := is.New(r)
+	o := r.open(id, "a", 1)
+	o.Version = version
+	o.Http.Body = []byte(fmt.Sprintf(`{"max_tokens":1,"stream":true,"messages":[{"role":"user","content":%q}]}`, strings.Repeat("x", 2000)))
+	o.Levels = []*pb.Level{{Hash: 7, Tokens: 500}}
+	s, err := r.client.Run(context.Background())
+	is.NoErr(err)
+	is.NoErr(s.Send(&pb.Up{Kind: &pb.Up_Open{Open: o}}))
+	expected := int64(-1)
+	for {
+		d, err := s.Recv()
+		is.NoErr(err)
+		switch k := d.Kind.(type) {
+		case *pb.Down_Accepted:
+			expected = k.Accepted.CachedTokens
+		case *pb.Down_Refused:
+			is.Equal(k.Refused.Run, pb.Run_RUN_NOT_RUN)
+			return -1
+		case *pb.Down_End:
 			time.Sleep(time.Second) // the events arrive
-			return d.GetAccepted().CachedTokens
+			return expected
 		}
-		time.Sleep(time.Second)
-		is.Equal(cached("first"), int64(0))
-		is.Equal(cached("second"), int64(448)) // 7 blocks of 64 tokens
-		r.engine.Restart()
-		time.Sleep(2 * time.Second)
-		is.Equal(cached("third"), int64(0))
-		is.Equal(cached("fourth"), int64(448))
-	})
+	}
+}
+
+// Guards against a cache view that learns nothing from the engine's events,
+// and one that outlives the engine or its weights, with any fault of the events.
+func TestCachedTokens(t *testing.T) {
+	const blocks = 448 // 7 blocks of 64 tokens
+	for name, c := range map[string]struct {
+		faults engine.Faults
+		known  int64
+	}{
+		"events":          {engine.Faults{}, blocks},
+		"late events":     {engine.Faults{EventDelay: 3 * time.Second}, 0},
+		"repeated events": {engine.Faults{EventRepeat: true}, blocks},
+		"lost events":     {engine.Faults{EventLoss: 1}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtual(t, 2, func(r *rig) {
+				is := is.New(r)
+				r.engine.SetFaults(c.faults)
+				time.Sleep(time.Second)
+				is.Equal(r.cached("first", "v1"), int64(0))
+				is.Equal(r.cached("second", "v1"), c.known)
+				r.engine.Reboot("v1")
+				time.Sleep(10 * time.Millisecond) // far less than the time between reports
+				is.Equal(r.cached("third", "v1"), int64(0))
+				is.Equal(r.cached("fourth", "v1"), c.known)
+				r.engine.Reboot("v2")
+				time.Sleep(10 * time.Millisecond)
+				before := r.engine.Counts().Requests
+				is.Equal(r.cached("old weights", "v1"), int64(-1))
+				is.Equal(r.engine.Counts().Requests, before)
+				is.Equal(r.cached("new weights", "v2"), int64(0))
+				time.Sleep(3 * time.Second)
+				is.Equal(r.cached("again", "v2"), int64(blocks)*min(1, c.known+int64(c.faults.EventDelay)))
+				r.engine.Restart() // nothing but the next report tells the agent
+				time.Sleep(2 * time.Second)
+				is.Equal(r.cached("silent restart", "v2"), int64(0))
+			})
+		})
+	}
 }
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -25,8 +25,10 @@
 
 // event is what the entry reads of one streamed chunk.
 type event struct {
-	ID      string `json:"id"`
-	Choices []struct {
+	ID string `json:"id"`
+	// Fingerprint identifies the weights; engines may leave it out.
+	Fingerprint string `json:"system_fingerprint"`
+	Choices     []struct {
 		Index int `json:"index"`
 		// Delta is set in chat chunks, Text in those of plain completions.
 		Delta        *eventDelta `json:"delta"`
@@ -47,6 +49,7 @@
 	doneMarker  = []byte("[DONE]")
 	errNotPlain = errors.New("the answer is not plain text")
 	errTooLong  = errors.New("the answer is too long to resume")
+	errWeights  = errors.New("the continuation has other weights")
 	errNotEvent = errors.New("the stream holds an event that is not understood")
 )
 
@@ -84,6 +87,8 @@
 	size     int
 	text     []byte
 	id       string
+	// fingerprint is that of the first event that has one.
+	fingerprint string
 	// finished is true after a finish reason, done after [DONE].
 	finished, done bool
 	err            error
@@ -123,6 +128,9 @@
 	if t.id == "" {
 		t.id = e.ID
 	}
+	if t.fingerprint == "" {
+		t.fingerprint = e.Fingerprint
+	}
 	for _, c := range e.Choices {
 		text := c.Text
 		if d := c.Delta; d != nil {
@@ -144,6 +152,18 @@
 	}
 }
 
+// continues reports whether events come from the same weights as those before.
+// Engines and their agents report a change of weights with a lag.
+func (t *transcript) continues(raw []byte) bool {
+	for one := range eventsOf(raw) {
+		var e event
+		if json.Unmarshal(payload(one), &e) == nil && e.Fingerprint != "" && t.fingerprint != "" && e.Fingerprint != t.fingerprint {
+			return false
+		}
+	}
+	return true
+}
+
 // eventsOf yields the events of a piece of an event stream.
 func eventsOf(raw []byte) func(func([]byte) bool) {
 	return func(yield func([]byte) bool) {
@@ -192,6 +212,9 @@
 func (m *resumer) read(ctx context.Context) ([]byte, error) {
 	for {
 		b, err := m.next(ctx)
+		if err == nil && m.resumes > 0 && !m.seen.continues(b) {
+			err = errWeights
+		}
 		switch {
 		case err != nil:
 			if b, err = m.recover(ctx, err); err != nil || b != nil {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,8 +4,10 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -55,6 +57,8 @@
 	EventLoss float64
 	// EventDelay delays cache events.
 	EventDelay time.Duration
+	// EventRepeat sends each cache event twice.
+	EventRepeat bool
 }
 
 // Counts are what the engine has done.
@@ -66,6 +70,8 @@
 	CachedTokens int
 	// ByRequest counts dispatches by X-Request-Id.
 	ByRequest map[string]int
+	// CachedBySalt counts cached tokens by cache salt, also where there are none.
+	CachedBySalt map[string]int
 	// Foreign counts cache hits on blocks of another salt or boot; it must stay 0.
 	Foreign int
 	Orders  []Order
@@ -88,6 +94,9 @@
 	mu      sync.Mutex
 	boot    string
 	version string
+	// life ends when the engine crashes.
+	life    context.Context
+	crash   context.CancelFunc
 	loading bool
 	fence   int64
 	cache   map[uint64]*block
@@ -141,7 +150,8 @@
 	}
 	s := &Server{opts: o, slots: make(chan struct{}, o.Slots), version: o.Version, changed: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(o.ID), 1))}
-	s.counts.ByRequest = map[string]int{}
+	s.counts.ByRequest, s.counts.CachedBySalt = map[string]int{}, map[string]int{}
+	s.life, s.crash = context.WithCancel(context.Background())
 	s.Restart()
 	return s
 }
@@ -155,6 +165,18 @@
 	s.events = nil
 }
 
+// Reboot crashes the engine with every open connection. It comes back at once
+// with an empty cache, a new boot id and the given weights.
+func (s *Server) Reboot(version string) {
+	s.mu.Lock()
+	crash := s.crash
+	s.life, s.crash = context.WithCancel(context.Background())
+	s.version = version
+	s.mu.Unlock()
+	s.Restart()
+	crash()
+}
+
 // SetFaults replaces the fault switches.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -174,10 +196,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
-	c.ByRequest = map[string]int{}
-	for k, v := range s.counts.ByRequest {
-		c.ByRequest[k] = v
-	}
+	c.ByRequest, c.CachedBySalt = maps.Clone(s.counts.ByRequest), maps.Clone(s.counts.CachedBySalt)
 	c.Orders = append([]Order(nil), s.counts.Orders...)
 	return c
 }
@@ -185,8 +204,12 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	f, thaw := s.faults, s.thaw
+	f, thaw, life := s.faults, s.thaw, s.life
 	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(life, cancel)()
+	r = r.WithContext(ctx)
 	if f.Down {
 		panic(http.ErrAbortHandler)
 	}
@@ -209,6 +232,9 @@
 	default:
 		http.NotFound(w, r)
 	}
+	if life.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 type message struct {
@@ -228,9 +254,9 @@
 
 // prompt returns the text to prefill, the text that seeds the answer and the
 // number of tokens already answered.
-func (c completion) prompt() (text, seed string, done int) {
+func (c completion) prompt(version string) (text, seed string, done int) {
 	if len(c.Messages) == 0 {
-		seed, done = continued(c.Prompt)
+		seed, done = continued(version, c.Prompt)
 		return c.Prompt, seed, done
 	}
 	var b strings.Builder
@@ -247,17 +273,28 @@
 	return b.String(), b.String(), 0
 }
 
-// Answer returns the text an engine gives to a prompt with n tokens; it depends
-// on nothing else, so that tests can check a whole answer.
-func Answer(seed string, n int) string {
+// FirstVersion is the weights version whose answers Answer returns.
+const FirstVersion = "v1"
+
+// Answer returns the text an engine with the first version gives to a prompt
+// with n tokens; it depends on nothing else, so that tests can check a whole
+// answer.
+func Answer(seed string, n int) string { return AnswerOf(FirstVersion, seed, n) }
+
+// AnswerOf is Answer for any weights version. Versions give different tokens,
+// so that text spliced from two of them shows.
+func AnswerOf(version, seed string, n int) string {
 	var b strings.Builder
 	for i := range n {
-		b.WriteString(token(seed, i))
+		b.WriteString(token(version, seed, i))
 	}
 	return b.String()
 }
 
-func token(seed string, i int) string {
+func token(version, seed string, i int) string {
+	if version != FirstVersion {
+		seed = version + "#" + seed
+	}
 	return fmt.Sprintf("w%03x ", xxhash.Sum64String(fmt.Sprintf("%s#%d", seed, i))&0xfff)
 }
 
@@ -272,6 +309,7 @@
 	s.counts.Requests++
 	s.counts.ByRequest[id]++
 	s.waiting++
+	version := s.version // a running request keeps its weights
 	s.mu.Unlock()
 	ctx := r.Context()
 	select {
@@ -283,7 +321,7 @@
 	s.done(-1, 1, false)
 	defer func() { <-s.slots }()
 
-	text, seed, done := req.prompt()
+	text, seed, done := req.prompt(version)
 	prompt, cached := s.prefill(text, req.CacheSalt, id)
 	if !s.sleep(r, time.Duration(prompt-cached)*s.opts.PrefillPerToken) {
 		s.done(0, -1, false)
@@ -293,7 +331,7 @@
 	if n <= 0 {
 		n = 16
 	}
-	ok := s.generate(w, r, req, id, seed, done, n, usage{prompt, n, prompt + n, cachedDetails{cached}})
+	ok := s.generate(w, r, req, version, id, seed, done, n, usage{prompt, n, prompt + n, cachedDetails{cached}})
 	s.done(0, -1, ok)
 }
 
@@ -375,6 +413,7 @@
 	}
 	s.counts.PromptTokens += prompt
 	s.counts.CachedTokens += cached
+	s.counts.CachedBySalt[salt] += cached
 	return prompt, cached
 }
 
@@ -434,15 +473,17 @@
 }
 
 type answer struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Model  string `json:"model"`
+	// Fingerprint identifies the weights that gave the answer.
+	Fingerprint string   `json:"system_fingerprint,omitempty"`
+	Choices     []choice `json:"choices"`
+	Usage       *usage   `json:"usage,omitempty"`
 }
 
 // generate writes the tokens from done to n; it returns false when it was cut.
-func (s *Server) generate(w http.ResponseWriter, r *http.Request, req completion, id, seed string, done, n int, u usage) bool {
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, req completion, version, id, seed string, done, n int, u usage) bool {
 	chat := r.URL.Path == "/v1/chat/completions"
 	s.mu.Lock()
 	crash := s.faults.CrashAfterTokens
@@ -459,23 +500,23 @@
 			return false
 		}
 		if req.Stream {
-			if !send(w, rc, streamed(chat, id, s.opts.Model, token(seed, i), nil, nil)) {
+			if !send(w, rc, streamed(chat, id, s.opts.Model, version, token(version, seed, i), nil, nil)) {
 				return false
 			}
 		}
 	}
 	stop := "length"
 	if req.Stream {
-		ok := send(w, rc, streamed(chat, id, s.opts.Model, "", &stop, &u))
+		ok := send(w, rc, streamed(chat, id, s.opts.Model, version, "", &stop, &u))
 		_, err := fmt.Fprint(w, "data: [DONE]\n\n")
 		return ok && err == nil && rc.Flush() == nil
 	}
 	text := ""
 	for i := done; i < n; i++ {
-		text += token(seed, i)
+		text += token(version, seed, i)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	a := answer{ID: id, Object: "chat.completion", Model: s.opts.Model, Usage: &u,
+	a := answer{ID: id, Object: "chat.completion", Model: s.opts.Model, Fingerprint: version, Usage: &u,
 		Choices: []choice{{Message: &delta{Role: "assistant", Content: text}, FinishReason: &stop}}}
 	if !chat {
 		a.Object = "text_completion"
@@ -484,8 +525,8 @@
 	return json.NewEncoder(w).Encode(a) == nil
 }
 
-func streamed(chat bool, id, model, text string, stop *string, u *usage) answer {
-	a := answer{ID: id, Object: "chat.completion.chunk", Model: model, Usage: u, Choices: []choice{{FinishReason: stop}}}
+func streamed(chat bool, id, model, version, text string, stop *string, u *usage) answer {
+	a := answer{ID: id, Object: "chat.completion.chunk", Model: model, Fingerprint: version, Usage: u, Choices: []choice{{FinishReason: stop}}}
 	if chat {
 		a.Choices[0].Delta = &delta{Content: text}
 	} else {
@@ -550,6 +591,9 @@
 			if !e.lost {
 				due = append(due, e)
 			}
+			if s.faults.EventRepeat {
+				due = append(due, e)
+			}
 		}
 		s.mu.Unlock()
 		for _, e := range due {
@@ -574,6 +618,15 @@
 	}
 }
 
+// Load replaces the weights and empties the cache. Running requests keep theirs.
+func (s *Server) Load(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.loading = version, false
+	s.cache = map[uint64]*block{}
+	s.emit("cleared", "", nil)
+}
+
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -590,13 +643,7 @@
 	s.counts.Orders = append(s.counts.Orders, o)
 	if o.Version != s.version {
 		s.loading = true
-		time.AfterFunc(s.opts.LoadTime, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.version, s.loading = o.Version, false
-			s.cache = map[uint64]*block{}
-			s.emit("cleared", "", nil)
-		})
+		time.AfterFunc(s.opts.LoadTime, func() { s.Load(o.Version) })
 	}
 	w.WriteHeader(http.StatusAccepted)
 }
--- a/standin/engine/resume.go
+++ b/standin/engine/resume.go
@@ -7,14 +7,14 @@
 
 // continued splits a plain prompt that ends with the start of its own answer
 // into the original prompt and the number of tokens answered.
-func continued(prompt string) (seed string, done int) {
+func continued(version, prompt string) (seed string, done int) {
 	n := 0
 	for rest := prompt; len(rest) >= tokenBytes && isToken(rest[len(rest)-tokenBytes:]); n++ {
 		rest = rest[:len(rest)-tokenBytes]
 	}
 	for ; n > 0; n-- {
 		seed := prompt[:len(prompt)-n*tokenBytes]
-		if strings.HasSuffix(prompt, Answer(seed, n)) {
+		if strings.HasSuffix(prompt, AnswerOf(version, seed, n)) {
 			return seed, n
 		}
 	}
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -64,12 +64,21 @@
 // tryPost posts through an entry, with an idempotency key if there is one. The
 // client repeats nothing by itself.
 func tryPost(f *Fleet, entry int, path, body, key string) (int, string, error) {
+	return f.send(entry, path, body, key, "secret")
+}
+
+// ask posts a chat request of the account with the given API key.
+func (f *Fleet) ask(apiKey, body string) (int, string, error) {
+	return f.send(0, "/v1/chat/completions", body, "", apiKey)
+}
+
+func (f *Fleet) send(entry int, path, body, key, apiKey string) (int, string, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[entry].Address+path, bytes.NewBufferString(body))
 	if err != nil {
 		return 0, "", err
 	}
 	req.GetBody = nil
-	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set("Authorization", "Bearer "+apiKey)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
--- /dev/null
+++ b/standin/fleet/weights_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/standin/engine"
+)
+
+// longChat is a chat request whose prompt fills several cache blocks.
+var longChat = fmt.Sprintf(`{"model":"m","max_tokens":3,"messages":[{"role":"user","content":%q}]}`, strings.Repeat("history ", 500))
+
+// apply edits the engines' document, with the accounts a and b.
+func (f *Fleet) apply(t *testing.T, version string, generation int64) {
+	t.Helper()
+	store, err := f.Store()
+	is.New(t).NoErr(err)
+	_, err = store.Apply(t.Context(), fmt.Appendf(nil, `{"service":"llm","kind":"engine","model":"m","version":%q,"accounts":[
+		{"name":"a","key_sha256":[%q]},{"name":"b","key_sha256":[%q]}]}`, version, KeyHash("secret"), KeyHash("other")), generation, "test")
+	is.New(t).NoErr(err)
+	time.Sleep(8 * time.Second) // beyond the full poll
+}
+
+// Guards against cached blocks of one account, of older weights or of a dead
+// engine that serve a request: at the engine, the first request of each scope
+// finds nothing, and the next one of the same scope does.
+func TestCacheScopes(t *testing.T) {
+	virtual(t, func(t *testing.T, f *Fleet, n *Memory) {
+		is := is.New(t)
+		f.Hosts.SetState("engine-1", platform.Leaving) // one engine, so that every request could hit
+		f.apply(t, "v1", 1)
+		e := f.Engines["engine-0"]
+		ask := func(key string) int {
+			before := e.Counts()
+			code, _, err := f.ask(key, longChat)
+			is.NoErr(err)
+			is.Equal(code, 200)
+			is.Equal(e.Counts().Requests, before.Requests+1)
+			return e.Counts().CachedTokens - before.CachedTokens
+		}
+		scope := func(key string, salts int) {
+			t.Helper()
+			is.Equal(ask(key), 0)
+			is.True(ask(key) > 0)
+			is.Equal(len(e.Counts().CachedBySalt), salts)
+		}
+		scope("secret", 1)
+		scope("other", 2)
+		e.Reboot("v1")
+		time.Sleep(2 * time.Second)
+		scope("secret", 2)
+		e.Reboot("v2")
+		f.apply(t, "v2", 2)
+		scope("secret", 3)
+		scope("other", 4)
+		// A crash while the Open is on its way to the agent.
+		n.Arm(f.Agents[0].Address, Fault{Direction: ToServer, Delay: 100 * time.Millisecond})
+		time.AfterFunc(50*time.Millisecond, func() { e.Reboot("v2") })
+		is.Equal(ask("secret"), 0)
+		n.Arm(f.Agents[0].Address, Fault{})
+		is.Equal(e.Counts().Foreign, 0)
+	})
+}
+
+// Guards against an answer spliced from two versions of the weights when its
+// engine crashes: the caller gets the whole answer of one version, or a part of
+// one version and an explicit error.
+func TestNoSpliceOfVersions(t *testing.T) {
+	const tokens = 200
+	reboot := func(version string) func(*Fleet, *engine.Server) {
+		return func(_ *Fleet, e *engine.Server) { e.Reboot(version) }
+	}
+	for name, c := range map[string]struct {
+		// before happens before the request, and at other the rest of the fleet
+		// changes 50 ms before the stream's engine crashes and comes back as serving.
+		before, other func(f *Fleet, other *engine.Server)
+		serving       string
+		version       string
+		whole         bool
+	}{
+		"other engine keeps its weights":        {nil, nil, "v2", "v1", true},
+		"other engine changes, report is fresh": {nil, reboot("v2"), "v2", "v1", false},
+		"other engine changes by an order":      {nil, func(f *Fleet, e *engine.Server) { e.Load("v2") }, "v2", "v1", false},
+		"both engines change at one instant":    {nil, nil, "", "v1", false},
+		"both have new weights before the request and old ones after": {func(f *Fleet, _ *engine.Server) {
+			for _, e := range f.Engines {
+				e.Load("v2")
+			}
+		}, func(f *Fleet, e *engine.Server) { e.Load("v1") }, "v1", "v2", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
+				is := is.New(t)
+				if c.before != nil {
+					c.before(f, nil)
+				}
+				resp, r, _ := stream(t, f, t.Context(), 1, tokens)
+				defer resp.Body.Close()
+				serving, other := f.Engines["engine-0"], f.Engines["engine-1"]
+				if resp.Header.Get("X-Citrontiller-Endpoint") == "engine-1" {
+					serving, other = other, serving
+				}
+				time.Sleep(50 * time.Millisecond)
+				if c.other != nil {
+					c.other(f, other)
+				}
+				if c.serving == "" {
+					other.Load("v2")
+					serving.Reboot("v2")
+				} else {
+					time.Sleep(50 * time.Millisecond)
+					serving.Reboot(c.serving)
+				}
+				body, err := io.ReadAll(r)
+				is.NoErr(err)
+				text, done := StreamedText(string(body))
+				want := engine.AnswerOf(c.version, `<user>"question 1"`, tokens)
+				is.Equal(done, c.whole)
+				is.Equal(strings.Contains(string(body), "event: error\n"), !c.whole)
+				is.True(strings.HasPrefix(want, text))
+				is.Equal(text == want, c.whole)
+				is.True(len(text) > 0)
+			})
+		})
+	}
+}
