Quickstart: show placement, at-most-once, an edit and the hit rate

The quickstart prints where each request ran and why, repeats a booking through the other entry, changes the weights version under the running system and exits with a failure if the booking ran twice or the edit is not in force in 15 s.

--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -1,118 +1,158 @@
-// Command quickstart runs a whole system in one process on loopback ports and
-// sends requests through it.
+// Command quickstart runs a whole system in one process on loopback ports:
+// stand-ins for the platform and the endpoints, three agents and two entries.
+// It sends requests through it and prints where each ran and why.
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"strings"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 )
 
+type settings struct {
+	Serve bool `arg:"--serve" help:"keep the system up and print a curl command"`
+}
+
+const (
+	key = "demo-key"
+	// agents and enginesPerAgent size the demo.
+	agents          = 3
+	enginesPerAgent = 2
+	// readyTimeout bounds the start.
+	readyTimeout = 10 * time.Second
+)
+
 func main() {
-	if err := run(); err != nil {
+	var s settings
+	arg.MustParse(&s)
+	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, "quickstart:", err)
 		os.Exit(1)
 	}
 }
 
-const key = "demo-key"
-
-func run() error {
-	f, err := fleet.New(fleet.Loopback{}, nil)
+func run(s settings) error {
+	d, err := start()
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	if err := start(f); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := f.WaitReady(ctx); err != nil {
-		return err
+	defer d.Close()
+	if s.Serve {
+		return serve(d)
 	}
-	chat := `{"model":"guide","stream":%t,"max_tokens":8,"messages":[{"role":"system","content":"Shop instructions."},{"role":"user","content":"%s"}]}`
-	calls := []struct{ path, body string }{
-		{"/v1/chat/completions", fmt.Sprintf(chat, true, "How do I mend an aneroid?")},
-		{"/v1/chat/completions", fmt.Sprintf(chat, false, "How do I clean wool?")},
-		{"/book", `{"pickup":"Tuesday"}`},
-	}
-	for _, c := range calls {
-		if err := send(f, c.path, c.body); err != nil {
+	for _, step := range []func() error{d.conversations, d.booking, d.edit, d.summary} {
+		if err := step(); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func start(f *fleet.Fleet) error {
-	service := func(id string) string {
-		if strings.HasPrefix(id, "desk") {
-			return "desk"
-		}
-		return "guide"
+// demo is the running system.
+type demo struct {
+	*fleet.Fleet
+	// operators are the addresses of the entries' operator APIs.
+	operators []string
+	started   time.Time
+}
+
+func start() (*demo, error) {
+	f, err := fleet.New(fleet.Loopback{}, nil)
+	if err != nil {
+		return nil, err
 	}
-	for i := range 3 {
+	d := &demo{Fleet: f, started: time.Now()}
+	if err := d.populate(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	fmt.Printf("%d agents with %d engines and a booking desk each, %d entries, ready after %s\n\n",
+		agents, enginesPerAgent, len(f.Entries), time.Since(d.started).Round(time.Millisecond))
+	return d, nil
+}
+
+func (d *demo) populate() error {
+	for i := range agents {
 		spec := fleet.Spec{Name: fmt.Sprintf("agent-%d", i), Region: "region-a", FailureDomain: fmt.Sprintf("domain-%d", i), Service: service,
-			Engines: []engine.Options{{ID: fmt.Sprintf("engine-%d", i), Model: "guide", Version: "v1", TokenGap: 5 * time.Millisecond, PrefillPerToken: 100 * time.Microsecond}},
-			Plains:  []string{fmt.Sprintf("desk-%d", i)}}
-		if _, err := f.AddAgent(spec); err != nil {
+			Plains: []string{fmt.Sprintf("desk-%d", i)}}
+		for j := range enginesPerAgent {
+			spec.Engines = append(spec.Engines, engine.Options{ID: fmt.Sprintf("guide-%d", i*enginesPerAgent+j), Model: "guide", Version: "v1",
+				TokenGap: 5 * time.Millisecond, PrefillPerToken: 100 * time.Microsecond, LoadTime: 300 * time.Millisecond})
+		}
+		if _, err := d.AddAgent(spec); err != nil {
 			return err
 		}
 	}
 	for i := range 2 {
 		opts := entry.DefaultOptions()
-		opts.Region = "region-a"
-		if _, err := f.AddEntry(fmt.Sprintf("entry-%d", i), opts); err != nil {
+		opts.Region, opts.FailureDomain = "region-a", "domain-0"
+		e, err := d.AddEntry(fmt.Sprintf("entry-%d", i), opts)
+		if err != nil {
 			return err
 		}
-	}
-	store, err := f.Store()
-	if err != nil {
-		return err
-	}
-	account := fmt.Sprintf(`"accounts":[{"name":"demo","key_sha256":[%q]}]`, fleet.KeyHash(key))
-	for _, doc := range []string{
-		`{"service":"guide","kind":"engine","model":"guide","version":"v1",` + account + `}`,
-		`{"service":"desk","kind":"plain","routes":[{"path":"/book"}],` + account + `}`,
-	} {
-		if _, err := store.Apply(context.Background(), []byte(doc), 0, "quickstart"); err != nil {
+		addr, err := d.Serve(fmt.Sprintf("operator-%d", i), e.OperatorHandler())
+		if err != nil {
 			return err
 		}
+		d.operators = append(d.operators, addr)
 	}
-	return nil
-}
-
-func send(f *fleet.Fleet, path, body string) error {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.Entries[0].Address+path, bytes.NewBufferString(body))
-	if err != nil {
+	if err := d.apply(guideDocument("v1"), 0); err != nil {
 		return err
 	}
-	req.Header.Set("Authorization", "Bearer "+key)
-	begin := time.Now()
-	resp, err := f.Client().Do(req)
+	return d.apply(deskDocument(), 0)
+}
+
+// service returns the service of an endpoint: its id without the number.
+func service(id string) string { return strings.TrimRight(id, "-0123456789") }
+
+func account() string {
+	return fmt.Sprintf(`"accounts":[{"name":"demo","key_sha256":[%q]}]`, fleet.KeyHash(key))
+}
+
+func guideDocument(version string) string {
+	return fmt.Sprintf(`{"service":"guide","kind":"engine","model":"guide","version":%q,%s}`, version, account())
+}
+
+func deskDocument() string {
+	return fmt.Sprintf(`{"service":"desk","kind":"plain","routes":[{"path":"/book"}],%s}`, account())
+}
+
+func (d *demo) apply(document string, base int64) error {
+	store, err := d.Store()
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	r := bufio.NewReader(resp.Body)
-	_, _ = r.Peek(1)
-	first := time.Since(begin)
-	answer, err := io.ReadAll(r)
+	r, err := store.Apply(context.Background(), []byte(document), base, "quickstart")
 	if err != nil {
 		return err
 	}
-	fmt.Printf("POST %s -> %d, endpoint %s, first byte after %s\n%s\n", path, resp.StatusCode,
-		resp.Header.Get("X-Citrontiller-Endpoint"), first.Round(time.Microsecond), answer)
+	fmt.Printf("applied generation %d of a service document\n", r.Generation)
+	return nil
+}
+
+// serve keeps the system up until a signal arrives.
+func serve(d *demo) error {
+	fmt.Printf("Try:\n\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \\\n"+
+		"    -d '{\"model\":\"guide\",\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n"+
+		"Decisions: http://%s/decisions/REQUEST-ID, state: http://%s/status. Stop with Ctrl-C.\n",
+		d.Entries[0].Address, key, d.operators[0], d.operators[0])
+	ctx, stop := process.UntilSignal()
+	defer stop()
+	<-ctx.Done()
 	return nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -735,3 +735,10 @@
 	defer s.mu.Unlock()
 	return s.loading
 }
+
+// Version returns the version of the weights that the engine has loaded.
+func (s *Server) Version() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
