--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -16,6 +16,7 @@
 	"github.com/citrontiller/citrontiller/plugins/region"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/wire"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
@@ -39,7 +40,7 @@
 }
 
 func (s *Server) routeRequest(r *Request) *route.Request {
-	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
+	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: s.rollouts.required(r.Service, r.Document.Version, time.Now()),
 		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.Chain(r.Scope(), r.Segments),
 		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: s.opts.Random(), Exclude: map[string]bool{}}
 }
@@ -63,10 +64,19 @@
 
 func (s *Server) logDecision(d route.Decision) {
 	s.decisions.add(d)
+	if d.Chosen != "" && !s.sampled() {
+		return
+	}
 	s.log.Info("route", zap.String("request", d.RequestID), zap.String("service", d.Service), zap.String("chosen", d.Chosen),
 		zap.String("reason", d.Reason), zap.Float64("score_ms", d.Score), zap.Int("total", d.Total), zap.Stringer("candidates", d))
 }
 
+// sampled reports whether the next decision's line is logged.
+func (s *Server) sampled() bool {
+	every := int64(s.opts.DecisionLogSample)
+	return every > 0 && (s.decided.Add(1)-1)%every == 0
+}
+
 // candidates appends the snapshot for a request to out.
 func (s *Server) candidates(out []route.Endpoint, r *route.Request, now time.Time) []route.Endpoint {
 	return s.tracker.AppendSnapshot(out, r, s.Members.Service(r.Service), s.report, now)
@@ -75,9 +85,7 @@
 // report returns the last load report of an endpoint whose reports came before
 // it was in the host list.
 func (s *Server) report(m member.Endpoint) route.Report {
-	s.mu.Lock()
-	l := s.links[m.Agent]
-	s.mu.Unlock()
+	l := s.linkTo(m.Agent)
 	if l == nil {
 		return route.Report{}
 	}
@@ -85,6 +93,20 @@
 	return reportOf(st.Loads[m.ID], st.RTT)
 }
 
+func (s *Server) linkTo(agent string) *wire.Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[agent]
+}
+
+// loadOf returns what an endpoint's agent last reported of it, nil without a report.
+func (s *Server) loadOf(m member.Endpoint) *pb.EndpointLoad {
+	if l := s.linkTo(m.Agent); l != nil {
+		return l.State().Loads[m.ID]
+	}
+	return nil
+}
+
 // onLoad passes a load report to the tracker.
 func (s *Server) onLoad(l *pb.EndpointLoad, rtt time.Duration) {
 	s.tracker.Report(l.EndpointId, reportOf(l, rtt), time.Now())
--- a/entry/server.go
+++ b/entry/server.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
@@ -36,9 +37,20 @@
 	RevokeTimeout time.Duration
 	// DecisionRecords is how many decisions are kept for explain.
 	DecisionRecords int
+	// DecisionLogSample logs one of this many decisions that found an endpoint;
+	// 0 logs none of them. Decisions without an endpoint are always logged.
+	DecisionLogSample int
 	// Random returns the seed of a decision, which breaks ties between
 	// endpoints; nil means the runtime's generator. It is called concurrently.
 	Random func() uint64
+	// Weights is asked whether weights exist before engines are told to load
+	// them; nil means that nothing is asked.
+	Weights platform.WeightStore
+	// LeaseTTL is the length of the order controller's lease. Another entry
+	// takes over at most one and a half times this after the holder is lost.
+	LeaseTTL time.Duration
+	// Scheduler chooses endpoints; nil means the plug-ins of the design page.
+	Scheduler *route.Scheduler
 	// ResultTimeout bounds the reading of a keyed response whose caller left.
 	ResultTimeout time.Duration
 	Claims        call.ClaimOptions
@@ -51,13 +63,15 @@
 // DefaultOptions returns the settings used when nothing else is given.
 func DefaultOptions() Options {
 	return Options{
-		HostInterval:    time.Second,
-		ConfigInterval:  5 * time.Second,
-		RevokeTimeout:   5 * time.Second,
-		DecisionRecords: 4096,
-		ResultTimeout:   5 * time.Minute,
-		Claims:          call.DefaultClaimOptions(),
-		Wire:            wire.DefaultOptions(),
+		HostInterval:      time.Second,
+		LeaseTTL:          8 * time.Second,
+		ConfigInterval:    5 * time.Second,
+		RevokeTimeout:     5 * time.Second,
+		DecisionRecords:   4096,
+		DecisionLogSample: 1,
+		ResultTimeout:     5 * time.Minute,
+		Claims:            call.DefaultClaimOptions(),
+		Wire:              wire.DefaultOptions(),
 	}
 }
 
@@ -75,15 +89,19 @@
 	decisions *decisions
 	// buffers holds candidate slices; a new one for 2,000 endpoints takes 0.6 MB.
 	buffers sync.Pool
+	// decided counts the decisions that found an endpoint.
+	decided atomic.Int64
 	claims  *call.Claims
 	// background counts the work that outlives its caller; life ends with Run.
 	background sync.WaitGroup
 	life       context.Context
 	end        context.CancelFunc
 	running    running
+	rates      rates
 	metrics    *metrics
 	draining   atomic.Bool
 	sync       *configSync
+	rollouts   *rollouts
 
 	mu      sync.Mutex
 	stopped bool
@@ -103,20 +121,24 @@
 	if opts.Random == nil {
 		opts.Random = rand.Uint64
 	}
+	if opts.Scheduler == nil {
+		opts.Scheduler = newScheduler(opts.Log)
+	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
 	life, end := context.WithCancel(context.Background())
 	s := &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
 		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
-		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
-		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
+		scheduler: opts.Scheduler, tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
+		running: running{counts: map[accountKey]int{}}, rates: rates{limiters: map[accountKey]*rate.Limiter{}}, metrics: newMetrics(opts.Registry),
 		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
 	s.opts.Wire.OnLoad = s.onLoad
 	s.buffers.New = func() any { return new([]route.Endpoint) }
 	s.sync = newConfigSync(s)
+	s.rollouts = newRollouts(s.Config)
 	return s
 }
 
@@ -127,6 +149,7 @@
 	wg.Go(func() { s.store.Follow(ctx, s.Config, s.opts.ConfigInterval) })
 	wg.Go(func() { s.followHosts(ctx) })
 	wg.Go(func() { s.sync.run(ctx) })
+	wg.Go(func() { newController(s).run(ctx) })
 	wg.Wait()
 	s.mu.Lock()
 	s.stopped = true
@@ -242,12 +265,16 @@
 	return false
 }
 
-// bodyLimits returns the largest body and the longest body timeout of any service.
-func (s *Server) bodyLimits() (int64, time.Duration) {
-	d := config.Default()
-	limit, timeout := d.Limits.MaxBodyBytes, d.Timeouts.BodyReadMs
+// bodyLimits returns the largest body and the longest body timeout of the
+// services that a key may use. Which of them is asked for stands in the body.
+func (s *Server) bodyLimits(keyHash string) (int64, time.Duration) {
+	var limit, timeout int64
 	for _, name := range s.Config.Services() {
-		if e, ok := s.Config.Get(name); ok {
+		e, ok := s.Config.Get(name)
+		if !ok {
+			continue
+		}
+		if _, ok := accountOf(e.Document, keyHash); ok {
 			limit = max(limit, e.Document.Limits.MaxBodyBytes)
 			timeout = max(timeout, e.Document.Timeouts.BodyReadMs)
 		}
