entry: serve endpoints without an agent

Cause: an endpoint that the host list names without an agent was shown as ready and then refused every request for want of a link.

The entry runs an agent.Server per such endpoint and links to it over a gRPC connection in memory (entry/embedded.go). Endpoints are added and removed with the host list; one that is taken off it finishes its requests first.

Ruled out: one agent for all endpoints. It would need endpoints that come and go inside agent.Server, and its drain would wait for all of them.

Limits: no reattach after the entry dies; one queue per entry and endpoint.

--- a/cmd/citrontiller/main.go
+++ b/cmd/citrontiller/main.go
@@ -15,6 +15,8 @@
 	"github.com/citrontiller/citrontiller/operator"
 	_ "github.com/citrontiller/citrontiller/plugins/etcd"   // registers kv.etcd
 	_ "github.com/citrontiller/citrontiller/plugins/httpsd" // registers hosts.httpsd
+	_ "github.com/citrontiller/citrontiller/plugins/openai" // registers endpoint.openai
+	_ "github.com/citrontiller/citrontiller/plugins/plain"  // registers endpoint.plain
 )
 
 type settings struct {
--- a/entry/server.go
+++ b/entry/server.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/member"
@@ -49,6 +50,9 @@
 	// LeaseTTL is the length of the order controller's lease. Another entry
 	// takes over at most one and a half times this after the holder is lost.
 	LeaseTTL time.Duration
+	// Driver speaks to endpoints whose hosts have no agent; nil means that such
+	// endpoints are not served.
+	Driver func(agent.Endpoint) (agent.Driver, error)
 	// Scheduler chooses endpoints; nil means the plug-ins of the design page.
 	Scheduler *route.Scheduler
 	// ResultTimeout bounds the reading of a keyed response whose caller left.
@@ -101,6 +105,7 @@
 	metrics    *metrics
 	draining   atomic.Bool
 	sync       *configSync
+	embedded   *embedded
 	rollouts   *rollouts
 
 	mu      sync.Mutex
@@ -135,7 +140,8 @@
 		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
 		claims: call.NewClaims(kv, opts.Claims), life: life, end: end,
 	}
-	s.opts.Wire.OnLoad = s.onLoad
+	s.embedded = newEmbedded(opts)
+	s.opts.Wire.OnLoad, s.opts.Wire.Dial = s.onLoad, s.embedded.Dial
 	s.buffers.New = func() any { return new([]route.Endpoint) }
 	s.sync = newConfigSync(s)
 	s.rollouts = newRollouts(s.Config)
@@ -163,6 +169,7 @@
 	for _, l := range links {
 		l.Close()
 	}
+	s.embedded.close()
 }
 
 func (s *Server) followHosts(ctx context.Context) {
@@ -173,6 +180,7 @@
 		if err != nil {
 			s.log.Warn("host list not read", zap.Error(err))
 		} else {
+			hosts = s.embedded.serve(hosts)
 			s.Members.SetHosts(hosts)
 			s.pruneTracker(hosts)
 			s.connect()
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/entry"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/kernel"
@@ -23,6 +24,9 @@
 // headers, and the end of running calls when the entry exits.
 const operatorTimeout = 5 * time.Second
 
+// endpointTimeout bounds the connection to an endpoint without an agent.
+const endpointTimeout = 2 * time.Second
+
 // Run runs an entry until ctx ends and its running requests have finished. The
 // error is a *process.SettingError, or several joined, for a bad setting.
 func Run(ctx context.Context, s Settings) error {
@@ -72,6 +76,13 @@
 	}
 	opts := s.options()
 	opts.Log, opts.Registry = log, reg
+	opts.Driver = func(ep agent.Endpoint) (agent.Driver, error) {
+		id := "endpoint.openai"
+		if ep.Kind == platform.Plain {
+			id = "endpoint.plain"
+		}
+		return kernel.Load[agent.Driver](ctx, id, kernel.Settings{Address: ep.Address, Timeout: endpointTimeout, Log: log})
+	}
 	return entry.New(opts, kv, hosts), nil
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -173,18 +174,21 @@
 	return a, nil
 }
 
+// driver speaks to an endpoint.
+func (f *Fleet) driver(ep agent.Endpoint) (agent.Driver, error) {
+	id := "endpoint.openai"
+	if ep.Kind == platform.Plain {
+		id = "endpoint.plain"
+	}
+	return kernel.Load[agent.Driver](f.ctx, id, f.settings(ep.Address))
+}
+
 func (f *Fleet) startAgent(name string, opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
 	if opts.Concurrency == 0 {
 		opts = agent.DefaultOptions()
 	}
 	opts.Log = f.Log
-	srv, err := agent.New(opts, eps, func(ep agent.Endpoint) (agent.Driver, error) {
-		id := "endpoint.openai"
-		if ep.Kind == platform.Plain {
-			id = "endpoint.plain"
-		}
-		return kernel.Load[agent.Driver](f.ctx, id, f.settings(ep.Address))
-	})
+	srv, err := agent.New(opts, eps, f.driver)
 	if err != nil {
 		return nil, err
 	}
@@ -213,6 +217,7 @@
 	opts.ID = name
 	opts.Log = f.Log
 	opts.Wire.Dial = f.Network.Dial
+	opts.Driver = f.driver
 	srv := entry.New(opts, kvd, hl)
 	l, addr, err := f.Network.Listen(name)
 	if err != nil {
@@ -271,6 +276,14 @@
 	f.wg.Wait()
 }
 
+// List replaces the endpoints in the host list that have no agent.
+func (f *Fleet) List(direct ...platform.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(slices.DeleteFunc(f.list, func(h platform.Host) bool { return h.Agent == "" }), direct...)
+	f.Hosts.Set(f.list)
+}
+
 // StartEngine serves an engine without an agent and returns its address.
 func (f *Fleet) StartEngine(o engine.Options) (string, error) {
 	f.Engines[o.ID] = engine.New(o)
