route: obey the document's price, ejection, block lifetime and piece size

routing.cross_region_price_ms_per_mib, eject_after_failures, probe_interval_ms, engine.prefix_block_lifetime_ms and prefix_piece_tokens were in the document, but selection used constants of its own. Each request now carries the settings of its document, so that a new generation takes effect with the next request.

The defaults of the document differed from the constants that were measured (20 against 1024 ms/MiB, 5 against 3 failures, 5 s against 8 s); the measured ones are kept. Putting the settings into the tracker was ruled out, since it serves all services. A changed piece size makes the placement start anew.

--- a/config/document.go
+++ b/config/document.go
@@ -128,9 +128,11 @@
 
 // Routing are the settings of endpoint selection.
 type Routing struct {
-	CrossRegionPriceMsPerMiB int `json:"cross_region_price_ms_per_mib" range:"0..100000" unit:"ms/MiB" doc:"Price of traffic between regions, added to an endpoint's score."`
+	// CrossRegionPriceMsPerMiB is 1 ms a KiB by default, with which the policy
+	// was measured in internal/routesim.
+	CrossRegionPriceMsPerMiB int `json:"cross_region_price_ms_per_mib" range:"0..100000" unit:"ms/MiB" doc:"Price of traffic between regions, added to an endpoint's score; 0 means that it costs nothing."`
 	EjectAfterFailures       int `json:"eject_after_failures" range:"1..1000" unit:"failures" doc:"Consecutive failures after which an endpoint is ejected."`
-	ProbeIntervalMs          int `json:"probe_interval_ms" range:"100..600000" unit:"ms" doc:"Time between probes of an ejected endpoint."`
+	ProbeIntervalMs          int `json:"probe_interval_ms" range:"100..600000" unit:"ms" doc:"Time to the first probe of an ejected endpoint; it doubles with each failed probe."`
 }
 
 // Default returns a document with every default set.
@@ -143,7 +145,7 @@
 			StallTimeoutMs: 3_000, DetachGraceMs: 5_000, ResultRetentionMs: 600_000, ClaimRetentionS: 86_400},
 		Budgets: Budgets{RetryPercent: 10, HedgePercent: 5, ClaimWritesPerSecond: 50, MaxAttemptsPerRequest: 4},
 		Engine: Engine{MinConcurrency: 1, InitialConcurrency: 16, MaxConcurrency: 256, TokenGapTargetMs: 64,
-			ShortReservePercent: 25, ShortOutputTokens: 64, WeightLoadSlots: 2, PrefixPieceTokens: 2_000, PrefixBlockLifetimeMs: 5_000},
-		Routing: Routing{CrossRegionPriceMsPerMiB: 20, EjectAfterFailures: 5, ProbeIntervalMs: 1_000},
+			ShortReservePercent: 25, ShortOutputTokens: 64, WeightLoadSlots: 2, PrefixPieceTokens: 2_000, PrefixBlockLifetimeMs: 8_000},
+		Routing: Routing{CrossRegionPriceMsPerMiB: 1024, EjectAfterFailures: 3, ProbeIntervalMs: 1_000},
 	}
 }
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/platform"
@@ -41,8 +42,15 @@
 
 func (s *Server) routeRequest(r *Request) *route.Request {
 	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
-		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.Chain(r.Scope(), r.Segments),
-		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: s.opts.Random(), Exclude: map[string]bool{}}
+		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.ChainOf(r.Scope(), r.Segments, r.Document.Engine.PrefixPieceTokens),
+		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: s.opts.Random(), Exclude: map[string]bool{}, Policy: policyOf(r.Document)}
+}
+
+// policyOf returns the settings of endpoint selection in a document.
+func policyOf(d *config.Document) route.Policy {
+	return route.Policy{PriceMsPerMiB: float64(d.Routing.CrossRegionPriceMsPerMiB), EjectAfter: d.Routing.EjectAfterFailures,
+		ProbeInterval: time.Duration(d.Routing.ProbeIntervalMs) * time.Millisecond,
+		BlockLifetime: time.Duration(d.Engine.PrefixBlockLifetimeMs) * time.Millisecond}
 }
 
 // choose decides on an endpoint, logs the decision and starts its feedback.
--- a/entry/candidates_test.go
+++ b/entry/candidates_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -27,3 +30,23 @@
 		is.Equal(len(s.decisions.of("a")), 10)
 	}
 }
+
+// Guards against settings of endpoint selection that a document changes and
+// the requests after it don't follow.
+func TestPolicyFollowsDocument(t *testing.T) {
+	is := is.New(t)
+	s := New(DefaultOptions(), nil, nil)
+	long := [][]byte{make([]byte, 64<<10)}
+	for generation, doc := range []string{`{"service":"llm","model":"m"}`, `{"service":"llm","model":"m",
+		"routing":{"cross_region_price_ms_per_mib":7,"eject_after_failures":8,"probe_interval_ms":9000},
+		"engine":{"prefix_block_lifetime_ms":10000,"prefix_piece_tokens":1000}}`} {
+		_, err := s.Config.Offer("llm", &config.Record{Generation: int64(generation + 1), Document: []byte(doc)})
+		is.NoErr(err)
+		e, _ := s.Config.Get("llm")
+		r := s.routeRequest(&Request{Service: "llm", Model: "m", Document: e.Document, Segments: long})
+		is.Equal(r.Policy, []route.Policy{
+			{PriceMsPerMiB: 1024, EjectAfter: 3, ProbeInterval: time.Second, BlockLifetime: 8 * time.Second},
+			{PriceMsPerMiB: 7, EjectAfter: 8, ProbeInterval: 9 * time.Second, BlockLifetime: 10 * time.Second}}[generation])
+		is.Equal(r.Levels, prefix.ChainOf(prefix.Scope{Model: "m"}, long, e.Document.Engine.PrefixPieceTokens))
+	}
+}
--- a/internal/routesim/policy.go
+++ b/internal/routesim/policy.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -66,10 +67,14 @@
 	return best
 }
 
+// defaults are the settings of a document that names none.
+var defaults = config.Default().Routing
+
 func (s *sim) design(r *run) {
 	j := r.job
 	rr := &route.Request{Region: regionName(r.entry.region), Stream: true, Idempotent: true, Levels: j.levels, Tokens: j.tokens,
-		Bytes: j.tokens * bytesPerToken, Seed: s.rng.Uint64()}
+		Bytes: j.tokens * bytesPerToken, Seed: s.rng.Uint64(),
+		Policy: route.Policy{PriceMsPerMiB: float64(defaults.CrossRegionPriceMsPerMiB)}}
 	index := map[string]int{}
 	for i := range s.members {
 		index[s.members[i].ID] = i
--- a/plugins/region/region.go
+++ b/plugins/region/region.go
@@ -8,8 +8,6 @@
 	// defaultRTTMs is assumed for another region before the first measurement:
 	// regions are about 20 ms apart.
 	defaultRTTMs = 40
-	// priceMsPerKiB is the time to first token that a KiB between regions must save.
-	priceMsPerKiB = 1
 	// streamBytesPerToken is the size of a streamed token with its event frame.
 	streamBytesPerToken = 200
 )
@@ -20,7 +18,7 @@
 // Score implements route.Scorer.
 func (Scorer) Score(r *route.Request, endpoints []route.Endpoint, scores []float64) {
 	bytes := float64(r.Bytes) + r.OutputTokens*streamBytesPerToken
-	price := bytes / 1024 * priceMsPerKiB
+	price := bytes / (1 << 20) * r.Policy.PriceMsPerMiB
 	for i := range endpoints {
 		e := &endpoints[i]
 		scores[i] += float64(e.RTT) / 1e6
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -58,7 +58,6 @@
 	// MaxLevels. Recomputing 64 tokens costs about as much as a lookup.
 	minLevelTokens = 64
 
-	pieceBytes    = PieceTokens * bytesPerToken
 	minLevelBytes = minLevelTokens * bytesPerToken
 )
 
@@ -75,8 +74,11 @@
 // Each hash covers the scope and the whole prompt up to the level's end. The
 // length of a segment is hashed after its content, so that messages with equal
 // beginnings share their pieces.
-func Chain(s Scope, segments [][]byte) []Level {
-	c := chain{levels: make([]Level, 0, min(MaxLevels, len(segments)+4))}
+func Chain(s Scope, segments [][]byte) []Level { return ChainOf(s, segments, PieceTokens) }
+
+// ChainOf is Chain with another length of the pieces of a long message.
+func ChainOf(s Scope, segments [][]byte, pieceTokens int) []Level {
+	c := chain{piece: pieceTokens * bytesPerToken, levels: make([]Level, 0, min(MaxLevels, len(segments)+4))}
 	c.digest.Reset()
 	_, _ = c.digest.Write(s.bytes())
 	for i, seg := range segments {
@@ -91,6 +93,8 @@
 	digest xxhash.Digest
 	levels []Level
 	total  int
+	// piece is the length of a piece in bytes.
+	piece int
 	// end is the offset of the last level.
 	end int
 }
@@ -99,9 +103,9 @@
 func (c *chain) segment(seg []byte, last bool) bool {
 	var size [8]byte
 	binary.LittleEndian.PutUint64(size[:], uint64(len(seg)))
-	for len(seg) > pieceBytes {
-		c.write(seg[:pieceBytes])
-		seg = seg[pieceBytes:]
+	for len(seg) > c.piece {
+		c.write(seg[:c.piece])
+		seg = seg[c.piece:]
 		if !c.level() {
 			return false
 		}
--- a/prefix/prefix_test.go
+++ b/prefix/prefix_test.go
@@ -11,12 +11,14 @@
 // Guards against long messages with equal beginnings that share no level.
 func TestLongMessagesSharePieces(t *testing.T) {
 	is := is.New(t)
+	const pieceBytes = PieceTokens * bytesPerToken
 	shared := bytes.Repeat([]byte("a"), 2*pieceBytes)
 	a := Chain(Scope{Account: "x"}, [][]byte{append(bytes.Clone(shared), "one"...)})
 	b := Chain(Scope{Account: "x"}, [][]byte{append(bytes.Clone(shared), "other"...)})
 	is.Equal(a[:2], b[:2])
 	is.True(a[2].Hash != b[2].Hash)
 	is.Equal(a[1].Tokens, int64(2*PieceTokens))
+	is.Equal(len(ChainOf(Scope{}, [][]byte{shared}, PieceTokens/2)), 4)
 }
 
 // Guards against equal text in another scope that shares a level (I1).
--- a/route/route.go
+++ b/route/route.go
@@ -37,6 +37,23 @@
 	Exclude map[string]bool
 	// LastResort admits ejected endpoints, for want of any other.
 	LastResort bool
+	// Policy holds the service's settings of endpoint selection.
+	Policy Policy
+}
+
+// Policy are the settings of a service that endpoint selection obeys. A field
+// of 0 means the default, except for the price.
+type Policy struct {
+	// PriceMsPerMiB is the time to first token that a MiB between regions must
+	// save, in milliseconds; 0 means that it costs nothing.
+	PriceMsPerMiB float64
+	// EjectAfter is the number of consecutive failures that ejects an endpoint.
+	EjectAfter int
+	// ProbeInterval is the time to the first probe of an ejected endpoint; it
+	// doubles with each failed probe.
+	ProbeInterval time.Duration
+	// BlockLifetime is assumed for endpoints that report none, until it is learned.
+	BlockLifetime time.Duration
 }
 
 // Load is an endpoint's last load report; zero fields are unknown.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -172,3 +172,45 @@
 		})
 	}
 }
+
+// Guards against settings of a service that selection ignores: the failures
+// that eject, the time to a probe, the block lifetime and the price of regions.
+func TestPolicy(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []route.Policy{{EjectAfter: 1, ProbeInterval: 5 * time.Second}, {EjectAfter: 2, ProbeInterval: time.Minute}} {
+		f := newFixture(1)
+		r := request(1)
+		r.Policy = c
+		for i := range c.EjectAfter {
+			is.True(!f.snapshot(r)[0].Ejected)
+			_, a := f.send(r)
+			a.Failed(f.now)
+			is.Equal(f.snapshot(r)[0].Ejected, i == c.EjectAfter-1)
+		}
+		f.now = f.now.Add(c.ProbeInterval - time.Millisecond)
+		is.True(!f.snapshot(r)[0].Probe)
+		f.now = f.now.Add(time.Millisecond)
+		is.True(f.snapshot(r)[0].Probe)
+	}
+	for life, cached := range map[time.Duration]bool{time.Second: false, time.Minute: true} {
+		f := newFixture(1)
+		r := request(1)
+		r.Policy.BlockLifetime = life
+		_, a := f.send(r)
+		a.FirstToken(f.now)
+		a.End(1, 1)
+		f.now = f.now.Add(2 * time.Second)
+		is.Equal(f.snapshot(r)[0].CachedTokens > 0, cached)
+	}
+	for price, region := range map[float64]string{0: "b", 1e6: "a"} {
+		f := newFixture(2)
+		f.members[1].Region = "b"
+		r := request(1)
+		r.Bytes, r.Policy.PriceMsPerMiB = 1<<20, price
+		r.Exclude = map[string]bool{}
+		eps := f.snapshot(r)
+		eps[0].WaitMs = 1000 // the near endpoint costs a second more
+		d := f.Choose(r, eps)
+		is.Equal(map[string]string{"e0000": "a", "e0001": "b"}[d.Chosen], region)
+	}
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -23,11 +24,11 @@
 	// few milliseconds in a short answer doesn't count as a straggler.
 	residualFloorMs = 20
 
-	// ejectAfter is the number of consecutive failures that ejects an endpoint.
-	ejectAfter = 3
-	// minEjection and maxEjection bound the time between two probes; it
-	// doubles with each failed probe.
-	minEjection = time.Second
+	// defaultEjectAfter is the number of consecutive failures that ejects an endpoint.
+	defaultEjectAfter = 3
+	// defaultProbeInterval is the time to the first probe.
+	defaultProbeInterval = time.Second
+	// maxEjection bounds the time between two probes, unless the first is later.
 	maxEjection = 30 * time.Second
 
 	// outputWeight is the weight of a new output length in the average.
@@ -55,6 +56,8 @@
 	probeAt  time.Time
 
 	learned time.Duration
+	// assumed is the service's block lifetime, 0 for the default.
+	assumed time.Duration
 }
 
 // lifetime returns the reported block lifetime, else the learned one.
@@ -65,7 +68,7 @@
 	case s.learned > 0:
 		return s.learned
 	default:
-		return defaultLifetime
+		return cmp.Or(s.assumed, defaultLifetime)
 	}
 }
 
@@ -100,6 +103,11 @@
 	out := make([]Endpoint, len(members))
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, m := range members {
+		if r.Policy.BlockLifetime > 0 {
+			t.state(m.ID).assumed = r.Policy.BlockLifetime
+		}
+	}
 	cached := map[string]float64{}
 	t.placement.expect(r.Levels, now, cached)
 	r.OutputTokens = t.lengths[lengthKey{r.Service, r.Account}]
@@ -362,8 +370,10 @@
 	}
 	s := a.state
 	s.failures++
-	if s.failures >= ejectAfter {
-		s.ejection = min(maxEjection, max(minEjection, 2*s.ejection))
+	p := a.request.Policy
+	if s.failures >= cmp.Or(p.EjectAfter, defaultEjectAfter) {
+		first := cmp.Or(p.ProbeInterval, defaultProbeInterval)
+		s.ejection = min(max(maxEjection, first), max(first, 2*s.ejection))
 		s.probeAt = now.Add(s.ejection)
 	}
 	a.forget()
