--- a/agent/queue.go
+++ b/agent/queue.go
@@ -42,6 +42,7 @@
 	queue     *admit.Queue
 	limiter   *admit.Limiter
 	predictor *admit.Predictor
+	backlog   *admit.Backlog
 	weight    func(service, account string) int
 
 	view *blocks.View
@@ -57,7 +58,7 @@
 	if weight == nil {
 		weight = func(string, string) int { return 1 }
 	}
-	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), view: blocks.NewView(),
+	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), backlog: &admit.Backlog{}, view: blocks.NewView(),
 		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
 		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
 }
@@ -162,7 +163,7 @@
 }
 
 // setReport records the engine's own report. It returns whether the engine
-// restarted or has another model or version.
+// restarted, has another model or version, or began or finished loading.
 func (l *local) setReport(r Load) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,7 +173,15 @@
 	if old.BootID != r.BootID && l.reconnect != nil {
 		l.reconnect() // the new engine numbers its events from 1 again
 	}
-	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version
+	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version || old.Loading != r.Loading
+}
+
+// otherVersion reports whether the engine is known to have other weights than
+// the wanted ones. A resumed answer would mix the text of two versions.
+func (l *local) otherVersion(wanted string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return wanted != "" && l.report.Version != "" && l.report.Version != wanted
 }
 
 // load returns what the agent knows of the endpoint.
@@ -184,7 +193,7 @@
 	l.mu.Unlock()
 	return &pb.EndpointLoad{EndpointId: l.ID, Running: int64(running), Queued: int64(queued), Limit: int64(limit),
 		PredictedWaitMs: l.queue.Wait(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
-		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version}
+		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version, Loading: report.Loading}
 }
 
 // overloaded returns the refusal of a request that would wait too long.
@@ -195,6 +204,21 @@
 	return r
 }
 
+// refresh returns a stored refusal with the present ticket and load. An old
+// ticket would make the entry's next Open stale, an old load would keep it away
+// from an endpoint that is idle again.
+func (s *Server) refresh(a *attempt, stored *pb.Refused) *pb.Refused {
+	r := s.refusal(stored.Code, stored.Message, stored.Run)
+	if r.Code != pb.RefusalCode_REFUSAL_OVERLOADED {
+		return r
+	}
+	r.Load = s.endpoints[a.endpointID].load()
+	if r.RetryAfterMs = stored.RetryAfterMs; r.RetryAfterMs == 0 {
+		r.RetryAfterMs = max(r.Load.PredictedWaitMs, minRetryAfter.Milliseconds())
+	}
+	return r
+}
+
 // enqueue queues a new attempt. An attempt that would wait too long is revoked
 // in the table, so that no repeated Open runs it later.
 func (s *Server) enqueue(a *attempt, o *pb.Open) *place {
@@ -203,8 +227,7 @@
 	log := s.log.With(zap.String("request", o.RequestId), zap.String("attempt", o.AttemptId), zap.String("endpoint", ep.ID),
 		zap.String("account", o.Account), zap.Int64("predicted_wait_ms", wait.Milliseconds()))
 	if p == nil {
-		s.table.Revoke(a.key, always)
-		a.refuse(s.overloaded(ep, reason, wait))
+		s.refuse(a, s.overloaded(ep, reason, wait))
 		log.Info("refused", zap.String("reason", reason))
 		return nil
 	}
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -41,7 +41,7 @@
 }
 
 func (s *Server) routeRequest(r *Request) *route.Request {
-	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: r.Document.Version,
+	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: s.rollouts.required(r.Service, r.Document.Version, time.Now()),
 		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.ChainOf(r.Scope(), r.Segments, r.Document.Engine.PrefixPieceTokens),
 		Tokens: prefix.Tokens(r.Segments), Bytes: int64(len(r.Body)), Seed: s.opts.Random(), Exclude: map[string]bool{}, Policy: policyOf(r.Document)}
 }
@@ -56,7 +56,10 @@
 // choose decides on an endpoint, logs the decision and starts its feedback.
 func (s *Server) choose(r *route.Request) (route.Decision, *feedback) {
 	now := time.Now()
-	candidates := s.candidates(r, now)
+	buf := s.buffers.Get().(*[]route.Endpoint)
+	defer s.buffers.Put(buf)
+	candidates := s.candidates((*buf)[:0], r, now)
+	*buf = candidates
 	d := s.scheduler.Choose(r, candidates)
 	s.logDecision(d)
 	for i := range candidates {
@@ -82,33 +85,39 @@
 	return every > 0 && (s.decided.Add(1)-1)%every == 0
 }
 
-// candidates returns the snapshot for a request. Each agent's state is read once.
-func (s *Server) candidates(r *route.Request, now time.Time) []route.Endpoint {
-	members := s.Members.Service(r.Service)
-	states := s.agentStates(members)
-	return s.tracker.Snapshot(r, members, func(m member.Endpoint) route.Report {
-		st, ok := states[m.Agent]
-		if !ok {
-			return route.Report{}
-		}
-		return reportOf(st.Loads[m.ID], st.RTT)
-	}, now)
+// candidates appends the snapshot for a request to out.
+func (s *Server) candidates(out []route.Endpoint, r *route.Request, now time.Time) []route.Endpoint {
+	return s.tracker.AppendSnapshot(out, r, s.Members.Service(r.Service), s.report, now)
 }
 
-func (s *Server) agentStates(members []member.Endpoint) map[string]wire.State {
-	links := make(map[string]*wire.Link, len(members))
-	s.mu.Lock()
-	for _, m := range members {
-		if l := s.links[m.Agent]; l != nil {
-			links[m.Agent] = l
-		}
+// report returns the last load report of an endpoint whose reports came before
+// it was in the host list.
+func (s *Server) report(m member.Endpoint) route.Report {
+	l := s.linkTo(m.Agent)
+	if l == nil {
+		return route.Report{}
 	}
-	s.mu.Unlock()
-	out := make(map[string]wire.State, len(links))
-	for addr, l := range links {
-		out[addr] = l.State()
+	st := l.State()
+	return reportOf(st.Loads[m.ID], st.RTT)
+}
+
+func (s *Server) linkTo(agent string) *wire.Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[agent]
+}
+
+// loadOf returns what an endpoint's agent last reported of it, nil without a report.
+func (s *Server) loadOf(m member.Endpoint) *pb.EndpointLoad {
+	if l := s.linkTo(m.Agent); l != nil {
+		return l.State().Loads[m.ID]
 	}
-	return out
+	return nil
+}
+
+// onLoad passes a load report to the tracker.
+func (s *Server) onLoad(l *pb.EndpointLoad, rtt time.Duration) {
+	s.tracker.Report(l.EndpointId, reportOf(l, rtt), time.Now())
 }
 
 // reportOf converts a load report. The message's address identifies it: the
--- a/entry/response.go
+++ b/entry/response.go
@@ -13,13 +13,17 @@
 
 // Response is an answer on its way to the caller.
 type Response struct {
-	RequestID  string
-	Endpoint   string
+	RequestID string
+	Endpoint  string
+	// version is the version of the weights that answer.
+	version    string
 	Head       stream.Head
 	WriteStall time.Duration
 	// next returns the following body bytes, nil at the end.
 	next  func(ctx context.Context) ([]byte, error)
 	close func()
+	// attempt is what next reads; nil for a result that is read as a whole.
+	attempt *attempt
 	// outcome is set when the answer has ended, for logs and metrics.
 	outcome string
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -100,7 +100,7 @@
 	}
 	out := []EndpointStatus{}
 	for name := range services {
-		for _, e := range s.candidates(&route.Request{Service: name}, time.Now()) {
+		for _, e := range s.candidates(nil, &route.Request{Service: name}, time.Now()) {
 			out = append(out, EndpointStatus{ID: e.ID, Service: name, Kind: e.Kind, Agent: e.Agent, Region: e.Region,
 				FailureDomain: e.FailureDomain, State: e.State, Ejected: e.Ejected, Version: e.Load.Version, BootID: e.Load.BootID,
 				Running: e.Load.Running, Queued: e.Load.Queued, Limit: e.Load.Limit, InFlight: e.InFlight, Residual: e.Residual, WaitMs: e.WaitMs})
