--- a/route/tracker.go
+++ b/route/tracker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -24,11 +25,11 @@
 	// few milliseconds in a short answer doesn't count as a straggler.
 	residualFloorMs = 20
 
-	// ejectAfter is the number of consecutive failures that ejects an endpoint.
-	ejectAfter = 3
-	// minEjection and maxEjection bound the time between two probes; it
-	// doubles with each failed probe.
-	minEjection = time.Second
+	// defaultEjectAfter is the number of consecutive failures that ejects an endpoint.
+	defaultEjectAfter = 3
+	// defaultProbeInterval is the time to the first probe.
+	defaultProbeInterval = time.Second
+	// maxEjection bounds the time between two probes, unless the first is later.
 	maxEjection = 30 * time.Second
 
 	// outputWeight is the weight of a new output length in the average.
@@ -56,6 +57,8 @@
 	probeAt  time.Time
 
 	learned time.Duration
+	// assumed is the service's block lifetime, 0 for the default.
+	assumed time.Duration
 
 	rtt time.Duration
 	// cached is the expected length of the cached prefix in snapshot round.
@@ -87,7 +90,7 @@
 	case s.learned > 0:
 		return s.learned
 	default:
-		return defaultLifetime
+		return cmp.Or(s.assumed, defaultLifetime)
 	}
 }
 
@@ -144,10 +147,16 @@
 	out = slices.Grow(out, len(members))
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	states := t.statesOf(r.Service, members)
+	if r.Policy.BlockLifetime > 0 {
+		for _, s := range states {
+			s.assumed = r.Policy.BlockLifetime
+		}
+	}
 	t.round++
 	t.placement.expect(r.Levels, now, t.round)
 	r.OutputTokens = t.lengths[lengthKey{r.Service, r.Account}]
-	for i, s := range t.statesOf(r.Service, members) {
+	for i, s := range states {
 		if s.version == nil {
 			s.report(report(members[i]), now)
 		}
@@ -439,8 +448,10 @@
 	}
 	s := a.state
 	s.failures++
-	if s.failures >= ejectAfter {
-		s.ejection = min(maxEjection, max(minEjection, 2*s.ejection))
+	p := a.request.Policy
+	if s.failures >= cmp.Or(p.EjectAfter, defaultEjectAfter) {
+		first := cmp.Or(p.ProbeInterval, defaultProbeInterval)
+		s.ejection = min(max(maxEjection, first), max(first, 2*s.ejection))
 		s.probeAt = now.Add(s.ejection)
 	}
 	a.forget()
