agent: count prefill inside the engine in the predicted wait

PredictedWaitMs covered only the wait for a slot. With 16 slots and answers of half a second it is zero almost always, while prompts wait for each other's prefill inside the engine. The agent now adds the predicted prefill of the requests that have a slot and no first token. Whole answers show no first token and count for their predicted time only; plain services have no prefill.

--- a/admit/backlog.go
+++ b/admit/backlog.go
@@ -20,18 +20,22 @@
 	backlog *Backlog
 	cost    time.Duration
 	done    bool
+	// unseen is true when nothing shows the end of the prefill.
+	unseen bool
 	// Queued is true when others were ahead of it.
 	Queued bool
 }
 
-// Begin adds a prompt with its predicted time.
-func (b *Backlog) Begin(cost time.Duration) *Prefill {
+// Begin adds a prompt with its predicted time. The prefill of an answer that
+// isn't streamed counts as done after that time, because nothing shows its end.
+func (b *Backlog) Begin(cost time.Duration, streamed bool) *Prefill {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire()
 	if len(b.pending) == 0 {
 		b.progress = time.Now()
 	}
-	p := &Prefill{backlog: b, cost: cost, Queued: len(b.pending) > 0}
+	p := &Prefill{backlog: b, cost: cost, unseen: !streamed, Queued: len(b.pending) > 0}
 	b.pending = append(b.pending, p)
 	return p
 }
@@ -42,6 +46,7 @@
 	b := p.backlog
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire()
 	if p.done {
 		return
 	}
@@ -57,12 +62,22 @@
 	}
 }
 
+// expire ends unseen prefills whose time has passed; the caller holds mu.
+func (b *Backlog) expire() {
+	for len(b.pending) > 0 && b.pending[0].unseen && time.Since(b.progress) >= b.pending[0].cost {
+		b.progress = b.progress.Add(b.pending[0].cost)
+		b.pending[0].done = true
+		b.pending = b.pending[1:]
+	}
+}
+
 // Wait predicts the time until the endpoint has computed all prompts it has.
 // One that overran its prediction is expected to take another quarter of its
 // time so far.
 func (b *Backlog) Wait() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expire()
 	if len(b.pending) == 0 {
 		return 0
 	}
--- a/admit/backlog_test.go
+++ b/admit/backlog_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := &Backlog{}
-		first, second := b.Begin(100*time.Millisecond), b.Begin(200*time.Millisecond)
+		first, second := b.Begin(100*time.Millisecond, true), b.Begin(200*time.Millisecond, true)
 		is.True(!first.Queued && second.Queued)
 		time.Sleep(60 * time.Millisecond)
 		is.Equal(b.Wait(), 240*time.Millisecond)
@@ -24,6 +24,8 @@
 		first.Done()
 		is.Equal(b.Wait(), 200*time.Millisecond)
 		second.Done()
+		b.Begin(100*time.Millisecond, false) // a whole answer that runs on
+		time.Sleep(time.Second)
 		is.Equal(b.Wait(), time.Duration(0))
 	})
 }
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -66,7 +66,10 @@
 // place is a request's place in the queue.
 type place struct {
 	ticket *admit.Ticket
-	prompt int64
+	// prefill is set once the request has a slot.
+	prefill  *admit.Prefill
+	streamed bool
+	prompt   int64
 	// cached is the expected number of prompt tokens in the engine's cache.
 	cached   int64
 	levels   []blocks.Level
@@ -75,10 +78,10 @@
 
 // enqueue queues a request or returns why it is declined.
 func (l *local) enqueue(o *pb.Open, cached int64) (p *place, reason string, wait time.Duration) {
-	p = &place{prompt: promptTokens(o), cached: cached, levels: levels(o)}
+	p = &place{streamed: o.Stream, prompt: promptTokens(o), cached: cached, levels: levels(o)}
 	item := admit.Item{Account: o.Account, Weight: l.weight(o.Service, o.Account),
 		Cost: l.predictor.Predict(o.Service, o.Account, p.prompt-cached).Service}
-	wait = l.queue.Wait(item)
+	wait = l.expect(item)
 	if o.DeadlineMs > 0 {
 		p.deadline = time.Now().Add(milliseconds(o.DeadlineMs))
 	}
@@ -93,10 +96,32 @@
 		return nil, err.Error(), wait
 	}
 	p.ticket = t
+	select {
+	case <-t.Ready:
+		l.compute(p) // so that the load in Accepted includes it
+	default:
+	}
 	l.view.Expect(o.RequestId, p.levels)
 	return p, "", wait
 }
 
+// expect predicts the wait for a slot and for the prefill of the requests that
+// have one. Plain services compute no prompts.
+func (l *local) expect(item admit.Item) time.Duration {
+	wait := l.queue.Wait(item)
+	if l.Kind == platform.Engine {
+		wait += l.backlog.Wait()
+	}
+	return wait
+}
+
+// compute adds a request that has a slot to the prefill backlog.
+func (l *local) compute(p *place) {
+	if p.prefill == nil {
+		p.prefill = l.backlog.Begin(l.predictor.Prefill(p.prompt-p.cached), p.streamed)
+	}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func promptTokens(o *pb.Open) int64 {
@@ -184,7 +209,7 @@
 	report := l.report
 	l.mu.Unlock()
 	return &pb.EndpointLoad{EndpointId: l.ID, Running: int64(running), Queued: int64(queued), Limit: int64(limit),
-		PredictedWaitMs: l.queue.Wait(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
+		PredictedWaitMs: l.expect(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
 		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version}
 }
 
--- a/agent/server.go
+++ b/agent/server.go
@@ -216,6 +216,12 @@
 	defer ep.queue.Done(p.ticket)
 	queued := time.Now()
 	ready := p.wait(a.ctx)
+	if ready {
+		ep.compute(p)
+	}
+	if p.prefill != nil {
+		defer p.prefill.Done()
+	}
 	if !ready && a.ctx.Err() == nil {
 		s.table.Revoke(a.key, always)
 		a.refuse(s.overloaded(ep, "the deadline passed in the queue", 0))
@@ -232,10 +238,9 @@
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
 	req := request(o)
 	req.Priority = p.priority()
-	prefill := ep.backlog.Begin(ep.predictor.Prefill(p.prompt - p.cached))
-	m := newMeter(a, ep, prefill, o.Stream)
+	m := newMeter(a, ep, p.prefill, o.Stream)
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
-	prefill.Done()
+	p.prefill.Done()
 	ep.queue.Done(p.ticket)
 	if err == nil {
 		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
