daemon: assemble the agent's process in a package

main keeps parsing and the exit status. Every option is a flag and an environment variable, checked with a message that names flag, value and what is allowed (TestSettings). New: region, failure domain, the operator's listener with /metrics, /healthz and /readyz, mutual TLS, and the agent's limits.

TestStopIsBounded fails without the timeout ('the agent didn't exit' after 5 s).

TestClaims/crossed_answers failed once in a full run under -race on a busy machine; alone it passes.

--- a/agent/server.go
+++ b/agent/server.go
@@ -393,6 +393,9 @@
 	return s.leaving
 }
 
+// Ready reports whether the agent accepts new attempts.
+func (s *Server) Ready() bool { return !s.isLeaving() }
+
 // Leave refuses new attempts from now on and tells every watcher.
 func (s *Server) Leave() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/internal/process"
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/platform"
+	_ "github.com/citrontiller/citrontiller/plugins/openai" // registers endpoint.openai
+	_ "github.com/citrontiller/citrontiller/plugins/plain"  // registers endpoint.plain
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+const (
+	// sweepInterval is the time between evictions of expired attempts.
+	sweepInterval = 10 * time.Second
+	// dialTimeout bounds a driver's connection to its endpoint.
+	dialTimeout = 2 * time.Second
+	// headerTimeout bounds the header of an operator's request.
+	headerTimeout = 5 * time.Second
+)
+
+// Run runs an agent until ctx ends and the drain is complete.
+func Run(ctx context.Context, s Settings, log *zap.Logger) error {
+	opts, endpoints, err := s.Options(log)
+	if err != nil {
+		return err
+	}
+	creds, err := s.TLS.Server()
+	if err != nil {
+		return err
+	}
+	// The loops outlast ctx: attempts that drain still need them.
+	running, finish := context.WithCancel(context.WithoutCancel(ctx))
+	defer finish()
+	srv, err := agent.New(opts, endpoints, func(ep agent.Endpoint) (agent.Driver, error) { return driver(running, ep, log) })
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("--listen %s: %w", s.Listen, err)
+	}
+	if s.OperatorListen != "" {
+		closeOperator, err := operate(s.OperatorListen, srv, log)
+		if err != nil {
+			return err
+		}
+		defer closeOperator()
+	}
+	go srv.Sweep(running, sweepInterval)
+	go srv.Follow(running)
+	log.Info("listening", zap.String("address", l.Addr().String()), zap.String("incarnation", srv.Incarnation()),
+		zap.String("region", s.Region), zap.String("failure_domain", s.FailureDomain))
+	return serve(ctx, grpc.NewServer(grpc.Creds(creds)), srv, l, s.StopTimeout)
+}
+
+func driver(ctx context.Context, ep agent.Endpoint, log *zap.Logger) (agent.Driver, error) {
+	id := "endpoint.openai"
+	if ep.Kind == platform.Plain {
+		id = "endpoint.plain"
+	}
+	return kernel.Load[agent.Driver](ctx, id, kernel.Settings{Address: ep.Address, Timeout: dialTimeout, Log: log})
+}
+
+// serve serves entries until ctx ends, then drains and stops.
+func serve(ctx context.Context, g *grpc.Server, srv *agent.Server, l net.Listener, timeout time.Duration) error {
+	pb.RegisterAgentServer(g, srv)
+	failed := make(chan error, 1)
+	go func() { failed <- g.Serve(l) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	srv.Leave()
+	if err := srv.Drain(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	stop(g, timeout)
+	return <-failed
+}
+
+// stop lets entries read what was sent to them. An entry that went silent would
+// hold a graceful stop for good, so that it is bounded.
+func stop(g *grpc.Server, timeout time.Duration) {
+	t := time.AfterFunc(timeout, g.Stop)
+	defer t.Stop()
+	g.GracefulStop()
+}
+
+// operate serves the operator's endpoints and returns a function that ends it.
+func operate(address string, srv *agent.Server, log *zap.Logger) (func(), error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &process.SettingError{Flag: "--operator-listen", Value: address, Allowed: "a free ip:port", Err: err}
+	}
+	h := &http.Server{Handler: operator(srv), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = h.Serve(l) }()
+	log.Info("operator listening", zap.String("address", l.Addr().String()))
+	return func() { _ = h.Close() }, nil
+}
+
+func operator(srv *agent.Server) http.Handler {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !srv.Ready() {
+			http.Error(w, "leaving", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	return mux
+}
