--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -3,8 +3,6 @@
 package daemon
 
 import (
-	"fmt"
-	"net"
 	"strings"
 	"time"
 
@@ -18,21 +16,21 @@
 // Settings are the agent's options, each a flag and an environment variable.
 // Durations have their unit in the value.
 type Settings struct {
-	Listen         string   `arg:"--listen,env:CITRONTILLER_AGENT_LISTEN,required" help:"ip:port for entries"`
-	OperatorListen string   `arg:"--operator-listen,env:CITRONTILLER_AGENT_OPERATOR_LISTEN" help:"ip:port for /metrics, /healthz and /readyz; empty for none"`
-	Endpoints      []string `arg:"--endpoint,separate,env:CITRONTILLER_AGENT_ENDPOINTS,required" help:"id,service,kind,ip:port of an endpoint; kind is engine or plain; repeatable"`
+	Listen         string   `arg:"--listen,env:CITRONTILLER_LISTEN,required" help:"ip:port for entries"`
+	OperatorListen string   `arg:"--operator-listen,env:CITRONTILLER_OPERATOR_LISTEN" help:"ip:port for /metrics, /healthz and /readyz; empty for none"`
+	Endpoints      []string `arg:"--endpoint,separate,env:CITRONTILLER_ENDPOINT,required" help:"id,service,kind,ip:port of an endpoint; kind is engine or plain; repeatable"`
 	Region         string   `arg:"--region,env:CITRONTILLER_REGION" help:"region of this host"`
 	FailureDomain  string   `arg:"--failure-domain,env:CITRONTILLER_FAILURE_DOMAIN" help:"failure domain of this host"`
 
-	TicketLifetime   time.Duration `arg:"--ticket-lifetime,env:CITRONTILLER_AGENT_TICKET_LIFETIME" default:"60s" help:"oldest ticket of an Open; 1s to 10m"`
-	ResultRetention  time.Duration `arg:"--result-retention,env:CITRONTILLER_AGENT_RESULT_RETENTION" default:"10m" help:"time ended attempts are kept; twice the ticket lifetime to 24h"`
-	DetachGrace      time.Duration `arg:"--detach-grace,env:CITRONTILLER_AGENT_DETACH_GRACE" default:"5s" help:"time an idempotent request runs without its entry; 0s to 10m"`
-	ProgressInterval time.Duration `arg:"--progress-interval,env:CITRONTILLER_AGENT_PROGRESS_INTERVAL" default:"1s" help:"time between Progress messages; 100ms to 1s"`
-	StopTimeout      time.Duration `arg:"--stop-timeout,env:CITRONTILLER_AGENT_STOP_TIMEOUT" default:"5s" help:"time after the drain until connections are closed; 0s to 10m"`
-	StreamBuffer     int           `arg:"--stream-buffer-bytes,env:CITRONTILLER_AGENT_STREAM_BUFFER_BYTES" default:"65536" help:"replay buffer of a stream in bytes; 4096 to 65536"`
-	ReplayBytes      int           `arg:"--replay-bytes,env:CITRONTILLER_AGENT_REPLAY_BYTES" default:"8388608" help:"replay buffers of all streams in bytes; 65536 to 8388608"`
-	ResultBytes      int           `arg:"--result-bytes,env:CITRONTILLER_AGENT_RESULT_BYTES" default:"4194304" help:"kept results of non-idempotent requests in bytes; 131072 to 67108864"`
-	Concurrency      int           `arg:"--concurrency,env:CITRONTILLER_AGENT_CONCURRENCY" default:"16" help:"requests an endpoint runs at once, at first; 1 to 4096"`
+	TicketLifetime   time.Duration `arg:"--ticket-lifetime,env:CITRONTILLER_TICKET_LIFETIME" default:"60s" help:"oldest ticket of an Open; 1s to 10m"`
+	ResultRetention  time.Duration `arg:"--result-retention,env:CITRONTILLER_RESULT_RETENTION" default:"10m" help:"time ended attempts are kept; twice the ticket lifetime to 24h"`
+	DetachGrace      time.Duration `arg:"--detach-grace,env:CITRONTILLER_DETACH_GRACE" default:"5s" help:"time an idempotent request runs without its entry; 0s to 10m"`
+	ProgressInterval time.Duration `arg:"--progress-interval,env:CITRONTILLER_PROGRESS_INTERVAL" default:"1s" help:"time between Progress messages; 100ms to 1s"`
+	StopTimeout      time.Duration `arg:"--stop-timeout,env:CITRONTILLER_STOP_TIMEOUT" default:"5s" help:"time after the drain until connections are closed; 0s to 10m"`
+	StreamBuffer     int           `arg:"--stream-buffer-bytes,env:CITRONTILLER_STREAM_BUFFER_BYTES" default:"65536" help:"replay buffer of a stream in bytes; 4096 to 65536"`
+	ReplayBytes      int           `arg:"--replay-bytes,env:CITRONTILLER_REPLAY_BYTES" default:"8388608" help:"replay buffers of all streams in bytes; 65536 to 8388608"`
+	ResultBytes      int           `arg:"--result-bytes,env:CITRONTILLER_RESULT_BYTES" default:"4194304" help:"kept results of non-idempotent requests in bytes; 131072 to 67108864"`
+	Concurrency      int           `arg:"--concurrency,env:CITRONTILLER_CONCURRENCY" default:"16" help:"requests an endpoint runs at once, at first; 1 to 4096"`
 
 	process.TLS
 	LogLevel string `arg:"--log-level,env:CITRONTILLER_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
@@ -56,37 +54,23 @@
 
 func (s Settings) check() error {
 	for _, err := range []error{
-		address("--listen", s.Listen),
-		within("--ticket-lifetime", s.TicketLifetime, time.Second, 10*time.Minute),
-		within("--result-retention", s.ResultRetention, 2*s.TicketLifetime, 24*time.Hour),
-		within("--detach-grace", s.DetachGrace, 0, 10*time.Minute),
-		within("--progress-interval", s.ProgressInterval, 100*time.Millisecond, time.Second),
-		within("--stop-timeout", s.StopTimeout, 0, 10*time.Minute),
-		within("--stream-buffer-bytes", s.StreamBuffer, 4<<10, 64<<10),
-		within("--replay-bytes", s.ReplayBytes, 64<<10, 8<<20),
-		within("--result-bytes", s.ResultBytes, 128<<10, 64<<20),
-		within("--concurrency", s.Concurrency, 1, 4096),
+		process.CheckListen("--listen", s.Listen),
+		process.CheckRange("--ticket-lifetime", s.TicketLifetime, time.Second, 10*time.Minute),
+		process.CheckRange("--result-retention", s.ResultRetention, 2*s.TicketLifetime, 24*time.Hour),
+		process.CheckRange("--detach-grace", s.DetachGrace, 0, 10*time.Minute),
+		process.CheckRange("--progress-interval", s.ProgressInterval, 100*time.Millisecond, time.Second),
+		process.CheckRange("--stop-timeout", s.StopTimeout, 0, 10*time.Minute),
+		process.CheckRange("--stream-buffer-bytes", s.StreamBuffer, 4<<10, 64<<10),
+		process.CheckRange("--replay-bytes", s.ReplayBytes, 64<<10, 8<<20),
+		process.CheckRange("--result-bytes", s.ResultBytes, 128<<10, 64<<20),
+		process.CheckRange("--concurrency", s.Concurrency, 1, 4096),
 	} {
 		if err != nil {
 			return err
 		}
 	}
 	if s.OperatorListen != "" {
-		return address("--operator-listen", s.OperatorListen)
-	}
-	return nil
-}
-
-func within[T int | time.Duration](flag string, v, low, high T) error {
-	if v < low || v > high {
-		return &process.SettingError{Flag: flag, Value: fmt.Sprint(v), Allowed: fmt.Sprintf("%v to %v", low, high)}
-	}
-	return nil
-}
-
-func address(flag, v string) error {
-	if _, _, err := net.SplitHostPort(v); err != nil {
-		return &process.SettingError{Flag: flag, Value: fmt.Sprintf("%q", v), Allowed: "ip:port"}
+		return process.CheckListen("--operator-listen", s.OperatorListen)
 	}
 	return nil
 }
@@ -95,14 +79,14 @@
 	var out []agent.Endpoint
 	seen := map[string]bool{}
 	for _, v := range in {
-		bad := &process.SettingError{Flag: "--endpoint", Value: fmt.Sprintf("%q", v),
+		bad := &process.SettingError{Flag: "--endpoint", Value: v,
 			Allowed: "id,service,kind,ip:port with kind engine or plain, and each id once"}
 		f := strings.Split(v, ",")
 		if len(f) != 4 || f[0] == "" || f[1] == "" || seen[f[0]] {
 			return nil, bad
 		}
 		kind := platform.Kind(f[2])
-		if (kind != platform.Engine && kind != platform.Plain) || address("--endpoint", f[3]) != nil {
+		if (kind != platform.Engine && kind != platform.Plain) || process.CheckListen("--endpoint", f[3]) != nil {
 			return nil, bad
 		}
 		seen[f[0]] = true
--- a/internal/process/setting.go
+++ b/internal/process/setting.go
@@ -16,6 +16,8 @@
 	Flag    string
 	Value   string
 	Allowed string
+	// Err is why the value can't be used; nil when Allowed says enough.
+	Err error
 }
 
 func (e *SettingError) Error() string {
@@ -23,9 +25,16 @@
 	if e.Value != "" {
 		value = fmt.Sprintf("%q", e.Value)
 	}
-	return fmt.Sprintf("%s (or %s): got %s, allowed: %s", e.Flag, environment(e.Flag), value, e.Allowed)
+	s := fmt.Sprintf("%s (or %s): got %s, allowed: %s", e.Flag, environment(e.Flag), value, e.Allowed)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
 }
 
+// Unwrap returns the cause.
+func (e *SettingError) Unwrap() error { return e.Err }
+
 // environment returns the name of a flag's environment variable.
 func environment(flag string) string {
 	return "CITRONTILLER_" + strings.ToUpper(strings.ReplaceAll(strings.TrimPrefix(flag, "--"), "-", "_"))
@@ -37,7 +46,7 @@
 	if value >= low && value <= high {
 		return nil
 	}
-	return &SettingError{flag, show(value), show(low) + " to " + show(high)}
+	return &SettingError{Flag: flag, Value: show(value), Allowed: show(low) + " to " + show(high)}
 }
 
 // show writes a duration without zero parts, such as "10m" for "10m0s".
@@ -55,7 +64,7 @@
 // CheckGiven checks that a setting is not empty. The error is a *SettingError.
 func CheckGiven(flag, value, allowed string) error {
 	if value == "" {
-		return &SettingError{flag, "", allowed}
+		return &SettingError{Flag: flag, Value: "", Allowed: allowed}
 	}
 	return nil
 }
@@ -69,7 +78,7 @@
 	}
 	u, err := url.Parse(text)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Hostname() == "" || u.RawQuery != "" {
-		return &SettingError{flag, value, "an http or https URL, or ip:port"}
+		return &SettingError{Flag: flag, Value: value, Allowed: "an http or https URL, or ip:port"}
 	}
 	return nil
 }
@@ -81,7 +90,7 @@
 		address = "0.0.0.0" + value // every address of the host
 	}
 	if _, err := netip.ParseAddrPort(address); err != nil {
-		return &SettingError{flag, value, "ip:port or :port"}
+		return &SettingError{Flag: flag, Value: value, Allowed: "ip:port or :port"}
 	}
 	return nil
 }
--- a/internal/process/tls.go
+++ b/internal/process/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"fmt"
 	"os"
 	"strings"
 
@@ -80,29 +79,7 @@
 	}
 	data, err := os.ReadFile(value)
 	if err != nil {
-		return nil, &SettingError{Flag: flag, Value: fmt.Sprintf("%q", value), Allowed: "a PEM file or PEM text; --tls-cert, --tls-key and --tls-ca together", Err: err}
+		return nil, &SettingError{Flag: flag, Value: value, Allowed: "a PEM file or PEM text; --tls-cert, --tls-key and --tls-ca together", Err: err}
 	}
 	return data, nil
 }
-
-// SettingError is a setting that can't be used.
-type SettingError struct {
-	// Flag is the name of the setting on the command line.
-	Flag string
-	// Value is what was given. It never holds a private key.
-	Value string
-	// Allowed says which values may be given.
-	Allowed string
-	Err     error
-}
-
-func (e *SettingError) Error() string {
-	s := fmt.Sprintf("%s: got %s, allowed: %s", e.Flag, e.Value, e.Allowed)
-	if e.Err != nil {
-		s += ": " + e.Err.Error()
-	}
-	return s
-}
-
-// Unwrap returns the cause.
-func (e *SettingError) Unwrap() error { return e.Err }
