entryd: add the weight store and the order lease as settings

The entry gained Weights and LeaseTTL while its process was assembled, and the binary set neither: orders went out without asking the weight store.

--- a/cmd/citrontiller/main.go
+++ b/cmd/citrontiller/main.go
@@ -13,8 +13,9 @@
 	"github.com/citrontiller/citrontiller/internal/entryd"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/operator"
-	_ "github.com/citrontiller/citrontiller/plugins/etcd"   // registers kv.etcd
-	_ "github.com/citrontiller/citrontiller/plugins/httpsd" // registers hosts.httpsd
+	_ "github.com/citrontiller/citrontiller/plugins/etcd"    // registers kv.etcd
+	_ "github.com/citrontiller/citrontiller/plugins/httpsd"  // registers hosts.httpsd
+	_ "github.com/citrontiller/citrontiller/plugins/weights" // registers weights.http
 )
 
 type settings struct {
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -72,6 +72,12 @@
 	}
 	opts := s.options()
 	opts.Log, opts.Registry = log, reg
+	if s.Weights != "" {
+		opts.Weights, err = kernel.Load[platform.WeightStore](ctx, "weights.http", kernel.Settings{Address: s.Weights, Timeout: s.WeightsTimeout, Log: log})
+		if err != nil {
+			return nil, err
+		}
+	}
 	return entry.New(opts, kv, hosts), nil
 }
 
--- a/internal/entryd/entryd_test.go
+++ b/internal/entryd/entryd_test.go
@@ -38,14 +38,14 @@
 	is := is.New(t)
 	good := []string{"--listen", ":1", "--kv", "h:1", "--hosts", "http://h:1", "--region", "r", "--failure-domain", "d"}
 	is.NoErr(parse(t, good...).Check())
-	for _, flag := range []string{"--drain-delay", "--kv-timeout", "--hosts-timeout", "--host-interval", "--config-interval", "--revoke-timeout",
+	for _, flag := range []string{"--drain-delay", "--kv-timeout", "--hosts-timeout", "--host-interval", "--weights-timeout", "--lease-ttl", "--config-interval", "--revoke-timeout",
 		"--result-timeout", "--claim-lease-span", "--min-ack-timeout", "--agent-give-up", "--ticket-lifetime"} {
 		for _, bad := range []string{"-1s", "99h"} {
 			err := parse(t, append(good, flag+"="+bad)...).Check()
 			is.True(err != nil && strings.HasPrefix(err.Error(), flag+" ("))
 		}
 	}
-	for flag, bad := range map[string]string{"--decision-records": "0", "--decision-log-sample": "-1", "--operator-listen": "x"} {
+	for flag, bad := range map[string]string{"--decision-records": "0", "--decision-log-sample": "-1", "--operator-listen": "x", "--weights": "ftp://w"} {
 		err := parse(t, append(good, flag+"="+bad)...).Check()
 		is.True(err != nil && strings.HasPrefix(err.Error(), flag+" ("))
 	}
--- a/internal/entryd/settings.go
+++ b/internal/entryd/settings.go
@@ -18,6 +18,7 @@
 	OperatorListen string `arg:"--operator-listen,env:CITRONTILLER_OPERATOR_LISTEN" help:"ip:port for operators: /metrics, /healthz, /readyz, /status, /decisions/REQUEST-ID; it has no access control [default: off]"`
 	KV             string `arg:"--kv,env:CITRONTILLER_KV" help:"URL of the key-value service (required)"`
 	Hosts          string `arg:"--hosts,env:CITRONTILLER_HOSTS" help:"URL of the host list (required)"`
+	Weights        string `arg:"--weights,env:CITRONTILLER_WEIGHTS" help:"URL of the weight store, asked before engines are told to load weights [default: not asked]"`
 	ID             string `arg:"--id,env:CITRONTILLER_ID" help:"name of this entry in logs and at agents [default: random]"`
 	Region         string `arg:"--region,env:CITRONTILLER_REGION" help:"region of this host (required)"`
 	FailureDomain  string `arg:"--failure-domain,env:CITRONTILLER_FAILURE_DOMAIN" help:"failure domain of this host (required)"`
@@ -25,6 +26,8 @@
 	DrainDelay     time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"time between failing readiness and closing the listener"`
 	KVTimeout      time.Duration `arg:"--kv-timeout,env:CITRONTILLER_KV_TIMEOUT" default:"2s" help:"bound on one call to the key-value service"`
 	HostsTimeout   time.Duration `arg:"--hosts-timeout,env:CITRONTILLER_HOSTS_TIMEOUT" default:"1s" help:"bound on one read of the host list"`
+	WeightsTimeout time.Duration `arg:"--weights-timeout,env:CITRONTILLER_WEIGHTS_TIMEOUT" default:"2s" help:"bound on one call to the weight store"`
+	LeaseTTL       time.Duration `arg:"--lease-ttl,env:CITRONTILLER_LEASE_TTL" default:"8s" help:"length of the lease of the entry that sends orders; another takes over within one and a half times this"`
 	HostInterval   time.Duration `arg:"--host-interval,env:CITRONTILLER_HOST_INTERVAL" default:"1s" help:"time between reads of the host list"`
 	ConfigInterval time.Duration `arg:"--config-interval,env:CITRONTILLER_CONFIG_INTERVAL" default:"5s" help:"time between polls of the documents, beside the watch"`
 	RevokeTimeout  time.Duration `arg:"--revoke-timeout,env:CITRONTILLER_REVOKE_TIMEOUT" default:"5s" help:"bound on the try to prove that a lost attempt did not run"`
@@ -63,6 +66,9 @@
 	if s.OperatorListen != "" {
 		errs = append(errs, process.CheckListen("--operator-listen", s.OperatorListen))
 	}
+	if s.Weights != "" {
+		errs = append(errs, process.CheckURL("--weights", s.Weights))
+	}
 	if len(s.ID) > maxNameLength {
 		errs = append(errs, &process.SettingError{Flag: "--id", Value: s.ID, Allowed: "at most 128 bytes"})
 	}
@@ -83,6 +89,8 @@
 		{"--drain-delay", s.DrainDelay, 0, 10 * min},
 		{"--kv-timeout", s.KVTimeout, 10 * ms, min},
 		{"--hosts-timeout", s.HostsTimeout, 10 * ms, min},
+		{"--weights-timeout", s.WeightsTimeout, 10 * ms, min},
+		{"--lease-ttl", s.LeaseTTL, 2 * sec, 5 * min},
 		// A leaving endpoint gets no new work after 3 s.
 		{"--host-interval", s.HostInterval, 100 * ms, 2 * sec},
 		// An edit is in force within 19 s even with a silent watch: a poll, its
@@ -102,6 +110,7 @@
 	o := entry.DefaultOptions()
 	o.ID, o.Region, o.FailureDomain = s.ID, s.Region, s.FailureDomain
 	o.HostInterval, o.ConfigInterval = s.HostInterval, s.ConfigInterval
+	o.LeaseTTL = s.LeaseTTL
 	o.RevokeTimeout, o.ResultTimeout = s.RevokeTimeout, s.ResultTimeout
 	o.DecisionRecords, o.DecisionLogSample = s.DecisionRecords, s.DecisionLogSample
 	o.Claims.LeaseSpan = s.ClaimLeaseSpan
