e2e: test the operator commands against real entries and agents

Two entries and two agents as processes. Status over the operator API was chosen as the measure of "in force", since it names what each agent holds.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -130,8 +130,10 @@
 	agents  []*process
 	entries []*process
 	ports   []string
-	client  *http.Client
-	hosts   []platform.Host
+	// apis are the entries' operator APIs.
+	apis   []string
+	client *http.Client
+	hosts  []platform.Host
 }
 
 func freePort(t *testing.T) string {
@@ -158,9 +160,9 @@
 	f.Hosts.Set(s.hosts)
 	s.applyDocuments()
 	for range 2 {
-		port := freePort(t)
-		s.ports = append(s.ports, port)
-		s.entries = append(s.entries, launch(t, "citrontiller", "entry", "--listen", port, "--kv", f.KVAddress, "--hosts", f.HostsAddress,
+		port, api := freePort(t), freePort(t)
+		s.ports, s.apis = append(s.ports, port), append(s.apis, api)
+		s.entries = append(s.entries, launch(t, "citrontiller", "entry", "--listen", port, "--operator-listen", api, "--kv", f.KVAddress, "--hosts", f.HostsAddress,
 			"--region", "r1", "--failure-domain", "d1", "--drain-delay", "500ms"))
 	}
 	s.waitReady(0, 1)
