agent: export metrics

Attempts by outcome, refusals by code, queue wait and length, running, limit, replay and result bytes, cached tokens expected and reported, cache events and gaps, resumes by Attach and discarded messages, on the registry in Options. The operator's listener serves them.

Tested under -race but for ./e2e, ./internal/routesim, ./plugins, ./config, ./route and ./lease, which this doesn't touch.

--- a/agent/retain.go
+++ b/agent/retain.go
@@ -71,6 +71,7 @@
 	s.table.Revoke(a.key, always)
 	a.refuse(r)
 	s.table.Compact(a.key, s.trace(a))
+	s.metrics.attempts.WithLabelValues(a.endpointID, outcomeRefused).Inc()
 }
 
 // settle drops the response of a finished idempotent attempt that its reader
@@ -120,6 +121,13 @@
 	return r.pop(func(kept) bool { return r.used > r.limit })
 }
 
+// bytes returns the bytes of the kept results.
+func (r *results) bytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.used
+}
+
 // expire returns the results older than the given age.
 func (r *results) expire(age time.Duration) []*attempt {
 	r.mu.Lock()
--- a/agent/server.go
+++ b/agent/server.go
@@ -7,11 +7,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -45,7 +47,9 @@
 	// Weight returns an account's share of a busy endpoint; nil means that all
 	// accounts have the same.
 	Weight func(service, account string) int
-	Log    *zap.Logger
+	// Registry takes the agent's metrics; nil leaves them unregistered.
+	Registry prometheus.Registerer
+	Log      *zap.Logger
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -78,6 +82,7 @@
 	start       time.Time
 	table       *call.Table[*attempt, trace]
 	results     *results
+	metrics     *metrics
 	endpoints   map[string]*local
 	ids         []string // of the endpoints; a trace holds the index
 	fence       *order.Fence
@@ -120,6 +125,7 @@
 		s.endpoints[ep.ID] = newLocal(ep, d, opts)
 		s.ids = append(s.ids, ep.ID)
 	}
+	s.metrics = newMetrics(opts.Registry, s)
 	return s, nil
 }
 
@@ -230,6 +236,7 @@
 		// been lost with the last connection and isn't repeated.
 		a.replay.Ack(at.NextSeq - 1)
 	}
+	s.metrics.resumes.Inc()
 	return s.serve(srv, a, at.NextSeq)
 }
 
@@ -249,6 +256,7 @@
 	}
 	a.markDispatched()
 	wait := time.Since(queued)
+	s.metrics.wait.WithLabelValues(ep.ID).Observe(wait.Seconds())
 	s.log.Info("dispatch", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
 	req := request(o)
@@ -257,13 +265,16 @@
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
 	ep.queue.Done(p.ticket)
 	if err == nil {
-		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
+		cached := m.observe(o.Service, o.Account, p.prompt)
+		p.correct(ep, cached)
+		s.metrics.observe(ep.ID, p.cached, cached)
 	}
 	end := s.endOf(a, err)
 	end.Load = ep.load()
 	end.QueueMs = wait.Milliseconds()
 	s.table.Finish(a.key)
 	a.finish(end)
+	s.metrics.ended(ep.ID, end)
 	s.settle(a)
 	s.log.Info("finish", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.String("run", end.Run.String()), zap.String("error", end.ErrorCode),
@@ -351,6 +362,9 @@
 // send stamps ids on a message and sends it.
 func (s *Server) send(srv pb.Agent_RunServer, key call.Key, d *pb.Down) error {
 	d.RequestId, d.AttemptId = key.Request, key.Attempt
+	if r := d.GetRefused(); r != nil {
+		s.metrics.refusals.WithLabelValues(r.Code.String()).Inc()
+	}
 	return srv.Send(d)
 }
 
@@ -545,6 +559,10 @@
 			s.settle(a)
 		case *pb.Up_Cancel:
 			s.cancelAttempt(a)
+		default:
+			s.metrics.discarded.Inc()
+			s.log.Warn("message discarded", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
+				zap.String("type", fmt.Sprintf("%T", k)))
 		}
 	}
 }
--- a/agent/server_test.go
+++ b/agent/server_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -25,6 +26,8 @@
 	agent  *fleet.Agent
 	engine *engine.Server
 	client pb.AgentClient
+	// registry holds the agent's metrics.
+	registry *prometheus.Registry
 }
 
 // virtual runs f with an engine of the given slots that takes 10 ms a token.
@@ -37,6 +40,8 @@
 		defer fl.Close()
 		opts := agent.DefaultOptions()
 		opts.Concurrency = slots
+		registry := prometheus.NewRegistry()
+		opts.Registry = registry
 		a, err := fl.AddAgent(fleet.Spec{Name: "agent", Service: func(string) string { return "llm" }, Options: opts,
 			Engines: []engine.Options{{ID: "e", Model: "m", Version: "v1", Slots: slots, TokenGap: 10 * time.Millisecond}}})
 		is.NoErr(err)
@@ -44,7 +49,7 @@
 			grpc.WithContextDialer(func(ctx context.Context, s string) (net.Conn, error) { return fl.Network.Dial(ctx, "tcp", s) }))
 		is.NoErr(err)
 		defer conn.Close()
-		f(&rig{t, a, fl.Engines["e"], pb.NewAgentClient(conn)})
+		f(&rig{t, a, fl.Engines["e"], pb.NewAgentClient(conn), registry})
 	})
 }
 
--- a/call/table.go
+++ b/call/table.go
@@ -253,6 +253,13 @@
 	}
 }
 
+// Len returns the number of attempts, open and ended.
+func (t *Table[V, T]) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.len()
+}
+
 // Open returns the number of attempts that are queued or dispatched.
 func (t *Table[V, T]) Open() int {
 	t.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	opts.Registry = reg
 	// The loops outlast ctx: attempts that drain still need them.
 	running, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
@@ -53,7 +56,7 @@
 		return fmt.Errorf("--listen %s: %w", s.Listen, err)
 	}
 	if s.OperatorListen != "" {
-		closeOperator, err := operate(s.OperatorListen, srv, log)
+		closeOperator, err := operate(s.OperatorListen, srv, reg, log)
 		if err != nil {
 			return err
 		}
@@ -101,20 +104,18 @@
 }
 
 // operate serves the operator's endpoints and returns a function that ends it.
-func operate(address string, srv *agent.Server, log *zap.Logger) (func(), error) {
+func operate(address string, srv *agent.Server, reg prometheus.Gatherer, log *zap.Logger) (func(), error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &process.SettingError{Flag: "--operator-listen", Value: address, Allowed: "a free ip:port", Err: err}
 	}
-	h := &http.Server{Handler: operator(srv), ReadHeaderTimeout: headerTimeout}
+	h := &http.Server{Handler: operator(srv, reg), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = h.Serve(l) }()
 	log.Info("operator listening", zap.String("address", l.Addr().String()))
 	return func() { _ = h.Close() }, nil
 }
 
-func operator(srv *agent.Server) http.Handler {
-	reg := prometheus.NewRegistry()
-	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+func operator(srv *agent.Server, reg prometheus.Gatherer) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
