agent: apply the service documents at the endpoints

Nothing fed Options.Weight, so that all accounts shared an endpoint alike, and the documents' limits had no effect at the agent. A new generation now sets account weights, token gap target, bounds of the concurrency limit, short reserve, stream buffer and detach grace. Attempts opened before keep their buffer. initial_concurrency, short_output_tokens and result_retention_ms still have no effect at the agent: its limit has moved by then, its short requests are told by time, and its table has one retention.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -27,6 +27,7 @@
 type Limiter struct {
 	mu       sync.Mutex
 	min, max int
+	target   time.Duration
 	limit    float64
 	samples  int
 	slow     int
@@ -36,7 +37,7 @@
 
 // NewLimiter returns a limiter that starts at start and stays within min and max.
 func NewLimiter(min, max, start int) *Limiter {
-	return &Limiter{min: min, max: max, limit: float64(start), changed: time.Now()}
+	return &Limiter{min: min, max: max, target: TokenGapTarget, limit: float64(start), changed: time.Now()}
 }
 
 // Limit returns the number of requests to run at once.
@@ -46,13 +47,24 @@
 	return int(l.limit)
 }
 
+// Configure sets the bounds and the longest time between tokens that 95 of 100
+// should have. It returns the limit, which is moved into the bounds.
+func (l *Limiter) Configure(low, high int, target time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.min, l.max, l.target = low, high, target
+	l.limit = max(float64(low), min(float64(high), l.limit))
+	l.samples, l.slow = 0, 0
+	return int(l.limit)
+}
+
 // Observe records the time between two tokens while running requests were
 // running. It returns the limit and whether it changed.
 func (l *Limiter) Observe(gap time.Duration, running int) (limit int, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.samples++
-	if gap > TokenGapTarget {
+	if gap > l.target {
 		l.slow++
 	}
 	before := int(l.limit)
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -13,8 +13,9 @@
 // ErrFull is returned by Queue.Add when the queue holds its maximum length.
 var ErrFull = errors.New("queue is full")
 
-// shortShare is the reciprocal of the share of slots reserved for short requests.
-const shortShare = 4
+// ReservePercent is the share of slots reserved for short requests unless
+// SetReserve changes it; source: the design.
+const ReservePercent = 25
 
 // Item is what the queue knows of a request.
 type Item struct {
@@ -70,6 +71,7 @@
 	max         int
 	shortBelow  time.Duration
 	limit       int
+	reserve     int // percent of the slots for short requests only
 	virtual     float64
 	flows       map[string]*flow
 	queued      int
@@ -80,7 +82,7 @@
 // NewQueue returns a queue of at most max waiting requests in front of limit
 // slots. Requests predicted to take at most shortBelow are short.
 func NewQueue(max, limit int, shortBelow time.Duration) *Queue {
-	return &Queue{max: max, limit: limit, shortBelow: shortBelow, flows: map[string]*flow{}, running: map[*Ticket]struct{}{}}
+	return &Queue{max: max, limit: limit, reserve: ReservePercent, shortBelow: shortBelow, flows: map[string]*flow{}, running: map[*Ticket]struct{}{}}
 }
 
 // Add queues a request, which may get a slot at once. It returns ErrFull when
@@ -160,13 +162,22 @@
 	q.fill()
 }
 
-// longSlots is the number of slots long requests may use. An endpoint with a
-// single slot reserves none, or long requests could never run.
+// SetReserve changes the share of the slots that serve short requests only.
+func (q *Queue) SetReserve(percent int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.reserve = percent
+	q.fill()
+}
+
+// longSlots is the number of slots long requests may use. A reserve is at least
+// one slot; an endpoint with a single slot has none, or long requests could
+// never run.
 func (q *Queue) longSlots() int {
-	if q.limit < 2 {
+	if q.limit < 2 || q.reserve == 0 {
 		return q.limit
 	}
-	return q.limit - max(1, q.limit/shortShare)
+	return q.limit - max(1, q.limit*q.reserve/100)
 }
 
 // fill starts requests while slots are free; the caller holds mu.
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,6 +44,7 @@
 	limiter   *admit.Limiter
 	predictor *admit.Predictor
 	weight    func(service, account string) int
+	settings  atomic.Pointer[settings]
 
 	view *blocks.View
 
@@ -53,13 +55,11 @@
 }
 
 func newLocal(ep Endpoint, d Driver, opts Options) *local {
-	weight := opts.Weight
-	if weight == nil {
-		weight = func(string, string) int { return 1 }
-	}
-	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), view: blocks.NewView(),
+	l := &local{Endpoint: ep, driver: d, weight: opts.Weight, predictor: admit.NewPredictor(), view: blocks.NewView(),
 		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
 		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
+	l.settings.Store(&settings{streamBuffer: opts.StreamBuffer, detachGrace: opts.DetachGrace})
+	return l
 }
 
 // place is a request's place in the queue.
--- a/agent/server.go
+++ b/agent/server.go
@@ -44,8 +44,8 @@
 	ProgressInterval time.Duration
 	// Concurrency is the number of requests an endpoint runs at once, at first.
 	Concurrency int
-	// Weight returns an account's share of a busy endpoint; nil means that all
-	// accounts have the same.
+	// Weight returns an account's share of a busy endpoint; nil takes it from
+	// the service documents.
 	Weight func(service, account string) int
 	// Registry takes the agent's metrics; nil leaves them unregistered.
 	Registry prometheus.Registerer
@@ -89,6 +89,9 @@
 	replays     *stream.Pool
 	work        sync.WaitGroup
 
+	// configMu orders the changes of the endpoints' settings.
+	configMu sync.Mutex
+
 	mu       sync.Mutex
 	leaving  bool
 	watchers map[chan struct{}]struct{}
@@ -115,6 +118,10 @@
 		watchers:    map[chan struct{}]struct{}{},
 		drained:     make(chan struct{}),
 	}
+	if opts.Weight == nil {
+		opts.Weight = s.weight
+	}
+	s.Config.OnChange(func(service string, _ config.Entry) { s.configure(service) })
 	limits := call.Limits{Retention: opts.ResultRetention, Tombstone: opts.TicketLifetime + tombstoneMargin, Attempts: maxAttempts}
 	s.table = call.NewTable(limits, s.revive)
 	for _, ep := range endpoints {
@@ -177,7 +184,7 @@
 			refused = s.overloaded(s.endpoints[o.EndpointId], "the attempt table is full", 0)
 			return nil, false
 		}
-		a := newAttempt(key, o, stream.NewReplay(s.opts.StreamBuffer, !o.Idempotent, s.replays))
+		a := newAttempt(key, o, stream.NewReplay(s.endpoints[o.EndpointId].settings.Load().streamBuffer, !o.Idempotent, s.replays))
 		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
 		return a, true
 	})
@@ -468,7 +475,7 @@
 func (s *Server) serve(srv pb.Agent_RunServer, a *attempt, next uint64) error {
 	session, superseded := a.attach()
 	defer func() {
-		a.detached(session, s.opts.DetachGrace, func() { s.settle(a) })
+		a.detached(session, s.endpoints[a.endpointID].settings.Load().detachGrace, func() { s.settle(a) })
 		s.settle(a)
 	}()
 	closed := make(chan struct{})
