--- /dev/null
+++ b/bench/agentload/engines.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+// eventTick is the time between batches of cache events.
+const eventTick = 50 * time.Millisecond
+
+// serveEngines runs the stand-in engines and prints their addresses.
+func serveEngines() {
+	for i := range engines {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "agentload:", err)
+			os.Exit(1)
+		}
+		fmt.Println(l.Addr())
+		mux := http.NewServeMux()
+		mux.HandleFunc("/metrics", report)
+		mux.HandleFunc("/v1/chat/completions", complete)
+		mux.HandleFunc("/v1/cache/events", events(uint64(i)<<48))
+		go func() { _ = http.Serve(l, mux) }()
+	}
+	select {}
+}
+
+func report(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprint(w, "engine_requests_running 1\nengine_requests_waiting 0\nengine_cache_usage_ratio 0.9\n"+
+		"engine_info{model=\"m\",version=\"v1\",boot_id=\"b\"} 1\n")
+}
+
+// complete streams an answer at the token gap.
+func complete(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	t := time.NewTicker(tokenGap)
+	defer t.Stop()
+	for i := range tokensPerRequest {
+		fmt.Fprintf(w, "data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word %d\"}}]}\n\n", i)
+		w.(http.Flusher).Flush()
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// events fills the view and then stores and removes a block in turn.
+func events(base uint64) http.HandlerFunc {
+	next, oldest, seq := base, base, uint64(0)
+	return func(w http.ResponseWriter, r *http.Request) {
+		send := func(kind string, hash uint64) {
+			seq++
+			fmt.Fprintf(w, "data: {\"seq\":%d,\"boot_id\":\"b\",\"type\":%q,\"request_id\":\"\",\"blocks\":[{\"hash\":%d,\"tokens\":64}]}\n\n", seq, kind, hash)
+		}
+		for next < base+blocksPerEngine {
+			next++
+			send("stored", next*0x9e3779b97f4a7c15)
+		}
+		t := time.NewTicker(eventTick)
+		defer t.Stop()
+		for {
+			for range int(eventsPerSecond*eventTick/time.Second) / engines / 2 {
+				next, oldest = next+1, oldest+1
+				send("stored", next*0x9e3779b97f4a7c15)
+				send("removed", oldest*0x9e3779b97f4a7c15)
+			}
+			w.(http.Flusher).Flush()
+			select {
+			case <-t.C:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/bench/agentload/load.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// ackInterval is how often an entry acknowledges.
+const ackInterval = 100 * time.Millisecond
+
+// promptBytes is the size of a request's prompt.
+const promptBytes = 8 << 10
+
+// load is an entry's side of the requests.
+type load struct {
+	client   pb.AgentClient
+	ticket   atomic.Int64
+	agent    string
+	requests atomic.Int64
+	failed   atomic.Int64
+	tokens   atomic.Int64
+}
+
+func newLoad(address string) (*load, error) {
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, err
+	}
+	l := &load{client: pb.NewAgentClient(conn)}
+	w, err := l.client.Watch(context.Background(), &pb.WatchRequest{})
+	if err != nil {
+		return nil, err
+	}
+	st, err := w.Recv()
+	if err != nil {
+		return nil, err
+	}
+	l.agent = st.Incarnation
+	l.ticket.Store(st.TicketMs)
+	return l, nil
+}
+
+// run sends requests at the design rate for d and returns the tokens received.
+func (l *load) run(d time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	t := time.NewTicker(time.Second / requestsPerSec)
+	defer t.Stop()
+	var wg sync.WaitGroup
+	for i := 0; ctx.Err() == nil; i++ {
+		wg.Go(func() { l.request(ctx, fmt.Sprintf("e%d", i%engines)) })
+		<-t.C
+	}
+	wg.Wait()
+	return int(l.tokens.Load())
+}
+
+func (l *load) request(ctx context.Context, endpoint string) {
+	l.requests.Add(1)
+	s, err := l.client.Run(ctx)
+	if err != nil {
+		return
+	}
+	body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("x", promptBytes) + `"}]}`
+	err = s.Send(&pb.Up{Kind: &pb.Up_Open{Open: &pb.Open{RequestId: uuid.NewString(), AttemptId: uuid.NewString(), EndpointId: endpoint,
+		Incarnation: l.agent, TicketMs: l.ticket.Load(), Service: "llm", Account: "a", Idempotent: true, Stream: true, CacheSalt: "s",
+		Http: &pb.HttpRequest{Method: "POST", Path: "/v1/chat/completions", Body: []byte(body)}}}})
+	acked := time.Now()
+	for err == nil {
+		var d *pb.Down
+		if d, err = s.Recv(); err != nil {
+			break
+		}
+		switch k := d.Kind.(type) {
+		case *pb.Down_Progress:
+			l.ticket.Store(k.Progress.TicketMs)
+		case *pb.Down_Refused:
+			l.failed.Add(1)
+			return
+		case *pb.Down_End:
+			return
+		case *pb.Down_Chunk:
+			for _, p := range k.Chunk.Parts {
+				l.tokens.Add(int64(bytes.Count(p.GetData(), []byte("data: "))))
+			}
+			if time.Since(acked) > ackInterval {
+				acked = time.Now()
+				err = s.Send(&pb.Up{Kind: &pb.Up_Ack{Ack: &pb.Ack{Seq: k.Chunk.Seq + uint64(len(k.Chunk.Parts)) - 1}}})
+			}
+		}
+	}
+	if ctx.Err() == nil {
+		l.failed.Add(1)
+	}
+}
