--- a/agent/queue.go
+++ b/agent/queue.go
@@ -43,6 +43,7 @@
 	queue     *admit.Queue
 	limiter   *admit.Limiter
 	predictor *admit.Predictor
+	backlog   *admit.Backlog
 	weight    func(service, account string) int
 	settings  atomic.Pointer[settings]
 
@@ -55,7 +56,7 @@
 }
 
 func newLocal(ep Endpoint, d Driver, opts Options) *local {
-	l := &local{Endpoint: ep, driver: d, weight: opts.Weight, predictor: admit.NewPredictor(), view: blocks.NewView(),
+	l := &local{Endpoint: ep, driver: d, weight: opts.Weight, predictor: admit.NewPredictor(), backlog: &admit.Backlog{}, view: blocks.NewView(),
 		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
 		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
 	l.settings.Store(&settings{streamBuffer: opts.StreamBuffer, detachGrace: opts.DetachGrace})
@@ -65,7 +66,10 @@
 // place is a request's place in the queue.
 type place struct {
 	ticket *admit.Ticket
-	prompt int64
+	// prefill is set once the request has a slot.
+	prefill  *admit.Prefill
+	streamed bool
+	prompt   int64
 	// cached is the expected number of prompt tokens in the engine's cache.
 	cached   int64
 	levels   []blocks.Level
@@ -74,10 +78,10 @@
 
 // enqueue queues a request or returns why it is declined.
 func (l *local) enqueue(o *pb.Open, cached int64) (p *place, reason string, wait time.Duration) {
-	p = &place{prompt: promptTokens(o), cached: cached, levels: levels(o)}
+	p = &place{streamed: o.Stream, prompt: promptTokens(o), cached: cached, levels: levels(o)}
 	item := admit.Item{Account: o.Account, Weight: l.weight(o.Service, o.Account),
 		Cost: l.predictor.Predict(o.Service, o.Account, p.prompt-cached).Service}
-	wait = l.queue.Wait(item)
+	wait = l.expect(item)
 	if o.DeadlineMs > 0 {
 		p.deadline = time.Now().Add(milliseconds(o.DeadlineMs))
 	}
@@ -92,10 +96,32 @@
 		return nil, err.Error(), wait
 	}
 	p.ticket = t
+	select {
+	case <-t.Ready:
+		l.compute(p) // so that the load in Accepted includes it
+	default:
+	}
 	l.view.Expect(o.RequestId, p.levels)
 	return p, "", wait
 }
 
+// expect predicts the wait for a slot and for the prefill of the requests that
+// have one. Plain services compute no prompts.
+func (l *local) expect(item admit.Item) time.Duration {
+	wait := l.queue.Wait(item)
+	if l.Kind == platform.Engine {
+		wait += l.backlog.Wait()
+	}
+	return wait
+}
+
+// compute adds a request that has a slot to the prefill backlog.
+func (l *local) compute(p *place) {
+	if p.prefill == nil {
+		p.prefill = l.backlog.Begin(l.predictor.Prefill(p.prompt-p.cached), p.streamed)
+	}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func promptTokens(o *pb.Open) int64 {
@@ -162,7 +188,7 @@
 }
 
 // setReport records the engine's own report. It returns whether the engine
-// restarted or has another model or version.
+// restarted, has another model or version, or began or finished loading.
 func (l *local) setReport(r Load) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,7 +198,15 @@
 	if old.BootID != r.BootID && l.reconnect != nil {
 		l.reconnect() // the new engine numbers its events from 1 again
 	}
-	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version
+	return old.BootID != r.BootID || old.Model != r.Model || old.Version != r.Version || old.Loading != r.Loading
+}
+
+// otherVersion reports whether the engine is known to have other weights than
+// the wanted ones. A resumed answer would mix the text of two versions.
+func (l *local) otherVersion(wanted string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return wanted != "" && l.report.Version != "" && l.report.Version != wanted
 }
 
 // load returns what the agent knows of the endpoint.
@@ -183,8 +217,8 @@
 	report := l.report
 	l.mu.Unlock()
 	return &pb.EndpointLoad{EndpointId: l.ID, Running: int64(running), Queued: int64(queued), Limit: int64(limit),
-		PredictedWaitMs: l.queue.Wait(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
-		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version}
+		PredictedWaitMs: l.expect(typical).Milliseconds(), PrefillTokensPerSecond: l.predictor.PrefillSpeed(),
+		BlockLifetimeMs: l.view.Stats().Lifetime.Milliseconds(), BootId: report.BootID, Model: report.Model, Version: report.Version, Loading: report.Loading}
 }
 
 // overloaded returns the refusal of a request that would wait too long.
--- a/agent/server.go
+++ b/agent/server.go
@@ -253,10 +253,23 @@
 	defer ep.queue.Done(p.ticket)
 	queued := time.Now()
 	ready := p.wait(a.ctx)
+	if ready {
+		ep.compute(p)
+	}
+	if p.prefill != nil {
+		defer p.prefill.Done()
+	}
 	if !ready && a.ctx.Err() == nil {
 		s.refuse(a, s.overloaded(ep, "the deadline passed in the queue", 0))
 		return
 	}
+	if ep.otherVersion(o.Version) {
+		s.table.Revoke(a.key, always)
+		r := s.refusal(pb.RefusalCode_REFUSAL_UNKNOWN_ENDPOINT, "the engine has other weights", pb.Run_RUN_NOT_RUN)
+		r.Load = ep.load()
+		a.refuse(r)
+		return
+	}
 	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
 		s.refuse(a, s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
 		return
@@ -268,8 +281,9 @@
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
 	req := request(o)
 	req.Priority = p.priority()
-	m := newMeter(a, ep, o.Stream)
+	m := newMeter(a, ep, p.prefill, o.Stream)
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
+	p.prefill.Done()
 	ep.queue.Done(p.ticket)
 	if err == nil {
 		cached := m.observe(o.Service, o.Account, p.prompt)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/wire"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
@@ -61,7 +62,8 @@
 		fb.failed(ctx)
 		return nil, fromWire(err)
 	}
-	open := s.openMessage(r, rr, m, ticket)
+	version := versionOf(rr, r.Document.Version, link, m.ID)
+	open := s.openMessage(r, rr, m, ticket, version)
 	if r.guard != nil {
 		if err := r.guard.beforeOpen(ctx, m, open); err != nil {
 			fb.close()
@@ -69,13 +71,13 @@
 			return nil, err
 		}
 	}
-	c := link.Start(ctx, open)
+	c := link.Start(ctx, open, wire.WithStallTimeout(r.Document.Timeouts.StallTimeout()))
 	a := &attempt{server: s, request: r, endpoint: endpoint, remote: m.Region != s.opts.Region, link: link, open: open, call: c, answered: answered, feedback: fb}
 	head, aerr := a.head(ctx)
 	if aerr != nil {
 		a.close()
 		return nil, aerr
 	}
-	return &Response{RequestID: r.ID, Endpoint: endpoint, Head: *head, next: a.next, close: a.close,
+	return &Response{RequestID: r.ID, Endpoint: endpoint, version: version, Head: *head, next: a.next, close: a.close, attempt: a,
 		WriteStall: time.Duration(r.Document.Timeouts.WriteStallMs) * time.Millisecond}, nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,10 +4,14 @@
 package engine
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +28,13 @@
 	// PrefillPerToken and TokenGap are the engine's speed when it runs one request.
 	PrefillPerToken time.Duration
 	TokenGap        time.Duration
+	// GapPerRequest is added to TokenGap for each running request.
+	GapPerRequest time.Duration
+	// SerialPrefill lets one request prefill at a time.
+	SerialPrefill bool
+	// Length returns the natural length of the answer to a prompt in tokens;
+	// nil means that every answer has the caller's max_tokens.
+	Length func(prompt string) int
 	// Slots is the batch size; more requests wait.
 	Slots int
 	// CacheBlocks is the cache's capacity, BlockLifetime the time after which an
@@ -55,6 +66,8 @@
 	EventLoss float64
 	// EventDelay delays cache events.
 	EventDelay time.Duration
+	// EventRepeat sends each cache event twice.
+	EventRepeat bool
 }
 
 // Counts are what the engine has done.
@@ -64,8 +77,14 @@
 	Cancelled    int
 	PromptTokens int
 	CachedTokens int
+	// Wasted is the number of tokens generated for streams that were cut,
+	// WastedPrompt the number of prompt tokens computed for them.
+	Wasted       int
+	WastedPrompt int
 	// ByRequest counts dispatches by X-Request-Id.
 	ByRequest map[string]int
+	// CachedBySalt counts cached tokens by cache salt, also where there are none.
+	CachedBySalt map[string]int
 	// Foreign counts cache hits on blocks of another salt or boot; it must stay 0.
 	Foreign int
 	Orders  []Order
@@ -84,10 +103,15 @@
 type Server struct {
 	opts  Options
 	slots chan struct{}
+	// prefilling holds one element while a serial prefill runs.
+	prefilling chan struct{}
 
 	mu      sync.Mutex
 	boot    string
 	version string
+	// life ends when the engine crashes.
+	life    context.Context
+	crash   context.CancelFunc
 	loading bool
 	fence   int64
 	cache   map[uint64]*block
@@ -106,6 +130,8 @@
 	salt string
 	boot string
 	used time.Time
+	// end is the offset of the block's end in its prompt.
+	end int
 }
 
 type event struct {
@@ -139,9 +165,10 @@
 	if o.BlockLifetime == 0 {
 		o.BlockLifetime = 10 * time.Second
 	}
-	s := &Server{opts: o, slots: make(chan struct{}, o.Slots), version: o.Version, changed: make(chan struct{}),
+	s := &Server{opts: o, slots: make(chan struct{}, o.Slots), prefilling: make(chan struct{}, 1), version: o.Version, changed: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(xxhash.Sum64String(o.ID), 1))}
-	s.counts.ByRequest = map[string]int{}
+	s.counts.ByRequest, s.counts.CachedBySalt = map[string]int{}, map[string]int{}
+	s.life, s.crash = context.WithCancel(context.Background())
 	s.Restart()
 	return s
 }
@@ -155,6 +182,18 @@
 	s.events = nil
 }
 
+// Reboot crashes the engine with every open connection. It comes back at once
+// with an empty cache, a new boot id and the given weights.
+func (s *Server) Reboot(version string) {
+	s.mu.Lock()
+	crash := s.crash
+	s.life, s.crash = context.WithCancel(context.Background())
+	s.version = version
+	s.mu.Unlock()
+	s.Restart()
+	crash()
+}
+
 // SetFaults replaces the fault switches.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -174,10 +213,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
-	c.ByRequest = map[string]int{}
-	for k, v := range s.counts.ByRequest {
-		c.ByRequest[k] = v
-	}
+	c.ByRequest, c.CachedBySalt = maps.Clone(s.counts.ByRequest), maps.Clone(s.counts.CachedBySalt)
 	c.Orders = append([]Order(nil), s.counts.Orders...)
 	return c
 }
@@ -185,8 +221,12 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	f, thaw := s.faults, s.thaw
+	f, thaw, life := s.faults, s.thaw, s.life
 	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(life, cancel)()
+	r = r.WithContext(ctx)
 	if f.Down {
 		panic(http.ErrAbortHandler)
 	}
@@ -209,6 +249,9 @@
 	default:
 		http.NotFound(w, r)
 	}
+	if life.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 type message struct {
@@ -228,9 +271,9 @@
 
 // prompt returns the text to prefill, the text that seeds the answer and the
 // number of tokens already answered.
-func (c completion) prompt() (text, seed string, done int) {
+func (c completion) prompt(version string) (text, seed string, done int) {
 	if len(c.Messages) == 0 {
-		seed, done = continued(c.Prompt)
+		seed, done = continued(version, c.Prompt)
 		return c.Prompt, seed, done
 	}
 	var b strings.Builder
@@ -247,17 +290,28 @@
 	return b.String(), b.String(), 0
 }
 
-// Answer returns the text an engine gives to a prompt with n tokens; it depends
-// on nothing else, so that tests can check a whole answer.
-func Answer(seed string, n int) string {
+// FirstVersion is the weights version whose answers Answer returns.
+const FirstVersion = "v1"
+
+// Answer returns the text an engine with the first version gives to a prompt
+// with n tokens; it depends on nothing else, so that tests can check a whole
+// answer.
+func Answer(seed string, n int) string { return AnswerOf(FirstVersion, seed, n) }
+
+// AnswerOf is Answer for any weights version. Versions give different tokens,
+// so that text spliced from two of them shows.
+func AnswerOf(version, seed string, n int) string {
 	var b strings.Builder
 	for i := range n {
-		b.WriteString(token(seed, i))
+		b.WriteString(token(version, seed, i))
 	}
 	return b.String()
 }
 
-func token(seed string, i int) string {
+func token(version, seed string, i int) string {
+	if version != FirstVersion {
+		seed = version + "#" + seed
+	}
 	return fmt.Sprintf("w%03x ", xxhash.Sum64String(fmt.Sprintf("%s#%d", seed, i))&0xfff)
 }
 
@@ -272,6 +326,7 @@
 	s.counts.Requests++
 	s.counts.ByRequest[id]++
 	s.waiting++
+	version := s.version // a running request keeps its weights
 	s.mu.Unlock()
 	ctx := r.Context()
 	select {
@@ -283,9 +338,9 @@
 	s.done(-1, 1, false)
 	defer func() { <-s.slots }()
 
-	text, seed, done := req.prompt()
-	prompt, cached := s.prefill(text, req.CacheSalt, id)
-	if !s.sleep(r, time.Duration(prompt-cached)*s.opts.PrefillPerToken) {
+	text, seed, done := req.prompt(version)
+	prompt, cached, ok := s.compute(r, text, req.CacheSalt, id)
+	if !ok {
 		s.done(0, -1, false)
 		return
 	}
@@ -293,10 +348,53 @@
 	if n <= 0 {
 		n = 16
 	}
-	ok := s.generate(w, r, req, id, seed, done, n, usage{prompt, n, prompt + n, cachedDetails{cached}})
+	if s.opts.Length != nil {
+		n = min(n, s.opts.Length(seed))
+	}
+	sent, ok := s.generate(w, r, req, version, id, seed, done, n, usage{prompt, n, prompt + n, cachedDetails{cached}})
+	if !ok {
+		s.waste(sent, prompt-cached)
+	}
 	s.done(0, -1, ok)
 }
 
+// compute prefills the prompt; ok is false when the caller left, and the part
+// computed until then counts as wasted.
+func (s *Server) compute(r *http.Request, text, salt, id string) (prompt, cached int, ok bool) {
+	if s.opts.SerialPrefill {
+		select {
+		case s.prefilling <- struct{}{}:
+			defer func() { <-s.prefilling }()
+		case <-r.Context().Done():
+			return 0, 0, false
+		}
+	}
+	prompt, cached = s.prefill(text, salt, id)
+	begin, whole := time.Now(), time.Duration(prompt-cached)*s.opts.PrefillPerToken
+	if s.sleep(r, whole) {
+		return prompt, cached, true
+	}
+	if whole > 0 {
+		share := min(1, float64(time.Since(begin))/float64(whole))
+		s.waste(0, int(share*float64(prompt-cached)))
+	}
+	return prompt, cached, false
+}
+
+func (s *Server) waste(tokens, prompt int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Wasted += tokens
+	s.counts.WastedPrompt += prompt
+}
+
+// gap returns the time to the next token.
+func (s *Server) gap() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.TokenGap + time.Duration(s.running)*s.opts.GapPerRequest
+}
+
 func (s *Server) done(waiting, running int, completed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -367,7 +465,7 @@
 			continue
 		}
 		hit = false
-		s.cache[key] = &block{salt: salt, boot: s.boot, used: now}
+		s.cache[key] = &block{salt: salt, boot: s.boot, used: now, end: end}
 		stored = append(stored, jsonBlock{key, int64(end / 4)})
 	}
 	if len(stored) > 0 {
@@ -375,6 +473,7 @@
 	}
 	s.counts.PromptTokens += prompt
 	s.counts.CachedTokens += cached
+	s.counts.CachedBySalt[salt] += cached
 	return prompt, cached
 }
 
@@ -382,18 +481,38 @@
 func (s *Server) evict(now time.Time) {
 	var gone []jsonBlock
 	for k, b := range s.cache {
-		if now.Sub(b.used) > s.opts.BlockLifetime || len(s.cache)-len(gone) > s.opts.CacheBlocks {
+		if now.Sub(b.used) > s.opts.BlockLifetime {
 			gone = append(gone, jsonBlock{Hash: k})
 		}
 	}
 	for _, g := range gone {
 		delete(s.cache, g.Hash)
 	}
+	gone = append(gone, s.displace()...)
 	if len(gone) > 0 {
 		s.emit("removed", "", gone)
 	}
 }
 
+// displace drops the least recently used blocks over capacity, of equal age the
+// deepest first; the caller holds mu.
+func (s *Server) displace() []jsonBlock {
+	over := len(s.cache) - s.opts.CacheBlocks
+	if over <= 0 {
+		return nil
+	}
+	keys := slices.SortedFunc(maps.Keys(s.cache), func(a, b uint64) int {
+		x, y := s.cache[a], s.cache[b]
+		return cmp.Or(x.used.Compare(y.used), cmp.Compare(y.end, x.end), cmp.Compare(a, b))
+	})
+	gone := make([]jsonBlock, 0, over)
+	for _, k := range keys[:over] {
+		delete(s.cache, k)
+		gone = append(gone, jsonBlock{Hash: k})
+	}
+	return gone
+}
+
 // emit adds a cache event; the caller holds mu.
 func (s *Server) emit(kind, request string, blocks []jsonBlock) {
 	seq := uint64(1)
@@ -434,15 +553,18 @@
 }
 
 type answer struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
-}
-
-// generate writes the tokens from done to n; it returns false when it was cut.
-func (s *Server) generate(w http.ResponseWriter, r *http.Request, req completion, id, seed string, done, n int, u usage) bool {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Model  string `json:"model"`
+	// Fingerprint identifies the weights that gave the answer.
+	Fingerprint string   `json:"system_fingerprint,omitempty"`
+	Choices     []choice `json:"choices"`
+	Usage       *usage   `json:"usage,omitempty"`
+}
+
+// generate writes the tokens from done to n. It returns the number generated,
+// and false when it was cut.
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, req completion, version, id, seed string, done, n int, u usage) (int, bool) {
 	chat := r.URL.Path == "/v1/chat/completions"
 	s.mu.Lock()
 	crash := s.faults.CrashAfterTokens
@@ -455,37 +577,37 @@
 		if crash > 0 && i-done >= crash {
 			panic(http.ErrAbortHandler)
 		}
-		if !s.sleep(r, s.opts.TokenGap) {
-			return false
+		if !s.sleep(r, s.gap()) {
+			return i - done, false
 		}
 		if req.Stream {
-			if !send(w, rc, streamed(chat, id, s.opts.Model, token(seed, i), nil, nil)) {
-				return false
+			if !send(w, rc, streamed(chat, id, s.opts.Model, version, token(version, seed, i), nil, nil)) {
+				return i + 1 - done, false
 			}
 		}
 	}
 	stop := "length"
 	if req.Stream {
-		ok := send(w, rc, streamed(chat, id, s.opts.Model, "", &stop, &u))
+		ok := send(w, rc, streamed(chat, id, s.opts.Model, version, "", &stop, &u))
 		_, err := fmt.Fprint(w, "data: [DONE]\n\n")
-		return ok && err == nil && rc.Flush() == nil
+		return n - done, ok && err == nil && rc.Flush() == nil
 	}
 	text := ""
 	for i := done; i < n; i++ {
-		text += token(seed, i)
+		text += token(version, seed, i)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	a := answer{ID: id, Object: "chat.completion", Model: s.opts.Model, Usage: &u,
+	a := answer{ID: id, Object: "chat.completion", Model: s.opts.Model, Fingerprint: version, Usage: &u,
 		Choices: []choice{{Message: &delta{Role: "assistant", Content: text}, FinishReason: &stop}}}
 	if !chat {
 		a.Object = "text_completion"
 		a.Choices = []choice{{Text: &text, FinishReason: &stop}}
 	}
-	return json.NewEncoder(w).Encode(a) == nil
+	return n - done, json.NewEncoder(w).Encode(a) == nil
 }
 
-func streamed(chat bool, id, model, text string, stop *string, u *usage) answer {
-	a := answer{ID: id, Object: "chat.completion.chunk", Model: model, Usage: u, Choices: []choice{{FinishReason: stop}}}
+func streamed(chat bool, id, model, version, text string, stop *string, u *usage) answer {
+	a := answer{ID: id, Object: "chat.completion.chunk", Model: model, Fingerprint: version, Usage: u, Choices: []choice{{FinishReason: stop}}}
 	if chat {
 		a.Choices[0].Delta = &delta{Content: text}
 	} else {
@@ -550,6 +672,9 @@
 			if !e.lost {
 				due = append(due, e)
 			}
+			if s.faults.EventRepeat {
+				due = append(due, e)
+			}
 		}
 		s.mu.Unlock()
 		for _, e := range due {
@@ -574,6 +699,15 @@
 	}
 }
 
+// Load replaces the weights and empties the cache. Running requests keep theirs.
+func (s *Server) Load(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.loading = version, false
+	s.cache = map[uint64]*block{}
+	s.emit("cleared", "", nil)
+}
+
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -590,13 +724,21 @@
 	s.counts.Orders = append(s.counts.Orders, o)
 	if o.Version != s.version {
 		s.loading = true
-		time.AfterFunc(s.opts.LoadTime, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.version, s.loading = o.Version, false
-			s.cache = map[uint64]*block{}
-			s.emit("cleared", "", nil)
-		})
+		time.AfterFunc(s.opts.LoadTime, func() { s.Load(o.Version) })
 	}
 	w.WriteHeader(http.StatusAccepted)
 }
+
+// Loading reports whether the engine is loading weights.
+func (s *Server) Loading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loading
+}
+
+// Version returns the version of the weights that the engine has loaded.
+func (s *Server) Version() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,6 +65,9 @@
 	GiveUp time.Duration
 	// TicketLifetime is the agents' limit on the age of a ticket.
 	TicketLifetime time.Duration
+	// OnLoad is called with each load report of an agent and the link's smoothed
+	// round-trip time; it may be nil.
+	OnLoad func(load *pb.EndpointLoad, rtt time.Duration)
 	// Credentials secure the connection; nil means plain text.
 	Credentials credentials.TransportCredentials
 	Dial        kernel.Dialer
@@ -91,7 +96,9 @@
 type State struct {
 	Incarnation string
 	Leaving     bool
-	Loads       map[string]*pb.EndpointLoad
+	// Loads are the last reports by endpoint id. The map is shared and must not
+	// be changed; a new report replaces it.
+	Loads map[string]*pb.EndpointLoad
 	// RTT is the smoothed round-trip time; zero before the first measurement.
 	RTT time.Duration
 	// Up is false while the agent can't be reached.
@@ -105,6 +112,7 @@
 	log     *zap.Logger
 	cancel  context.CancelFunc
 	done    chan struct{}
+	made    time.Time
 
 	mu       sync.Mutex
 	conn     *conn
@@ -120,6 +128,9 @@
 	cc      *grpc.ClientConn
 	users   int
 	retired bool
+	// heard is when the last message of a call arrived, in nanoseconds since the
+	// link was made.
+	heard atomic.Int64
 	// life ends when the connection is retired, so that the watch leaves it.
 	life context.Context
 	end  context.CancelFunc
@@ -133,7 +144,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{address: address, opts: opts, log: opts.Log.With(zap.String("agent", address)), cancel: cancel,
-		done: make(chan struct{}), onChange: onChange, state: State{Loads: map[string]*pb.EndpointLoad{}}}
+		done: make(chan struct{}), made: time.Now(), onChange: onChange, state: State{Loads: map[string]*pb.EndpointLoad{}}}
 	c, err := l.dial()
 	if err != nil {
 		cancel()
@@ -246,21 +257,16 @@
 	l.log.Info("connection replaced")
 }
 
-// State returns a copy of the agent's state.
+// State returns the agent's state.
 func (l *Link) State() State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.copyState()
+	return l.state
 }
 
-func (l *Link) copyState() State {
-	s := l.state
-	s.Loads = make(map[string]*pb.EndpointLoad, len(l.state.Loads))
-	for k, v := range l.state.Loads {
-		s.Loads[k] = v
-	}
-	return s
-}
+// AckTimeout returns how long an agent that is well takes at most to answer on
+// a new connection.
+func (l *Link) AckTimeout() time.Duration { return l.ackTimeout() }
 
 // ackTimeout is the wait for Accepted.
 func (l *Link) ackTimeout() time.Duration {
@@ -275,20 +281,41 @@
 // reply that may be late, tells of a new incarnation; another one's reply merely
 // makes the next request ask.
 func (l *Link) observe(incarnation string, ticketMs int64, loads ...*pb.EndpointLoad) {
+	if !l.learn(incarnation, ticketMs, loads) || l.opts.OnLoad == nil {
+		return
+	}
+	rtt := l.State().RTT
+	for _, ld := range loads {
+		if ld != nil {
+			l.opts.OnLoad(ld, rtt)
+		}
+	}
+}
+
+// learn is false when the reply is of another incarnation.
+func (l *Link) learn(incarnation string, ticketMs int64, loads []*pb.EndpointLoad) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if incarnation != l.state.Incarnation {
 		l.ticket = Ticket{}
-		return
+		return false
 	}
 	if ticketMs > l.ticket.Ms {
 		l.ticket = Ticket{Incarnation: incarnation, Ms: ticketMs, at: time.Now()}
 	}
+	l.report(loads)
+	return true
+}
+
+// report replaces the load reports; the caller holds mu.
+func (l *Link) report(loads []*pb.EndpointLoad) {
+	next := maps.Clone(l.state.Loads)
 	for _, ld := range loads {
 		if ld != nil {
-			l.state.Loads[ld.EndpointId] = ld
+			next[ld.EndpointId] = ld
 		}
 	}
+	l.state.Loads = next
 }
 
 func (l *Link) observeRTT(d time.Duration) {
@@ -363,7 +390,7 @@
 	l.mu.Lock()
 	l.state.Leaving = st.Leaving
 	l.state.Up = true
-	s := l.copyState()
+	s := l.state
 	l.mu.Unlock()
 	if l.onChange != nil {
 		l.onChange(s)
@@ -397,7 +424,7 @@
 func (l *Link) down(ctx context.Context) {
 	l.mu.Lock()
 	l.state.Up = false
-	s := l.copyState()
+	s := l.state
 	l.mu.Unlock()
 	if l.onChange != nil {
 		l.onChange(s)
