--- a/agent/queue.go
+++ b/agent/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,7 @@
 	predictor *admit.Predictor
 	backlog   *admit.Backlog
 	weight    func(service, account string) int
+	settings  atomic.Pointer[settings]
 
 	view *blocks.View
 
@@ -54,13 +56,11 @@
 }
 
 func newLocal(ep Endpoint, d Driver, opts Options) *local {
-	weight := opts.Weight
-	if weight == nil {
-		weight = func(string, string) int { return 1 }
-	}
-	return &local{Endpoint: ep, driver: d, weight: weight, predictor: admit.NewPredictor(), backlog: &admit.Backlog{}, view: blocks.NewView(),
+	l := &local{Endpoint: ep, driver: d, weight: opts.Weight, predictor: admit.NewPredictor(), backlog: &admit.Backlog{}, view: blocks.NewView(),
 		queue:   admit.NewQueue(queueLength, opts.Concurrency, shortBelow),
 		limiter: admit.NewLimiter(min(minConcurrency, opts.Concurrency), max(maxConcurrency, opts.Concurrency), opts.Concurrency)}
+	l.settings.Store(&settings{streamBuffer: opts.StreamBuffer, detachGrace: opts.DetachGrace})
+	return l
 }
 
 // place is a request's place in the queue.
