entry: hedge by the excess over the predicted time

A hedge started after the 95th percentile of all first tokens. That picks the requests with long prompts or at busy homes, which are slow as predicted, and a second attempt computes their prompt again: up to a fifth of all recomputed tokens were for cancelled attempts. The delay is now the request's own prediction plus the 95th percentile of the excess over predictions.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -14,10 +14,11 @@
 
 // try is the result of one attempt up to its first token.
 type try struct {
-	number  int
-	resp    *Response
-	err     *Error
-	elapsed time.Duration
+	number int
+	resp   *Response
+	err    *Error
+	// excess is how much later than predicted the answer began.
+	excess time.Duration
 }
 
 // race runs the attempts of a request until one of them delivers. Only one
@@ -33,7 +34,9 @@
 	// live are the attempts that have no result yet, by number. The value
 	// becomes true when the agent has answered.
 	live map[int]*atomic.Bool
-	last *Error
+	// predicted is the time to first token predicted for the last attempt.
+	predicted time.Duration
+	last      *Error
 	// fallback is an endpoint's own error answer, delivered when no other
 	// endpoint does better.
 	fallback *Response
@@ -90,12 +93,14 @@
 	c.fallback = t.resp
 }
 
-// hedgeDelay is how long a first token may take.
+// hedgeDelay is how long a first token may take: what was predicted for this
+// request and the usual excess over it. A time for all requests would hedge the
+// long prompts, whose second prefill costs most, rather than the late ones.
 func (c *race) hedgeDelay() time.Duration {
 	if !c.request.Idempotent {
 		return time.Duration(c.request.Document.Timeouts.RequestMs+1) * time.Millisecond
 	}
-	return c.tail().predict()
+	return c.predicted + c.tail().predict()
 }
 
 // tail returns the estimate for this kind of answer: a whole one takes longer
@@ -160,10 +165,12 @@
 	c.cancels = append(c.cancels, cancel)
 	answered := new(atomic.Bool)
 	c.live[n] = answered
+	c.predicted = time.Duration(d.Score * float64(time.Millisecond))
+	predicted := c.predicted
 	go func() {
 		start := time.Now()
 		resp, err := s.first(actx, c.request, rr, d.Chosen, answered, fb)
-		c.results <- try{n, resp, err, time.Since(start)}
+		c.results <- try{n, resp, err, time.Since(start) - predicted}
 	}()
 	return true
 }
@@ -179,7 +186,7 @@
 	if c.fallback != nil {
 		c.fallback.close()
 	}
-	c.tail().record(t.elapsed)
+	c.tail().record(t.excess)
 	t.resp.close = closeBoth(t.resp.close, c.cancels[t.number])
 	return t.resp
 }
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -14,19 +14,19 @@
 	tailWindow = 10 * time.Second
 	// tailSamples is how many samples a prediction needs.
 	tailSamples = 20
-	// tailDefault is the prediction before there are enough samples. It lies
+	// tailDefault is the excess before there are enough samples. It lies
 	// above the target of 0.33 s for the first token.
 	tailDefault = 500 * time.Millisecond
 	// tailMin keeps jitter of a fast service from starting hedges.
 	tailMin = 20 * time.Millisecond
 	// tailRefresh is the age at which the prediction is computed again.
 	tailRefresh = 100 * time.Millisecond
-	// tailMaxMs is the largest time recorded, in milliseconds.
+	// tailMaxMs is the largest excess recorded, in milliseconds.
 	tailMaxMs = 600_000
 )
 
-// tail predicts the tail of the time to first token of a service. It forgets
-// samples after one to two windows.
+// tail predicts the tail of a service's excess, the time by which first tokens
+// come later than predicted. It forgets samples after one to two windows.
 type tail struct {
 	mu        sync.Mutex
 	now, last *hdrhistogram.Histogram
@@ -39,7 +39,7 @@
 	return &tail{now: hdrhistogram.New(1, tailMaxMs, 2), last: hdrhistogram.New(1, tailMaxMs, 2), started: time.Now(), predicted: tailDefault}
 }
 
-// record adds one observed time to first token.
+// record adds one observed excess; a negative one counts as none.
 func (t *tail) record(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,7 +51,7 @@
 	_ = t.now.RecordValue(min(max(1, d.Milliseconds()), tailMaxMs))
 }
 
-// predict returns the time after which a first token is unusually late.
+// predict returns the excess after which a first token is unusually late.
 func (t *tail) predict() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
