route: learn from a cancelled attempt's silence

An attempt that lost to a hedge, or whose caller left, taught nothing. Its late first token raised the endpoint's residual only while it was pending; once the loser was cancelled, a straggler looked normal and received the next request. Close now records the wait so far if it exceeds what the residual explains.

--- a/entry/feedback.go
+++ b/entry/feedback.go
@@ -35,7 +35,7 @@
 	case m.Refused != nil && (m.Refused.Code == pb.RefusalCode_REFUSAL_OVERLOADED || m.Refused.Run == pb.Run_RUN_NOT_RUN):
 		f.attempt.Refused()
 	case m.Refused != nil:
-		f.attempt.Close()
+		f.attempt.Close(time.Now())
 	case m.Err != nil:
 		f.failed(ctx)
 	case m.End != nil && m.End.ErrorCode != "":
@@ -78,7 +78,7 @@
 		return
 	}
 	if ctx.Err() != nil {
-		f.attempt.Close()
+		f.attempt.Close(time.Now())
 		return
 	}
 	f.attempt.Failed(time.Now())
@@ -87,7 +87,7 @@
 // close ends the attempt if nothing else has.
 func (f *feedback) close() {
 	if f != nil {
-		f.attempt.Close()
+		f.attempt.Close(time.Now())
 	}
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -172,3 +172,22 @@
 		})
 	}
 }
+
+// Guards against a straggler that looks normal as soon as its late attempts
+// are cancelled, and against callers that leave early marking a normal endpoint.
+func TestCancelledAttemptTeaches(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	residual := func() float64 { return f.snapshot(request(1))[0].Residual }
+	_, a := f.send(request(1))
+	f.now = f.now.Add(time.Millisecond)
+	a.Close(f.now)
+	is.Equal(residual(), 1.0)
+	_, a = f.send(request(1))
+	f.now = f.now.Add(10 * time.Second)
+	a.Close(f.now)
+	is.True(residual() > 2)
+	high := residual()
+	a.Close(f.now.Add(time.Minute)) // ended already
+	is.Equal(residual(), high)
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -370,10 +370,18 @@
 	a.finish()
 }
 
-// Close ends an attempt that the caller gave up; it says nothing of the endpoint.
-func (a *Attempt) Close() {
+// Close ends an attempt that the caller gave up. A first token that was late
+// by then still raises the residual: otherwise a straggler whose attempts lose
+// to hedges would look normal as soon as they are cancelled.
+func (a *Attempt) Close(now time.Time) {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
+	if !a.done && !a.first && a.request.Stream {
+		waited := ms(now.Sub(a.start))
+		if ratio(waited, a.predicted) > a.state.decayed(now) {
+			a.state.observe(waited, a.predicted, now)
+		}
+	}
 	a.finish()
 }
 
