--- a/entry/tail.go
+++ b/entry/tail.go
@@ -14,19 +14,20 @@
 	tailWindow = 10 * time.Second
 	// tailSamples is how many samples a prediction needs.
 	tailSamples = 20
-	// tailDefault is the prediction before there are enough samples. It lies
+	// tailDefault is the excess before there are enough samples. It lies
 	// above the target of 0.33 s for the first token.
 	tailDefault = 500 * time.Millisecond
 	// tailMin keeps jitter of a fast service from starting hedges.
 	tailMin = 20 * time.Millisecond
 	// tailRefresh is the age at which the prediction is computed again.
 	tailRefresh = 100 * time.Millisecond
-	// tailMaxMs is the largest time recorded, in milliseconds.
+	// tailMaxMs is the largest excess recorded, in milliseconds.
 	tailMaxMs = 600_000
 )
 
-// tail predicts the tail of the times to first token, or of the gaps between
-// tokens, of a service. It forgets samples after one to two windows.
+// tail predicts the tail of a service's samples: the gaps between tokens, or
+// the excess by which first tokens come later than predicted. It forgets
+// samples after one to two windows.
 type tail struct {
 	// initial is the prediction without enough samples, least the smallest one.
 	initial, least time.Duration
@@ -42,7 +43,7 @@
 	return &tail{initial: initial, least: least, now: hdrhistogram.New(1, tailMaxMs, 2), last: hdrhistogram.New(1, tailMaxMs, 2), started: time.Now(), predicted: initial}
 }
 
-// record adds one observed time.
+// record adds one observed time; a negative one counts as none.
 func (t *tail) record(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
