sessions: record 18 whole sessions, canonical within an instant

The golden files cover whole and streamed answers, engine crash with resume, hedge, silent connection with reattach, paused agent, lost answer of the store, repeats of a keyed booking (running, ended, after the agent's restart), store outage, crossed answer, leaving agent, a caller that leaves, overload, racing operators and an entry restarted in an outage.

- The recorder notes unary calls and Watch, decodes the store's values and orders the messages of one instant by process and by the text of their conversation; a conversation keeps its order and no message is dropped.
- The agent's report interval and the jitter of agent and store can be set, since random times would differ from run to run.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -1,8 +1,8 @@
 package agent
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,15 +39,16 @@
 }
 
 func (s *Server) followLoad(ctx context.Context, ep *local) {
-	pause := loadInterval
+	interval := cmp.Or(s.opts.LoadInterval, loadInterval)
+	pause := interval
 	for ctx.Err() == nil {
 		if err := s.pollLoad(ctx, ep); err != nil {
-			pause = min(2*pause, maxBackoff)
+			pause = min(2*pause, max(interval, maxBackoff))
 			s.log.Debug("load report failed", zap.String("endpoint", ep.ID), zap.Error(err))
 		} else {
-			pause = loadInterval
+			pause = interval
 		}
-		sleep(ctx, jitter(pause))
+		sleep(ctx, s.jitter(pause))
 	}
 }
 
@@ -77,7 +78,7 @@
 		s.log.Debug("event stream ended", zap.String("endpoint", ep.ID), zap.Error(err))
 		// A crash breaks the stream before the next regular report is due.
 		_ = s.pollLoad(ctx, ep)
-		sleep(ctx, jitter(pause))
+		sleep(ctx, s.jitter(pause))
 		pause = min(2*pause, maxBackoff)
 	}
 }
@@ -100,8 +101,8 @@
 
 // jitter returns d changed by up to a tenth, so that agents started together
 // don't poll together.
-func jitter(d time.Duration) time.Duration {
-	return d + time.Duration((rand.Float64()-0.5)*0.2*float64(d))
+func (s *Server) jitter(d time.Duration) time.Duration {
+	return d + time.Duration((s.opts.Random()-0.5)*0.2*float64(d))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/agent/server.go
+++ b/agent/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,6 +37,11 @@
 	StreamBuffer int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
+	// LoadInterval is the time between two load reports of an engine.
+	LoadInterval time.Duration
+	// Random returns a number in [0,1), which spreads the reports of agents
+	// that start together; nil means the runtime's generator.
+	Random func() float64
 	// Concurrency is the number of requests an endpoint runs at once, at first.
 	Concurrency int
 	// Weight returns an account's share of a busy endpoint; nil means that all
@@ -52,6 +58,7 @@
 		DetachGrace:      5 * time.Second,
 		StreamBuffer:     64 << 10,
 		ProgressInterval: time.Second,
+		LoadInterval:     loadInterval,
 		Concurrency:      16,
 	}
 }
@@ -88,6 +95,9 @@
 	if opts.Log == nil {
 		opts.Log = zap.NewNop()
 	}
+	if opts.Random == nil {
+		opts.Random = rand.Float64
+	}
 	s := &Server{
 		Config:      config.NewTable(),
 		opts:        opts,
--- a/config/follow.go
+++ b/config/follow.go
@@ -54,18 +54,18 @@
 // generation.
 func (s *Store) Follow(ctx context.Context, t *Table, interval time.Duration) {
 	f := &follower{Store: s, table: t, interval: interval, seen: map[string]*stored{}}
-	pause(ctx, jitter(startSpread))
+	pause(ctx, f.jitter(startSpread))
 	failures := 0
 	for ctx.Err() == nil {
 		revision, err := f.poll(ctx)
 		if err != nil {
 			s.logger().Warn("store not read", zap.Error(err))
-			pause(ctx, min(backoff(err, failures), interval))
+			pause(ctx, min(f.backoff(err, failures), interval))
 			failures++
 			continue
 		}
 		failures = 0
-		f.watch(ctx, revision, jitter(interval))
+		f.watch(ctx, revision, f.jitter(interval))
 	}
 }
 
--- a/config/store.go
+++ b/config/store.go
@@ -28,6 +28,9 @@
 type Store struct {
 	KV  platform.KV
 	Log *zap.Logger
+	// Random spreads the tries of entries that start together; nil means the
+	// runtime's generator. It is called concurrently.
+	Random func() uint64
 }
 
 // Conflict reports that another operator's edit was accepted first.
@@ -211,7 +214,7 @@
 				return stored, nil
 			}
 		}
-		if !pause(ctx, backoff(err, try)) {
+		if !pause(ctx, s.backoff(err, try)) {
 			break
 		}
 	}
@@ -234,7 +237,7 @@
 		if _, err = s.KV.Swap(ctx, key, 0, value, 0); err == nil || errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
-		if !pause(ctx, backoff(err, try)) {
+		if !pause(ctx, s.backoff(err, try)) {
 			break
 		}
 	}
@@ -250,17 +253,21 @@
 
 // backoff is the wait before another try: what the store asked for, or a
 // doubling, jittered pause.
-func backoff(err error, try int) time.Duration {
+func (s *Store) backoff(err error, try int) time.Duration {
 	var pe *platform.Error
 	if errors.As(err, &pe) && pe.RetryAfter > 0 {
-		return jitter(pe.RetryAfter) + pe.RetryAfter/4
+		return s.jitter(pe.RetryAfter) + pe.RetryAfter/4
 	}
-	return jitter(writePause << min(try, 6))
+	return s.jitter(writePause << min(try, 6))
 }
 
 // jitter returns a random duration from 3/4 to 5/4 of d.
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + rand.N(d/2+1)
+func (s *Store) jitter(d time.Duration) time.Duration {
+	random := s.Random
+	if random == nil {
+		random = rand.Uint64
+	}
+	return d*3/4 + time.Duration(random()%uint64(d/2+1))
 }
 
 // pause waits and reports whether ctx is still running.
--- a/entry/server.go
+++ b/entry/server.go
@@ -104,7 +104,7 @@
 	life, end := context.WithCancel(context.Background())
 	s := &Server{
 		Config: config.NewTable(), Members: member.NewTracker(),
-		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log}, hosts: hosts,
+		opts: opts, log: opts.Log, store: &config.Store{KV: kv, Log: opts.Log, Random: opts.Random}, hosts: hosts,
 		scheduler: newScheduler(opts.Log), tracker: route.NewTracker(), decisions: newDecisions(opts.DecisionRecords),
 		running: running{counts: map[accountKey]int{}}, metrics: newMetrics(opts.Registry),
 		links: map[string]*wire.Link{}, budgets: map[string]*budgets{},
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -5,10 +5,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,9 +18,13 @@
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/entry"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/fleet"
+	"github.com/citrontiller/citrontiller/standin/kv"
+	"github.com/citrontiller/citrontiller/standin/plain"
 )
 
 const key = "secret"
@@ -27,8 +33,10 @@
 // each, and two entries in the same region.
 type session struct {
 	*fleet.Fleet
-	t   *testing.T
-	rec *fleet.Recorder
+	t    *testing.T
+	rec  *fleet.Recorder
+	net  *fleet.Memory
+	opts agent.Options
 }
 
 // delays gives each pair of processes its own delay, so that messages of
@@ -36,6 +44,8 @@
 func delays(address string) time.Duration {
 	name, _, _ := strings.Cut(address, ":")
 	switch {
+	case name == "agent-1":
+		return 1140 * time.Microsecond
 	case strings.HasPrefix(name, "entry"):
 		return time.Millisecond
 	case strings.HasPrefix(name, "agent"):
@@ -48,9 +58,11 @@
 }
 
 func run(t *testing.T, name string, play func(s *session)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := start(t)
 		play(s)
+		time.Sleep(time.Second) // what the caller no longer waits for
 		goldie.New(t).Assert(t, name, s.rec.Session())
 		s.Close()
 		// Virtual time stops when the test returns; data on its way needs some.
@@ -60,13 +72,15 @@
 
 func start(t *testing.T) *session {
 	is := is.New(t)
-	rec := fleet.NewRecorder()
-	f, err := fleet.NewRecorded(fleet.Delayed{Network: fleet.NewMemory(), Delay: delays}, nil, rec)
+	rec, net := fleet.NewRecorder(), fleet.NewMemory()
+	f, err := fleet.NewRecorded(fleet.Delayed{Network: net, Delay: delays}, nil, rec)
 	is.NoErr(err)
-	s := &session{Fleet: f, t: t, rec: rec}
+	s := &session{Fleet: f, t: t, rec: rec, net: net, opts: agent.DefaultOptions()}
+	s.opts.LoadInterval, s.opts.Concurrency = time.Hour, 2
+	s.opts.Random = func() float64 { return 0.5 }
 	service := func(id string) string { return strings.TrimRight(id, "-0123456789") }
 	for i := range 2 {
-		_, err = f.AddAgent(fleet.Spec{Name: fmt.Sprintf("agent-%d", i), Region: "r1", FailureDomain: fmt.Sprintf("d%d", i), Service: service,
+		_, err = f.AddAgent(fleet.Spec{Name: fmt.Sprintf("agent-%d", i), Region: "r1", FailureDomain: fmt.Sprintf("d%d", i), Service: service, Options: s.opts,
 			Engines: []engine.Options{{ID: fmt.Sprintf("engine-%d", i), Model: "m", Version: "v1", TokenGap: 10 * time.Millisecond}},
 			Plains:  []string{fmt.Sprintf("desk-%d", i)}})
 		is.NoErr(err)
@@ -81,27 +95,45 @@
 		_, err := store.Apply(t.Context(), []byte(doc), 0, "operator")
 		is.NoErr(err)
 	}
-	for i := range 2 {
-		opts := entry.DefaultOptions()
-		opts.Region = "r1"
-		// The session ends before the first regular polls, whose times are random.
-		opts.HostInterval, opts.ConfigInterval = time.Hour, time.Hour
-		opts.Random = func() uint64 { return 1 }
-		_, err = f.AddEntry(fmt.Sprintf("entry-%d", i), opts)
-		is.NoErr(err)
+	for range 2 {
+		s.addEntry()
 	}
-	is.NoErr(f.WaitReady(t.Context()))
 	time.Sleep(time.Second)
 	rec.Reset()
 	return s
 }
 
+// addEntry starts another entry and waits until it is ready.
+func (s *session) addEntry() {
+	is := is.New(s.t)
+	opts := entry.DefaultOptions()
+	opts.Region = "r1"
+	// The session ends before the first regular polls, whose times are random.
+	opts.HostInterval, opts.ConfigInterval = time.Hour, time.Hour
+	opts.Random = func() uint64 { return 1 }
+	// Each entry is a little further away from everything than the one before.
+	network, n := s.Network, len(s.Entries)
+	s.Network = fleet.Delayed{Network: s.net, Delay: func(address string) time.Duration {
+		return delays(address) + time.Duration(n)*70*time.Microsecond
+	}}
+	_, err := s.AddEntry(fmt.Sprintf("entry-%d", n), opts)
+	s.Network = network
+	is.NoErr(err)
+	is.NoErr(s.WaitReady(s.t.Context()))
+}
+
 // post sends a request through an entry and returns status and body.
 func (s *session) post(entry int, path, body string, headers ...string) (int, string) {
 	s.t.Helper()
-	is := is.New(s.t)
 	ctx, cancel := context.WithTimeout(s.t.Context(), time.Minute)
 	defer cancel()
+	return s.postUntil(ctx, entry, path, body, headers...)
+}
+
+// postUntil is post by a caller who leaves when ctx ends.
+func (s *session) postUntil(ctx context.Context, entry int, path, body string, headers ...string) (int, string) {
+	s.t.Helper()
+	is := is.New(s.t)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Entries[entry].Address+path, bytes.NewBufferString(body))
 	is.NoErr(err)
 	req.Header.Set("Authorization", "Bearer "+key)
@@ -112,28 +144,267 @@
 	is.NoErr(err)
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	is.NoErr(err)
+	is.True(err == nil || ctx.Err() != nil)
 	return resp.StatusCode, string(b)
 }
 
-const chat = `{"model":"m","stream":true,"max_tokens":3,"messages":[{"role":"system","content":"instructions"},{"role":"user","content":"question"}]}`
+// question returns a streamed chat request for so many tokens.
+func question(tokens int) string {
+	return fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"system","content":"instructions"},{"role":"user","content":"question"}]}`, tokens)
+}
 
-// Guards the order and content of all messages of a streamed answer.
-func TestStreamedAnswer(t *testing.T) {
-	run(t, "streamed_answer", func(s *session) {
-		is := is.New(s.t)
-		code, body := s.post(0, "/v1/chat/completions", chat)
-		is.Equal(code, 200)
-		is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
-	})
+// whole fails the test unless body is the complete streamed answer to question.
+func (s *session) whole(code int, body string, tokens int) {
+	s.t.Helper()
+	text, done := fleet.StreamedText(body)
+	is := is.New(s.t)
+	is.Equal(code, 200)
+	is.True(done)
+	is.Equal(text, engine.Answer(`<system>"instructions"<user>"question"`, tokens))
+}
+
+// ask streams an answer through entry 0 and checks it.
+func (s *session) ask(tokens int) {
+	s.t.Helper()
+	code, body := s.post(0, "/v1/chat/completions", question(tokens))
+	s.whole(code, body, tokens)
+}
+
+// book makes a keyed booking of a van.
+func (s *session) book(entry int) (int, string) {
+	s.t.Helper()
+	return s.post(entry, "/book", "van", "Idempotency-Key", "k")
 }
 
-// Guards a non-idempotent call: one Open, one POST at the endpoint.
-func TestBooking(t *testing.T) {
-	run(t, "booking", func(s *session) {
-		is := is.New(s.t)
-		code, _ := s.post(1, "/book", `{"van":"Tuesday"}`)
+// booked fails the test unless the endpoints counted n bookings of a van.
+func (s *session) booked(n int) {
+	s.t.Helper()
+	is.New(s.t).Equal(s.Plains["desk-0"].Bookings("van")+s.Plains["desk-1"].Bookings("van"), n)
+}
+
+func (s *session) plainFaults(f plain.Faults) {
+	for _, p := range s.Plains {
+		p.SetFaults(f)
+	}
+}
+
+// background runs f in a goroutine; the returned function waits for it.
+func background(f func()) (wait func()) {
+	done := make(chan struct{})
+	go func() { defer close(done); f() }()
+	return func() { <-done }
+}
+
+// Each session names the failure that it guards against.
+var plays = map[string]func(s *session, is *is.I){
+	// Messages of a streamed answer that change, are repeated or change order.
+	"streamed_answer": func(s *session, is *is.I) { s.ask(3) },
+	// A whole answer that is passed on before it is complete.
+	"whole_answer": func(s *session, is *is.I) {
+		code, body := s.post(0, "/v1/chat/completions", strings.Replace(question(3), `"stream":true,`, "", 1))
 		is.Equal(code, 200)
-		is.Equal(s.Plains["desk-0"].Total()+s.Plains["desk-1"].Total(), 1)
-	})
+		is.True(strings.Contains(body, engine.Answer(`<system>"instructions"<user>"question"`, 3)))
+	},
+	// A non-idempotent call with more than one Open or POST.
+	"booking": func(s *session, is *is.I) {
+		code, _ := s.post(1, "/book", "van")
+		is.Equal(code, 200)
+		s.booked(1)
+	},
+	// A stream that ends with its engine, or whose resume repeats or loses text.
+	"engine_crash_resume": func(s *session, is *is.I) {
+		s.Engines["engine-0"].SetFaults(engine.Faults{CrashAfterTokens: 2})
+		s.ask(4)
+	},
+	// A caller that waits for a frozen engine, and a loser that runs on.
+	"hedge": func(s *session, is *is.I) {
+		s.Engines["engine-0"].SetFaults(engine.Faults{Frozen: true})
+		s.ask(2)
+	},
+	// A stream that hangs with its connection, or is run twice instead of attached.
+	"silent_connection_reattach": func(s *session, is *is.I) {
+		time.AfterFunc(15*time.Millisecond, func() { s.net.Silence(s.Agents[0].Address, fleet.BothWays) })
+		s.ask(5)
+	},
+	// A stream that hangs with a paused agent, and late frames that reach the caller.
+	"agent_paused": func(s *session, is *is.I) {
+		time.AfterFunc(15*time.Millisecond, func() { s.net.Pause(s.Agents[0].Address) })
+		s.ask(5)
+		s.net.Resume(s.Agents[0].Address)
+	},
+	// A claim whose write took effect but looks failed: a refusal or two bookings.
+	"claim_answer_lost": func(s *session, is *is.I) {
+		s.KV.SetFaults(kv.Faults{LoseWriteAnswers: 1})
+		code, _ := s.book(0)
+		is.Equal(code, 200)
+		s.booked(1)
+	},
+	// A repeat that books again while the first call runs.
+	"repeat_while_running": func(s *session, is *is.I) {
+		s.plainFaults(plain.Faults{Delay: 300 * time.Millisecond})
+		var first string
+		wait := background(func() { _, first = s.book(0) })
+		time.Sleep(100 * time.Millisecond)
+		code, second := s.book(1)
+		wait()
+		is.Equal(code, 200)
+		is.Equal(first, second)
+		s.booked(1)
+	},
+	// A repeat that books again after the first call has finished.
+	"repeat_after_end": func(s *session, is *is.I) {
+		_, first := s.book(0)
+		time.Sleep(100 * time.Millisecond)
+		_, second := s.book(1)
+		is.Equal(first, second)
+		s.booked(1)
+	},
+	// A repeat that books again, or is told "not run", after the agent that ran
+	// the first call has lost its memory, while the store lacks the result.
+	"repeat_after_agent_restart": func(s *session, is *is.I) {
+		s.plainFaults(plain.Faults{Delay: 300 * time.Millisecond})
+		time.AfterFunc(100*time.Millisecond, func() { s.KV.SetFaults(kv.Faults{Down: true}) })
+		_, first := s.book(0)
+		for i := range s.Agents {
+			time.Sleep(100 * time.Millisecond)
+			s.net.Stop(s.Agents[i].Address)
+			is.NoErr(s.RestartAgent(i, 5*time.Millisecond))
+			s.net.Restore(s.Agents[i].Address)
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.KV.SetFaults(kv.Faults{})
+		code, second := s.book(1)
+		is.Equal(code, 409)
+		is.True(strings.Contains(second, `"run":"unknown"`))
+		time.Sleep(3 * time.Second) // entry 0 stores the result meanwhile
+		_, third := s.book(1)
+		is.Equal(third, first)
+		s.booked(1)
+	},
+	// A keyed booking that runs without a claim.
+	"store_down": func(s *session, is *is.I) {
+		s.KV.SetFaults(kv.Faults{Down: true})
+		code, body := s.book(0)
+		is.Equal(code, 503)
+		is.True(strings.Contains(body, `"run":"not_run"`))
+		s.booked(0)
+	},
+	// The answer to another caller's call, delivered or called a success.
+	"crossed_answer": func(s *session, is *is.I) {
+		for range 2 {
+			code, _ := s.post(0, "/book", "bike")
+			is.Equal(code, 200)
+		}
+		s.plainFaults(plain.Faults{CrossAnswers: 1})
+		code, body := s.post(0, "/book", "van")
+		is.Equal(code, 502)
+		is.True(strings.Contains(body, `"run":"unknown"`) && !strings.Contains(body, "bike"))
+		s.booked(1)
+	},
+	// New work at a leaving agent, and a running stream that it cuts.
+	"leaving_agent": func(s *session, is *is.I) {
+		wait := background(func() { s.ask(8) })
+		time.Sleep(30 * time.Millisecond)
+		s.Agents[0].Leave()
+		time.Sleep(10 * time.Millisecond)
+		code, body := s.post(1, "/v1/chat/completions", question(2))
+		s.whole(code, body, 2)
+		wait()
+		is.Equal(s.Engines["engine-0"].Counts().Requests, 1)
+	},
+	// An engine that works on for a caller who left.
+	"caller_leaves": func(s *session, is *is.I) {
+		ctx, cancel := context.WithTimeout(s.t.Context(), 35*time.Millisecond)
+		defer cancel()
+		s.postUntil(ctx, 0, "/v1/chat/completions", question(100))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(s.Engines["engine-0"].Counts().Cancelled, 1)
+	},
+	// A caller that waits in vain at busy engines, or is refused without a time.
+	"overload": func(s *session, is *is.I) {
+		s.edit("engine", 1, `"timeouts":{"max_wait_ms":10}`)
+		time.Sleep(100 * time.Millisecond)
+		s.ask(12) // teaches an agent the length of answers
+		s.ask(12)
+		var waits []func()
+		var refused atomic.Int64
+		for i := range 6 {
+			waits = append(waits, background(func() {
+				time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+				code, body := s.post(0, "/v1/chat/completions", question(12))
+				if code != 503 {
+					s.whole(code, body, 12)
+					return
+				}
+				refused.Add(1)
+				is.True(strings.Contains(body, `"run":"not_run"`))
+			}))
+		}
+		for _, wait := range waits {
+			wait()
+		}
+		is.True(refused.Load() > 0)
+		is.Equal(s.Engines["engine-0"].Counts().Requests+s.Engines["engine-1"].Counts().Requests, 8-int(refused.Load()))
+	},
+	// A lost edit of two operators who edit the same generation, and an edit
+	// that one of the entries doesn't take.
+	"racing_operators": func(s *session, is *is.I) {
+		var errs [2]error
+		var waits []func()
+		for i := range errs {
+			waits = append(waits, background(func() {
+				time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+				errs[i] = s.tryEdit("desk", 1, fmt.Sprintf(`"routes":[{"path":"/book"},{"path":"/hire-%d"}]`, i))
+			}))
+		}
+		for _, wait := range waits {
+			wait()
+		}
+		var conflict *config.Conflict
+		is.NoErr(errs[0])
+		is.True(errors.As(errs[1], &conflict))
+		time.Sleep(100 * time.Millisecond)
+		for entry := range s.Entries {
+			code, _ := s.post(entry, "/hire-0", "cart")
+			is.Equal(code, 200)
+			code, _ = s.post(entry, "/hire-1", "cart")
+			is.Equal(code, 404)
+		}
+	},
+	// A restarted entry that waits for the store, or forgets the documents.
+	"entry_restart_in_outage": func(s *session, is *is.I) {
+		s.KV.SetFaults(kv.Faults{Down: true})
+		s.addEntry()
+		code, body := s.post(2, "/v1/chat/completions", question(2))
+		s.whole(code, body, 2)
+	},
+}
+
+// edit applies a document for a service; fields follow kind and accounts.
+func (s *session) edit(service string, generation int64, fields string) {
+	s.t.Helper()
+	is.New(s.t).NoErr(s.tryEdit(service, generation, fields))
+}
+
+func (s *session) tryEdit(service string, generation int64, fields string) error {
+	store, err := s.Store()
+	if err != nil {
+		return err
+	}
+	kind := `"kind":"plain"`
+	if service == "engine" {
+		kind = `"kind":"engine","model":"m","version":"v1"`
+	}
+	_, err = store.Apply(s.t.Context(), fmt.Appendf(nil, `{"service":%q,%s,"accounts":[{"name":"a","key_sha256":[%q]}],%s}`,
+		service, kind, fleet.KeyHash(key), fields), generation, "operator")
+	return err
+}
+
+// Guards against any change of the messages of a session.
+func TestSessions(t *testing.T) {
+	for name, play := range plays {
+		t.Run(name, func(t *testing.T) {
+			run(t, name, func(s *session) { play(s, is.New(s.t)) })
+		})
+	}
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -59,6 +59,11 @@
 	*agent.Server
 	Address string
 	GRPC    *grpc.Server
+
+	stop      context.CancelFunc
+	name      string
+	opts      agent.Options
+	endpoints []agent.Endpoint
 }
 
 // Entry is a running entry.
@@ -173,6 +178,21 @@
 	return a, nil
 }
 
+// RestartAgent crashes an agent and starts it anew at the same address, which
+// refuses connections in between. On loopback ports the address changes, so that only a Memory network can do it.
+func (f *Fleet) RestartAgent(i int, down time.Duration) error {
+	old := f.Agents[i]
+	old.stop()
+	old.GRPC.Stop()
+	time.Sleep(down)
+	l, addr, err := f.Network.Listen(old.name)
+	if err != nil {
+		return err
+	}
+	f.Agents[i], err = f.startAgent(old.name, old.opts, l, addr, old.endpoints)
+	return err
+}
+
 func (f *Fleet) startAgent(name string, opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
 	if opts.Concurrency == 0 {
 		opts = agent.DefaultOptions()
@@ -188,16 +208,17 @@
 	if err != nil {
 		return nil, err
 	}
-	g := grpc.NewServer(grpc.StreamInterceptor(f.Recorder.interceptor(name)))
+	ctx, stop := context.WithCancel(f.ctx)
+	g := grpc.NewServer(grpc.StreamInterceptor(f.Recorder.interceptor(name)), grpc.UnaryInterceptor(f.Recorder.unary(name)))
 	pb.RegisterAgentServer(g, srv)
 	f.wg.Go(func() { _ = g.Serve(l) })
 	f.wg.Go(func() {
-		<-f.ctx.Done()
+		<-ctx.Done()
 		g.Stop()
 	})
-	f.wg.Go(func() { srv.Sweep(f.ctx, 10*time.Second) })
-	f.wg.Go(func() { srv.Follow(f.ctx) })
-	return &Agent{Server: srv, Address: addr, GRPC: g}, nil
+	f.wg.Go(func() { srv.Sweep(ctx, 10*time.Second) })
+	f.wg.Go(func() { srv.Follow(ctx) })
+	return &Agent{Server: srv, Address: addr, GRPC: g, stop: stop, name: name, opts: opts, endpoints: eps}, nil
 }
 
 // AddEntry starts an entry.
--- a/standin/fleet/record.go
+++ b/standin/fleet/record.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
+	"context"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net/http"
+	"path"
 	"regexp"
 	"slices"
 	"strings"
@@ -21,12 +25,16 @@
 	mu     sync.Mutex
 	start  time.Time
 	events []recorded
+	// conversations is how many have begun.
+	conversations uint64
 }
 
 type recorded struct {
-	at   time.Duration
-	who  string
-	text string
+	at  time.Duration
+	who string
+	// conversation is the HTTP exchange, stream or call that the message is in.
+	conversation uint64
+	text         string
 	// attempt, seq and parts describe a Chunk.
 	attempt string
 	seq     uint64
@@ -50,19 +58,34 @@
 // NewRecorder returns a recorder whose time starts now.
 func NewRecorder() *Recorder { return &Recorder{start: time.Now()} }
 
-func (r *Recorder) note(who, format string, args ...any) {
-	if r == nil {
-		return
-	}
+// conversation notes the messages of one HTTP exchange, stream or call.
+type conversation struct {
+	recorder *Recorder
+	who      string
+	number   uint64
+}
+
+func (r *Recorder) converse(who string) *conversation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.events = append(r.events, recorded{at: time.Since(r.start), who: who, text: fmt.Sprintf(format, args...)})
+	r.conversations++
+	return &conversation{r, who, r.conversations}
+}
+
+func (c *conversation) note(format string, args ...any) {
+	c.add(recorded{text: fmt.Sprintf(format, args...)})
+}
+
+func (c *conversation) noteChunk(d *pb.Down, k *pb.Chunk) {
+	c.add(recorded{attempt: d.AttemptId, seq: k.Seq, parts: len(k.Parts)})
 }
 
-func (r *Recorder) noteChunk(who string, d *pb.Down, c *pb.Chunk) {
+func (c *conversation) add(e recorded) {
+	r := c.recorder
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.events = append(r.events, recorded{at: time.Since(r.start), who: who, attempt: d.AttemptId, seq: c.Seq, parts: len(c.Parts)})
+	e.at, e.who, e.conversation = time.Since(r.start), c.who, c.number
+	r.events = append(r.events, e)
 }
 
 // Reset drops what was noted and restarts the time.
@@ -74,21 +97,43 @@
 
 var (
 	patternID     = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
-	patternTicket = regexp.MustCompile(`ticket=[0-9]+`)
-	patternTime   = regexp.MustCompile(`"time":"[^"]*"`)
+	patternTicket = regexp.MustCompile(`(ticket=|"ticket_ms":)[0-9]+`)
+	// patternValue matches what the key-value service's protocol encodes in base64.
+	patternValue = regexp.MustCompile(`"(key|value|range_end)":"([A-Za-z0-9+/]+=*)"`)
+	patternTime  = regexp.MustCompile(`"time":"[^"]*"`)
 )
 
-// Session returns the messages in order of time; messages of the same instant
-// are ordered by process. Random ids are replaced by numbered ones.
+// Session returns the messages in order of time. Messages of one instant are
+// ordered by process and, since their order depends on scheduling, by the text
+// of their conversation; a conversation keeps its order. Random ids are
+// replaced by numbered ones.
 func (r *Recorder) Session() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	events := slices.Clone(r.events)
-	slices.SortStableFunc(events, func(a, b recorded) int {
-		if a.at != b.at {
-			return int(a.at - b.at)
+	var out bytes.Buffer
+	ids := map[string]string{}
+	for events := slices.Clone(r.events); len(events) > 0; {
+		n := slices.IndexFunc(events, func(e recorded) bool { return e.at != events[0].at })
+		if n < 0 {
+			n = len(events)
 		}
-		return strings.Compare(a.who, b.who)
+		for _, e := range instant(events[:n], ids) {
+			fmt.Fprintf(&out, "%12s %-8s %s\n", e.at, e.who, clip(stable(e.String(), ids, true)))
+		}
+		events = events[n:]
+	}
+	return out.Bytes()
+}
+
+// instant puts the messages of one instant in order.
+func instant(events []recorded, ids map[string]string) []recorded {
+	texts := map[uint64]string{}
+	for _, e := range events {
+		texts[e.conversation] += stable(e.String(), ids, false) + "\n"
+	}
+	slices.SortStableFunc(events, func(a, b recorded) int {
+		return cmp.Or(strings.Compare(a.who, b.who), strings.Compare(texts[a.conversation], texts[b.conversation]),
+			cmp.Compare(a.conversation, b.conversation))
 	})
 	joined := events[:0]
 	for _, e := range events {
@@ -98,33 +143,49 @@
 		}
 		joined = append(joined, e)
 	}
-	ids := map[string]string{}
-	var out bytes.Buffer
-	for _, e := range joined {
-		text := patternID.ReplaceAllStringFunc(e.String(), func(id string) string {
-			if ids[id] == "" {
-				ids[id] = fmt.Sprintf("id-%d", len(ids)+1)
-			}
-			return ids[id]
-		})
-		text = patternTicket.ReplaceAllString(text, "ticket=T")
-		text = patternTime.ReplaceAllString(text, `"time":"T"`)
-		fmt.Fprintf(&out, "%12s %-8s %s\n", e.at, e.who, text)
-	}
-	return out.Bytes()
+	return joined
+}
+
+// stable replaces what differs between runs. With number, an id that is not in
+// ids gets the next number.
+func stable(text string, ids map[string]string, number bool) string {
+	text = patternID.ReplaceAllStringFunc(text, func(id string) string {
+		if ids[id] == "" && number {
+			ids[id] = fmt.Sprintf("id-%d", len(ids)+1)
+		}
+		return cmp.Or(ids[id], "id")
+	})
+	text = patternTicket.ReplaceAllString(text, "${1}T")
+	return patternTime.ReplaceAllString(text, `"time":"T"`)
 }
 
-// maxNoted bounds the body bytes in one line.
-const maxNoted = 240
+// maxNoted bounds the bytes of a message in one line.
+const maxNoted = 300
 
-func clip(b []byte) string {
-	s := strings.ReplaceAll(strings.TrimSpace(string(b)), "\n", "\\n")
+func clip(s string) string {
 	if len(s) > maxNoted {
 		s = s[:maxNoted] + "..."
 	}
 	return s
 }
 
+// oneline returns a body as text in one line.
+func oneline(b []byte) string {
+	return strings.ReplaceAll(strings.TrimSpace(string(b)), "\n", "\\n")
+}
+
+// readable decodes the keys and values in a body of the key-value service.
+func readable(b []byte) []byte {
+	return patternValue.ReplaceAllFunc(b, func(m []byte) []byte {
+		parts := patternValue.FindSubmatch(m)
+		text, err := base64.StdEncoding.DecodeString(string(parts[2]))
+		if err != nil {
+			return m
+		}
+		return fmt.Appendf(nil, `"%s":'%s'`, parts[1], bytes.ReplaceAll(text, []byte{0}, []byte(`\0`)))
+	})
+}
+
 // handler notes the requests and responses of an HTTP server.
 func (r *Recorder) handler(name string, h http.Handler) http.Handler {
 	if r == nil {
@@ -134,11 +195,12 @@
 		body, _ := io.ReadAll(req.Body)
 		req.Body = io.NopCloser(bytes.NewReader(body))
 		line := fmt.Sprintf("%s %s", req.Method, req.URL.RequestURI())
-		r.note(name, "<- %s %s", line, clip(body))
-		nw := &notingWriter{ResponseWriter: w, recorder: r, name: name, line: line}
+		c := r.converse(name)
+		c.note("<- %s %s", line, oneline(readable(body)))
+		nw := &notingWriter{ResponseWriter: w, conversation: c, line: line}
 		defer func() {
 			if p := recover(); p != nil {
-				r.note(name, "-> %s connection dropped", line)
+				c.note("-> %s connection dropped", line)
 				panic(p)
 			}
 		}()
@@ -148,21 +210,20 @@
 
 type notingWriter struct {
 	http.ResponseWriter
-	recorder *Recorder
-	name     string
-	line     string
+	conversation *conversation
+	line         string
 }
 
 // Unwrap lets http.ResponseController reach the writer.
 func (w *notingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 func (w *notingWriter) WriteHeader(status int) {
-	w.recorder.note(w.name, "-> %s %d", w.line, status)
+	w.conversation.note("-> %s %d", w.line, status)
 	w.ResponseWriter.WriteHeader(status)
 }
 
 func (w *notingWriter) Write(b []byte) (int, error) {
-	w.recorder.note(w.name, "-> %s %s", w.line, clip(b))
+	w.conversation.note("-> %s %s", w.line, oneline(readable(b)))
 	return w.ResponseWriter.Write(b)
 }
 
@@ -172,29 +233,66 @@
 		if r == nil {
 			return handler(srv, ss)
 		}
-		return handler(srv, &notingStream{ServerStream: ss, recorder: r, name: name})
+		return handler(srv, &notingStream{ss, r.converse(name)})
+	}
+}
+
+// unary notes the calls of an agent that are not streams.
+func (r *Recorder) unary(name string) grpc.UnaryServerInterceptor {
+	return func(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+		if r == nil {
+			return handler(ctx, req)
+		}
+		method := path.Base(info.FullMethod)
+		c := r.converse(name)
+		c.note("<- %s %s", method, describeUnary(req))
+		reply, err := handler(ctx, req)
+		c.note("-> %s %s", method, describeUnary(reply))
+		return reply, err
 	}
 }
 
+func describeUnary(m any) string {
+	switch m := m.(type) {
+	case *pb.RevokeRequest:
+		return fmt.Sprintf("request=%s attempt=%s cancel=%t", m.RequestId, m.AttemptId, m.Cancel)
+	case *pb.RevokeReply:
+		return fmt.Sprintf("state=%s", m.State)
+	case *pb.OfferRequest:
+		return fmt.Sprintf("service=%s generation=%d", m.Service, m.Generation)
+	case *pb.OfferReply:
+		return fmt.Sprintf("generation=%d need=%t", m.Generation, m.Need)
+	case *pb.PutRequest:
+		return fmt.Sprintf("service=%s", m.Service)
+	case *pb.PutReply:
+		return fmt.Sprintf("generation=%d error=%q", m.Generation, m.Error)
+	case *pb.RecordsReply:
+		return fmt.Sprintf("records=%d", len(m.Records))
+	}
+	return ""
+}
+
 type notingStream struct {
 	grpc.ServerStream
-	recorder *Recorder
-	name     string
+	conversation *conversation
 }
 
 func (s *notingStream) RecvMsg(m any) error {
 	err := s.ServerStream.RecvMsg(m)
 	if up, ok := m.(*pb.Up); ok && err == nil {
-		s.recorder.note(s.name, "<- %s", describeUp(up))
+		s.conversation.note("<- %s", describeUp(up))
 	}
 	return err
 }
 
 func (s *notingStream) SendMsg(m any) error {
+	if st, ok := m.(*pb.AgentState); ok {
+		s.conversation.note("-> Watch leaving=%t", st.Leaving)
+	}
 	if down, ok := m.(*pb.Down); ok && down.GetChunk() != nil {
-		s.recorder.noteChunk(s.name, down, down.GetChunk())
+		s.conversation.noteChunk(down, down.GetChunk())
 	} else if ok {
-		s.recorder.note(s.name, "-> %s %s", down.AttemptId, describeDown(down))
+		s.conversation.note("-> %s %s", down.AttemptId, describeDown(down))
 	}
 	return s.ServerStream.SendMsg(m)
 }
@@ -218,7 +316,7 @@
 func describeDown(d *pb.Down) string {
 	switch k := d.Kind.(type) {
 	case *pb.Down_Accepted:
-		return "Accepted"
+		return fmt.Sprintf("Accepted cached=%d", k.Accepted.CachedTokens)
 	case *pb.Down_Refused:
 		return fmt.Sprintf("Refused code=%s run=%s", k.Refused.Code, k.Refused.Run)
 	case *pb.Down_Progress:
