--- a/agent/server.go
+++ b/agent/server.go
@@ -35,6 +35,10 @@
 	DetachGrace time.Duration
 	// StreamBuffer is the size of a replay buffer in bytes.
 	StreamBuffer int
+	// ReplayBytes bounds the replay buffers of all streams together.
+	ReplayBytes int
+	// ResultBytes bounds the kept results of non-idempotent attempts together.
+	ResultBytes int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
 	// LoadInterval is the time between two load reports of an engine.
@@ -57,6 +61,8 @@
 		ResultRetention:  10 * time.Minute,
 		DetachGrace:      5 * time.Second,
 		StreamBuffer:     64 << 10,
+		ReplayBytes:      8 << 20,
+		ResultBytes:      4 << 20,
 		ProgressInterval: time.Second,
 		LoadInterval:     loadInterval,
 		Concurrency:      16,
@@ -77,9 +83,12 @@
 	log         *zap.Logger
 	incarnation string
 	start       time.Time
-	table       *call.Table[*attempt]
+	table       *call.Table[*attempt, trace]
+	results     *results
 	endpoints   map[string]*local
+	ids         []string // of the endpoints; a trace holds the index
 	fence       *order.Fence
+	replays     *stream.Pool
 	work        sync.WaitGroup
 
 	mu       sync.Mutex
@@ -104,18 +113,22 @@
 		log:         opts.Log,
 		incarnation: uuid.NewString(),
 		start:       time.Now(),
-		table:       call.NewTable[*attempt](opts.ResultRetention, opts.TicketLifetime+tombstoneMargin),
+		results:     &results{limit: opts.ResultBytes},
 		endpoints:   map[string]*local{},
 		fence:       order.NewFence(),
+		replays:     stream.NewPool(opts.ReplayBytes),
 		watchers:    map[chan struct{}]struct{}{},
 		drained:     make(chan struct{}),
 	}
+	limits := call.Limits{Retention: opts.ResultRetention, Tombstone: opts.TicketLifetime + tombstoneMargin, Attempts: maxAttempts}
+	s.table = call.NewTable(limits, s.revive)
 	for _, ep := range endpoints {
 		d, err := driver(ep)
 		if err != nil {
 			return nil, err
 		}
 		s.endpoints[ep.ID] = newLocal(ep, d, opts)
+		s.ids = append(s.ids, ep.ID)
 	}
 	return s, nil
 }
@@ -159,11 +172,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	refused := s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked", pb.Run_RUN_NOT_RUN)
+	room := s.table.Room()
 	a, _, created := s.table.Begin(key, func() (*attempt, bool) {
 		if refused = s.check(o); refused != nil {
 			return nil, false
 		}
-		a := newAttempt(key, o, s.opts.StreamBuffer)
+		if !room {
+			refused = s.overloaded(s.endpoints[o.EndpointId], "the attempt table is full", 0)
+			return nil, false
+		}
+		a := newAttempt(key, o, stream.NewReplay(s.opts.StreamBuffer, !o.Idempotent, s.replays))
 		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
 		return a, true
 	})
@@ -217,6 +235,11 @@
 	case a == nil:
 		return refuse(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked", pb.Run_RUN_NOT_RUN)
 	}
+	if at.NextSeq > 1 {
+		// The entry has the parts before. Its acknowledgement of them may have
+		// been lost with the last connection and isn't repeated.
+		a.replay.Ack(at.NextSeq - 1)
+	}
 	return s.serve(srv, a, at.NextSeq)
 }
 
@@ -227,8 +250,7 @@
 	queued := time.Now()
 	ready := p.wait(a.ctx)
 	if !ready && a.ctx.Err() == nil {
-		s.table.Revoke(a.key, always)
-		a.refuse(s.overloaded(ep, "the deadline passed in the queue", 0))
+		s.refuse(a, s.overloaded(ep, "the deadline passed in the queue", 0))
 		return
 	}
 	if ep.otherVersion(o.Version) {
@@ -239,8 +261,7 @@
 		return
 	}
 	if a.ctx.Err() != nil || !s.table.Dispatch(a.key) {
-		s.table.Revoke(a.key, always)
-		a.refuse(s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
+		s.refuse(a, s.refusal(pb.RefusalCode_REFUSAL_REVOKED, "the attempt was revoked before dispatch", pb.Run_RUN_NOT_RUN))
 		return
 	}
 	a.markDispatched()
@@ -249,8 +270,10 @@
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
 	req := request(o)
 	req.Priority = p.priority()
-	m := newMeter(a, ep, o.Stream)
+	prefill := ep.backlog.Begin(ep.predictor.Prefill(p.prompt - p.cached))
+	m := newMeter(a, ep, prefill, o.Stream)
 	err := ep.driver.Do(a.ctx, ep.Endpoint, req, m)
+	prefill.Done()
 	ep.queue.Done(p.ticket)
 	if err == nil {
 		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
@@ -260,6 +283,7 @@
 	end.QueueMs = wait.Milliseconds()
 	s.table.Finish(a.key)
 	a.finish(end)
+	s.settle(a)
 	s.log.Info("finish", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.String("run", end.Run.String()), zap.String("error", end.ErrorCode),
 		zap.Uint64("parts", end.LastSeq))
@@ -314,9 +338,11 @@
 		return reply, nil
 	}
 	key := call.Key{Request: r.RequestId, Attempt: r.AttemptId}
-	a, state := s.table.Revoke(key, func() bool {
+	a, state := s.table.Revoke(key, func(evicted time.Time) bool {
 		age := s.ticket() - r.TicketMs
-		return age >= 0 && age < s.opts.ResultRetention.Milliseconds()
+		// A ticket is rounded up by at most a millisecond.
+		issued := s.start.Add(time.Duration(r.TicketMs-1) * time.Millisecond)
+		return issued.After(evicted) && age >= 0 && age < s.opts.ResultRetention.Milliseconds()
 	})
 	switch state {
 	case call.Absent:
@@ -339,7 +365,7 @@
 }
 
 // always is the proof for attempts that have a record.
-func always() bool { return true }
+func always(time.Time) bool { return true }
 
 // send stamps ids on a message and sends it.
 func (s *Server) send(srv pb.Agent_RunServer, key call.Key, d *pb.Down) error {
@@ -429,6 +455,9 @@
 	for {
 		select {
 		case <-t.C:
+			for _, a := range s.results.expire(s.opts.ResultRetention) {
+				s.drop(a)
+			}
 			s.table.Sweep()
 		case <-ctx.Done():
 			return
@@ -440,7 +469,10 @@
 // and cancellation until the end is sent or the stream breaks.
 func (s *Server) serve(srv pb.Agent_RunServer, a *attempt, next uint64) error {
 	session, superseded := a.attach()
-	defer a.detached(session, s.opts.DetachGrace)
+	defer func() {
+		a.detached(session, s.opts.DetachGrace, func() { s.settle(a) })
+		s.settle(a)
+	}()
 	closed := make(chan struct{})
 	go s.receive(srv, a, closed)
 
@@ -451,7 +483,7 @@
 		view, err := a.replay.Since(next, maxChunkBytes)
 		refused, end, dispatched := a.status()
 		if refused != nil {
-			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Refused{Refused: refused}})
+			return s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Refused{Refused: s.refresh(a, refused)}})
 		}
 		if !accepted {
 			if err := s.send(srv, a.key, &pb.Down{Kind: &pb.Down_Accepted{Accepted: s.accept(a)}}); err != nil {
@@ -526,6 +558,7 @@
 		switch k := up.Kind.(type) {
 		case *pb.Up_Ack:
 			a.replay.Ack(k.Ack.Seq)
+			s.settle(a)
 		case *pb.Up_Cancel:
 			s.cancelAttempt(a)
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -37,6 +37,23 @@
 	Exclude map[string]bool
 	// LastResort admits ejected endpoints, for want of any other.
 	LastResort bool
+	// Policy holds the service's settings of endpoint selection.
+	Policy Policy
+}
+
+// Policy are the settings of a service that endpoint selection obeys. A field
+// of 0 means the default, except for the price.
+type Policy struct {
+	// PriceMsPerMiB is the time to first token that a MiB between regions must
+	// save, in milliseconds; 0 means that it costs nothing.
+	PriceMsPerMiB float64
+	// EjectAfter is the number of consecutive failures that ejects an endpoint.
+	EjectAfter int
+	// ProbeInterval is the time to the first probe of an ejected endpoint; it
+	// doubles with each failed probe.
+	ProbeInterval time.Duration
+	// BlockLifetime is assumed for endpoints that report none, until it is learned.
+	BlockLifetime time.Duration
 }
 
 // Load is an endpoint's last load report; zero fields are unknown.
@@ -88,11 +105,11 @@
 
 // Candidate is an endpoint's result in a decision.
 type Candidate struct {
-	ID string
+	ID string `json:"id"`
 	// Score is the expected time to first token in milliseconds.
-	Score float64
+	Score float64 `json:"score_ms"`
 	// Excluded says why the endpoint was dropped; empty for scored candidates.
-	Excluded string
+	Excluded string `json:"excluded,omitempty"`
 }
 
 // Reasons of decisions.
@@ -105,16 +122,16 @@
 
 // Decision records a choice and why it was made.
 type Decision struct {
-	RequestID string
-	Service   string
-	Chosen    string
-	Reason    string
+	RequestID string `json:"request_id"`
+	Service   string `json:"service"`
+	Chosen    string `json:"chosen"`
+	Reason    string `json:"reason"`
 	// Score is the predicted time to first token of the choice in milliseconds.
-	Score float64
+	Score float64 `json:"score_ms"`
 	// Total is the number of endpoints considered.
-	Total int
+	Total int `json:"total"`
 	// Candidates holds the best endpoints, at most 16 of Total.
-	Candidates []Candidate
+	Candidates []Candidate `json:"candidates"`
 }
 
 // String returns the candidates with their scores for the log.
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -109,7 +109,7 @@
 	opts := entry.DefaultOptions()
 	opts.Region = "r1"
 	// The session ends before the first regular polls, whose times are random.
-	opts.HostInterval, opts.ConfigInterval = time.Hour, time.Hour
+	opts.HostInterval, opts.ConfigInterval, opts.LeaseTTL = time.Hour, time.Hour, time.Hour
 	opts.Random = func() uint64 { return 1 }
 	// Each entry is a little further away from everything than the one before.
 	network, n := s.Network, len(s.Entries)
--- a/wire/call.go
+++ b/wire/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,8 +37,16 @@
 	open *pb.Open
 	out  chan Message
 	stop context.CancelFunc
+	// stall is how long an accepted call may go without any message.
+	stall time.Duration
 	// attached calls leave the attempt to the call that opened it.
 	attached bool
+	// reattach asks the call's goroutine for a new connection.
+	reattach chan struct{}
+	// heard is when the agent's last message arrived, in nanoseconds since the
+	// link was made; a monotonic time, unlike one since the epoch.
+	heard atomic.Int64
+	conn  atomic.Pointer[conn]
 
 	// The fields below belong to the call's goroutine.
 	sequencer *stream.Sequencer
@@ -50,22 +59,37 @@
 	echoed    uint64
 }
 
+// CallOption changes a call's settings from those of its link.
+type CallOption func(*Call)
+
+// WithStallTimeout sets how long an accepted call may go without any message
+// before it is attached on a new connection.
+func WithStallTimeout(d time.Duration) CallOption { return func(c *Call) { c.stall = d } }
+
 // Start begins an attempt. The open's incarnation and ticket must come from
 // Ticket. Cancelling ctx cancels the attempt; the caller reads Messages until
 // the channel closes.
-func (l *Link) Start(ctx context.Context, open *pb.Open) *Call {
+func (l *Link) Start(ctx context.Context, open *pb.Open, opts ...CallOption) *Call {
 	ctx, stop := context.WithCancel(ctx)
-	c := &Call{link: l, open: open, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer()}
-	go c.loop(ctx)
-	return c
+	c := &Call{link: l, open: open, out: make(chan Message, 4), stop: stop, reattach: make(chan struct{}, 1), sequencer: stream.NewSequencer()}
+	return c.begin(ctx, opts)
 }
 
 // StartAttached joins an attempt that another call has opened. Cancelling ctx
 // leaves the attempt alone.
-func (l *Link) StartAttached(ctx context.Context, requestID, attemptID, incarnation string) *Call {
+func (l *Link) StartAttached(ctx context.Context, requestID, attemptID, incarnation string, opts ...CallOption) *Call {
 	ctx, stop := context.WithCancel(ctx)
-	c := &Call{link: l, out: make(chan Message, 4), stop: stop, sequencer: stream.NewSequencer(), sent: true, accepted: true, attached: true,
+	c := &Call{link: l, out: make(chan Message, 4), stop: stop, reattach: make(chan struct{}, 1), sequencer: stream.NewSequencer(),
+		sent: true, accepted: true, attached: true,
 		open: &pb.Open{RequestId: requestID, AttemptId: attemptID, Incarnation: incarnation}}
+	return c.begin(ctx, opts)
+}
+
+func (c *Call) begin(ctx context.Context, opts []CallOption) *Call {
+	c.stall = c.link.opts.StallTimeout
+	for _, o := range opts {
+		o(c)
+	}
 	go c.loop(ctx)
 	return c
 }
@@ -76,6 +100,29 @@
 // Cancel stops the attempt if it may be stopped.
 func (c *Call) Cancel() { c.stop() }
 
+// Reattach makes the call continue on a new connection, as if the present one
+// had gone silent for the stall timeout. It does nothing when any call on the
+// connection has heard from the agent since the given time.
+func (c *Call) Reattach(since time.Time) {
+	if c.Heard().After(since) {
+		return
+	}
+	select {
+	case c.reattach <- struct{}{}:
+	default:
+	}
+}
+
+// Heard returns when the agent's last message arrived on the call's connection,
+// for this call or another, the time of the link's creation if none has.
+func (c *Call) Heard() time.Time {
+	heard := c.heard.Load()
+	if cn := c.conn.Load(); cn != nil {
+		heard = max(heard, cn.heard.Load())
+	}
+	return c.link.made.Add(time.Duration(heard))
+}
+
 var (
 	errSilent  = errors.New("the agent is silent")
 	errStopped = errors.New("the call was cancelled")
@@ -95,7 +142,7 @@
 			return
 		}
 		if heard {
-			lastContact = time.Now()
+			lastContact = c.link.made.Add(time.Duration(c.heard.Load()))
 			timeout = c.link.ackTimeout()
 		}
 		if errors.Is(err, errStopped) {
@@ -120,7 +167,7 @@
 		if !errors.Is(err, errSilent) {
 			c.link.pause(ctx, timeout)
 		}
-		timeout = min(2*timeout, c.link.opts.StallTimeout)
+		timeout = min(2*timeout, c.stall)
 	}
 }
 
@@ -188,6 +235,7 @@
 	if openErr != nil {
 		return false, false, openErr
 	}
+	c.conn.Store(cn)
 	c.sent = true
 	if !c.accepted {
 		c.opens++
@@ -196,9 +244,13 @@
 		_, err = run.Recv()
 		return false, false, err
 	}
+	select {
+	case <-c.reattach: // the request for this connection
+	default:
+	}
 	in := make(chan received)
 	go receiveAll(sctx, run, in)
-	return c.converse(ctx, run, in, start, timer)
+	return c.converse(ctx, cn, run, in, start, timer)
 }
 
 func (c *Call) first() *pb.Up {
@@ -232,7 +284,7 @@
 const ackInterval = 100 * time.Millisecond
 
 // converse handles messages until the stream ends or goes silent.
-func (c *Call) converse(ctx context.Context, run pb.Agent_RunClient, in <-chan received, start time.Time, silence *time.Timer) (ended, heard bool, err error) {
+func (c *Call) converse(ctx context.Context, cn *conn, run pb.Agent_RunClient, in <-chan received, start time.Time, silence *time.Timer) (ended, heard bool, err error) {
 	ack := time.NewTicker(ackInterval)
 	defer ack.Stop()
 	for {
@@ -244,17 +296,22 @@
 			if !c.mine(r.down) {
 				continue
 			}
+			now := time.Now()
+			c.heard.Store(int64(now.Sub(c.link.made)))
+			cn.heard.Store(int64(now.Sub(c.link.made)))
 			if !heard {
-				c.link.observeRTT(time.Since(start))
+				c.link.observeRTT(now.Sub(start))
 				heard = true
 			}
 			done, err := c.handle(ctx, r.down)
 			if done || err != nil {
 				return done, heard, err
 			}
-			silence.Reset(c.link.opts.StallTimeout)
+			silence.Reset(c.stall)
 		case <-silence.C:
 			return false, heard, errSilent
+		case <-c.reattach:
+			return false, heard, errSilent
 		case <-ack.C:
 			if err := c.acknowledge(run); err != nil {
 				return false, heard, err
@@ -326,7 +383,7 @@
 	case *pb.Down_Progress:
 		c.link.observe(c.open.Incarnation, k.Progress.TicketMs, k.Progress.Load)
 		c.echoed = k.Progress.AckedSeq
-		if c.echoed < c.acked && time.Since(c.ackedAt) > c.link.opts.StallTimeout {
+		if c.echoed < c.acked && time.Since(c.ackedAt) > c.stall {
 			return false, errSilent
 		}
 	case *pb.Down_End:
