--- a/agent/server.go
+++ b/agent/server.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -42,6 +43,11 @@
 	ResultBytes int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
+	// LoadInterval is the time between two load reports of an engine.
+	LoadInterval time.Duration
+	// Random returns a number in [0,1), which spreads the reports of agents
+	// that start together; nil means the runtime's generator.
+	Random func() float64
 	// Concurrency is the number of requests an endpoint runs at once, at first.
 	Concurrency int
 	// Weight returns an account's share of a busy endpoint; nil takes it from
@@ -62,6 +68,7 @@
 		ReplayBytes:      8 << 20,
 		ResultBytes:      4 << 20,
 		ProgressInterval: time.Second,
+		LoadInterval:     loadInterval,
 		Concurrency:      16,
 	}
 }
@@ -105,6 +112,9 @@
 	if opts.Log == nil {
 		opts.Log = zap.NewNop()
 	}
+	if opts.Random == nil {
+		opts.Random = rand.Float64
+	}
 	s := &Server{
 		Config:      config.NewTable(),
 		opts:        opts,
