exchange: recognise the closing event by its line, reuse the read buffers

Cause of the first: a stream counted as complete once any event held the text 'data: [DONE]', also inside a token, so that a stream cut after such a token reached its caller as whole. The closing event is now a line of its own. TestStreamIsCompleteOnlyWithItsClosingEvent failed in its first case before.

An open stream held a 16 KiB line buffer, and every read of a whole answer allocated 16 KiB; both come from pools now, lines with 4 KiB, and an event is bounded at 1 MiB.

--- a/plugins/internal/exchange/exchange.go
+++ b/plugins/internal/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/citrontiller/citrontiller/agent"
@@ -20,8 +21,22 @@
 	"github.com/citrontiller/citrontiller/stream"
 )
 
-// readSize is the largest piece of a body passed on at once.
-const readSize = 16 << 10
+const (
+	// readSize is the largest piece of a body passed on at once, in bytes.
+	readSize = 16 << 10
+	// lineSize is the buffer that splits an event stream into lines. Events are
+	// a few hundred bytes; longer lines take several reads.
+	lineSize = 4 << 10
+	// maxEvent bounds one event of a stream, in bytes.
+	maxEvent = 1 << 20
+)
+
+// Buffers are reused: an agent has hundreds of streams open, and one of these
+// for each would be most of its memory.
+var (
+	bodies = sync.Pool{New: func() any { return new([readSize]byte) }}
+	lines  = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lineSize) }}
+)
 
 // doneEvent ends an OpenAI event stream.
 var doneEvent = []byte("data: [DONE]")
@@ -159,11 +174,12 @@
 }
 
 func relayBody(ctx context.Context, body io.Reader, sink agent.Sink) error {
+	buf := bodies.Get().(*[readSize]byte)
+	defer bodies.Put(buf)
 	for {
-		buf := make([]byte, readSize)
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:])
 		if n > 0 {
-			if err := sink.Data(ctx, buf[:n:n]); err != nil {
+			if err := sink.Data(ctx, bytes.Clone(buf[:n])); err != nil {
 				return err
 			}
 		}
@@ -180,21 +196,33 @@
 // relayEvents passes on whole server-sent events, so that an error event never
 // follows half an event. A stream without its closing event is truncated.
 func relayEvents(ctx context.Context, body io.Reader, sink agent.Sink) error {
-	r := bufio.NewReaderSize(body, readSize)
+	r := lines.Get().(*bufio.Reader)
+	r.Reset(body)
+	defer func() {
+		r.Reset(nil)
+		lines.Put(r)
+	}()
 	var event []byte
+	start := 0 // of the line that is being read
 	done := false
 	for {
-		line, err := r.ReadBytes('\n')
-		event = append(event, line...)
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && err == nil {
-			done = done || bytes.Contains(event, doneEvent)
-			if err := sink.Data(ctx, event); err != nil {
-				return err
-			}
-			event = nil
+		piece, err := r.ReadSlice('\n')
+		event = append(event, piece...)
+		if len(event) > maxEvent {
+			return &agent.DriverError{Code: agent.CodeProtocol, Run: call.Ran, Err: fmt.Errorf("an event exceeds %d bytes", maxEvent)}
 		}
 		switch {
 		case err == nil:
+			line := bytes.TrimRight(event[start:], "\r\n")
+			start = len(event)
+			done = done || bytes.Equal(line, doneEvent)
+			if len(line) == 0 {
+				if err := sink.Data(ctx, event); err != nil {
+					return err
+				}
+				event, start = nil, 0
+			}
+		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && done:
 			return nil
 		case errors.Is(err, io.EOF):
--- a/plugins/internal/exchange/exchange_test.go
+++ b/plugins/internal/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -21,10 +22,16 @@
 type sink struct {
 	head *stream.Head
 	body bytes.Buffer
+	// pieces counts the calls of Data.
+	pieces int
 }
 
 func (s *sink) Head(_ context.Context, h stream.Head) error { s.head = &h; return nil }
-func (s *sink) Data(_ context.Context, b []byte) error      { s.body.Write(b); return nil }
+func (s *sink) Data(_ context.Context, b []byte) error {
+	s.pieces++
+	s.body.Write(b)
+	return nil
+}
 func keyed(r *agent.Request, key string) *agent.Request {
 	r.Headers = []stream.Header{{Name: "Idempotency-Key", Value: key}}
 	return r
@@ -79,3 +86,30 @@
 		})
 	}
 }
+
+// Guards against a cut stream that counts as complete because a token's text
+// looks like the closing event, and against events split or joined by the buffer.
+func TestStreamIsCompleteOnlyWithItsClosingEvent(t *testing.T) {
+	long := "data: {\"text\":\"" + strings.Repeat("x", 3*lineSize) + "\"}\n\n"
+	for _, tc := range []struct {
+		body, code string
+		events     int
+	}{
+		{"data: {\"text\":\"data: [DONE]\"}\n\n", agent.CodeTruncated, 1},
+		{"event: x\r\ndata: a\r\n\r\ndata: [DONE]\n\n", "", 2},
+		{long + "data: [DONE]\n\n", "", 2},
+		{long + "data: half", agent.CodeTruncated, 1},
+		{"data: " + strings.Repeat("x", maxEvent+1), agent.CodeProtocol, 0},
+	} {
+		is := is.New(t)
+		var s sink
+		err := relayEvents(t.Context(), strings.NewReader(tc.body), &s)
+		var de *agent.DriverError
+		is.Equal(errors.As(err, &de), tc.code != "")
+		if de != nil {
+			is.Equal(de.Code, tc.code)
+		}
+		is.Equal(s.pieces, tc.events)
+		is.True(strings.HasPrefix(tc.body, s.body.String()))
+	}
+}
