entry: link to embedded agents without encryption

Cause: main has given links TLS credentials, which the connection in memory to an embedded agent does not speak. An entry with TLS would not have reached endpoints without an agent. No test runs an entry with TLS and such an endpoint.

--- a/entry/server.go
+++ b/entry/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,6 +194,16 @@
 	}
 }
 
+// wireOptions returns the settings of a link. A connection in this process is
+// not encrypted.
+func (s *Server) wireOptions(addr string) wire.Options {
+	o := s.opts.Wire
+	if strings.HasPrefix(addr, embeddedPrefix) {
+		o.Credentials = nil
+	}
+	return o
+}
+
 // connect opens a link to every agent in the host list and closes those to
 // agents that are no longer listed.
 func (s *Server) connect() {
@@ -205,7 +216,7 @@
 		if ok {
 			continue
 		}
-		l, err := wire.NewLink(addr, s.opts.Wire, func(st wire.State) {
+		l, err := wire.NewLink(addr, s.wireOptions(addr), func(st wire.State) {
 			s.Members.SetAgent(addr, st.Up, st.Leaving)
 			s.sync.observe(addr, st)
 		})
