entry: revoke a call whose deadline passes in the agent's queue

Cause: a call without an idempotency key that reached its deadline was answered "unknown" without a revocation, although it could still wait in the agent's queue and never run. Only a caller that has left spares the revocation now.

TestDeadlineInQueueIsNotRun: of 40 bookings at two agents that run 16 each, 8 are answered "not run" and have not run, 32 "unknown" and have. It was shown failing without the change.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -180,9 +181,10 @@
 // fail turns a lost call into an error. A call that may have been accepted is
 // revoked first: only a tombstone proves that it did not run. Idempotent calls
 // need no proof, and the revocation of a silent agent would delay their retry.
+// A call whose deadline has passed may still wait in the agent's queue.
 func (a *attempt) fail(ctx context.Context, we *wire.Error) *Error {
 	e := fromWire(we)
-	if e.Run != call.Unknown || ctx.Err() != nil || a.request.Idempotent {
+	if e.Run != call.Unknown || errors.Is(ctx.Err(), context.Canceled) || a.request.Idempotent {
 		return e
 	}
 	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.server.opts.RevokeTimeout)
