--- a/agent/server.go
+++ b/agent/server.go
@@ -7,11 +7,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -40,12 +43,19 @@
 	ResultBytes int
 	// ProgressInterval is the time between Progress messages.
 	ProgressInterval time.Duration
+	// LoadInterval is the time between two load reports of an engine.
+	LoadInterval time.Duration
+	// Random returns a number in [0,1), which spreads the reports of agents
+	// that start together; nil means the runtime's generator.
+	Random func() float64
 	// Concurrency is the number of requests an endpoint runs at once, at first.
 	Concurrency int
-	// Weight returns an account's share of a busy endpoint; nil means that all
-	// accounts have the same.
+	// Weight returns an account's share of a busy endpoint; nil takes it from
+	// the service documents.
 	Weight func(service, account string) int
-	Log    *zap.Logger
+	// Registry takes the agent's metrics; nil leaves them unregistered.
+	Registry prometheus.Registerer
+	Log      *zap.Logger
 }
 
 // DefaultOptions returns the settings used when nothing else is given.
@@ -58,6 +68,7 @@
 		ReplayBytes:      8 << 20,
 		ResultBytes:      4 << 20,
 		ProgressInterval: time.Second,
+		LoadInterval:     loadInterval,
 		Concurrency:      16,
 	}
 }
@@ -78,12 +89,16 @@
 	start       time.Time
 	table       *call.Table[*attempt, trace]
 	results     *results
+	metrics     *metrics
 	endpoints   map[string]*local
 	ids         []string // of the endpoints; a trace holds the index
 	fence       *order.Fence
 	replays     *stream.Pool
 	work        sync.WaitGroup
 
+	// configMu orders the changes of the endpoints' settings.
+	configMu sync.Mutex
+
 	mu       sync.Mutex
 	leaving  bool
 	watchers map[chan struct{}]struct{}
@@ -97,6 +112,9 @@
 	if opts.Log == nil {
 		opts.Log = zap.NewNop()
 	}
+	if opts.Random == nil {
+		opts.Random = rand.Float64
+	}
 	s := &Server{
 		Config:      config.NewTable(),
 		opts:        opts,
@@ -110,6 +128,10 @@
 		watchers:    map[chan struct{}]struct{}{},
 		drained:     make(chan struct{}),
 	}
+	if opts.Weight == nil {
+		opts.Weight = s.weight
+	}
+	s.Config.OnChange(func(service string, _ config.Entry) { s.configure(service) })
 	limits := call.Limits{Retention: opts.ResultRetention, Tombstone: opts.TicketLifetime + tombstoneMargin, Attempts: maxAttempts}
 	s.table = call.NewTable(limits, s.revive)
 	for _, ep := range endpoints {
@@ -120,6 +142,7 @@
 		s.endpoints[ep.ID] = newLocal(ep, d, opts)
 		s.ids = append(s.ids, ep.ID)
 	}
+	s.metrics = newMetrics(opts.Registry, s)
 	return s, nil
 }
 
@@ -171,7 +194,7 @@
 			refused = s.overloaded(s.endpoints[o.EndpointId], "the attempt table is full", 0)
 			return nil, false
 		}
-		a := newAttempt(key, o, stream.NewReplay(s.opts.StreamBuffer, !o.Idempotent, s.replays))
+		a := newAttempt(key, o, stream.NewReplay(s.endpoints[o.EndpointId].settings.Load().streamBuffer, !o.Idempotent, s.replays))
 		a.cached = s.endpoints[o.EndpointId].view.Cached(levels(o))
 		return a, true
 	})
@@ -230,6 +253,7 @@
 		// been lost with the last connection and isn't repeated.
 		a.replay.Ack(at.NextSeq - 1)
 	}
+	s.metrics.resumes.Inc()
 	return s.serve(srv, a, at.NextSeq)
 }
 
@@ -262,6 +286,7 @@
 	}
 	a.markDispatched()
 	wait := time.Since(queued)
+	s.metrics.wait.WithLabelValues(ep.ID).Observe(wait.Seconds())
 	s.log.Info("dispatch", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.Int64("queue_ms", wait.Milliseconds()))
 	req := request(o)
@@ -271,13 +296,16 @@
 	p.prefill.Done()
 	ep.queue.Done(p.ticket)
 	if err == nil {
-		p.correct(ep, m.observe(o.Service, o.Account, p.prompt))
+		cached := m.observe(o.Service, o.Account, p.prompt)
+		p.correct(ep, cached)
+		s.metrics.observe(ep.ID, p.cached, cached)
 	}
 	end := s.endOf(a, err)
 	end.Load = ep.load()
 	end.QueueMs = wait.Milliseconds()
 	s.table.Finish(a.key)
 	a.finish(end)
+	s.metrics.ended(ep.ID, end)
 	s.settle(a)
 	s.log.Info("finish", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
 		zap.String("endpoint", ep.ID), zap.String("run", end.Run.String()), zap.String("error", end.ErrorCode),
@@ -365,6 +393,9 @@
 // send stamps ids on a message and sends it.
 func (s *Server) send(srv pb.Agent_RunServer, key call.Key, d *pb.Down) error {
 	d.RequestId, d.AttemptId = key.Request, key.Attempt
+	if r := d.GetRefused(); r != nil {
+		s.metrics.refusals.WithLabelValues(r.Code.String()).Inc()
+	}
 	return srv.Send(d)
 }
 
@@ -468,7 +499,7 @@
 func (s *Server) serve(srv pb.Agent_RunServer, a *attempt, next uint64) error {
 	session, superseded := a.attach()
 	defer func() {
-		a.detached(session, s.opts.DetachGrace, func() { s.settle(a) })
+		a.detached(session, s.endpoints[a.endpointID].settings.Load().detachGrace, func() { s.settle(a) })
 		s.settle(a)
 	}()
 	closed := make(chan struct{})
@@ -559,6 +590,10 @@
 			s.settle(a)
 		case *pb.Up_Cancel:
 			s.cancelAttempt(a)
+		default:
+			s.metrics.discarded.Inc()
+			s.log.Warn("message discarded", zap.String("request", a.key.Request), zap.String("attempt", a.key.Attempt),
+				zap.String("type", fmt.Sprintf("%T", k)))
 		}
 	}
 }
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -83,6 +83,12 @@
 		}
 		return kernel.Load[agent.Driver](ctx, id, kernel.Settings{Address: ep.Address, Timeout: endpointTimeout, Log: log})
 	}
+	if s.Weights != "" {
+		opts.Weights, err = kernel.Load[platform.WeightStore](ctx, "weights.http", kernel.Settings{Address: s.Weights, Timeout: s.WeightsTimeout, Log: log})
+		if err != nil {
+			return nil, err
+		}
+	}
 	return entry.New(opts, kv, hosts), nil
 }
 
