--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -72,6 +72,9 @@
 	}
 	opts := s.options()
 	opts.Log, opts.Registry = log, reg
+	if opts.Wire.Credentials, err = s.TLS.Client(); err != nil {
+		return nil, err
+	}
 	if s.Weights != "" {
 		opts.Weights, err = kernel.Load[platform.WeightStore](ctx, "weights.http", kernel.Settings{Address: s.Weights, Timeout: s.WeightsTimeout, Log: log})
 		if err != nil {
--- a/internal/entryd/settings.go
+++ b/internal/entryd/settings.go
@@ -6,8 +6,6 @@
 	"errors"
 	"time"
 
-	"google.golang.org/grpc/credentials"
-
 	"github.com/citrontiller/citrontiller/entry"
 	"github.com/citrontiller/citrontiller/internal/process"
 )
@@ -41,8 +39,9 @@
 	DecisionLogSample int    `arg:"--decision-log-sample,env:CITRONTILLER_DECISION_LOG_SAMPLE" default:"1" help:"log one of this many decisions that found an endpoint; 0 logs none of them"`
 	LogLevel          string `arg:"--log-level,env:CITRONTILLER_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
-	// Credentials secure the links to the agents; nil means plain text.
-	Credentials credentials.TransportCredentials `arg:"-"`
+	// TLS secures the links to the agents. The agents' certificates must name
+	// the addresses in the host list.
+	process.TLS
 }
 
 const (
@@ -101,7 +100,7 @@
 		{"--claim-lease-span", s.ClaimLeaseSpan, sec, 24 * hour},
 		{"--min-ack-timeout", s.MinAckTimeout, ms, 10 * sec},
 		{"--agent-give-up", s.AgentGiveUp, 100 * ms, 10 * min},
-		{"--ticket-lifetime", s.TicketLifetime, sec, hour},
+		{"--ticket-lifetime", s.TicketLifetime, sec, 10 * min},
 	}
 }
 
@@ -115,6 +114,5 @@
 	o.DecisionRecords, o.DecisionLogSample = s.DecisionRecords, s.DecisionLogSample
 	o.Claims.LeaseSpan = s.ClaimLeaseSpan
 	o.Wire.MinAckTimeout, o.Wire.GiveUp, o.Wire.TicketLifetime = s.MinAckTimeout, s.AgentGiveUp, s.TicketLifetime
-	o.Wire.Credentials = s.Credentials
 	return o
 }
--- /dev/null
+++ b/internal/entryd/tls_test.go
@@ -0,0 +1,91 @@
+package entryd_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/citrontiller/citrontiller/internal/entryd"
+	"github.com/citrontiller/citrontiller/internal/process"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/standin/fleet"
+	"github.com/citrontiller/citrontiller/wire/pb"
+)
+
+// certificate returns a certificate that signs itself, which both sides use.
+func certificate(t *testing.T) process.TLS {
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	c := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	cert, err := x509.CreateCertificate(rand.Reader, c, c, key.Public(), key)
+	is.NoErr(err)
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	is.NoErr(err)
+	text := string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert}))
+	return process.TLS{Cert: text, CA: text, Key: string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}))}
+}
+
+type watched struct {
+	pb.UnimplementedAgentServer
+	seen chan struct{}
+}
+
+func (w watched) Watch(*pb.WatchRequest, grpc.ServerStreamingServer[pb.AgentState]) error {
+	select {
+	case w.seen <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Guards against TLS settings that the links to the agents ignore, and against
+// incomplete ones that fall back to plain connections.
+func TestLinksUseTLS(t *testing.T) {
+	is := is.New(t)
+	f, err := fleet.New(fleet.Loopback{}, nil)
+	is.NoErr(err)
+	defer f.Close()
+	pair := certificate(t)
+	creds, err := pair.Server()
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	w := watched{seen: make(chan struct{}, 1)}
+	g := grpc.NewServer(grpc.Creds(creds))
+	pb.RegisterAgentServer(g, w)
+	go func() { _ = g.Serve(l) }()
+	defer g.Stop()
+	f.Hosts.Set([]platform.Host{{ID: "e", Service: "llm", Kind: platform.Engine, Address: "127.0.0.1:1", Agent: l.Addr().String(), State: platform.Live}})
+
+	s := parse(t, "--listen", "127.0.0.1:0", "--kv", f.KVAddress, "--hosts", f.HostsAddress, "--region", "r", "--failure-domain", "d",
+		"--drain-delay", "0s", "--log-level", "error")
+	watches := func(s entryd.Settings) bool {
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- entryd.Run(ctx, s) }()
+		defer func() { stop(); is.NoErr(<-ended) }()
+		select {
+		case <-w.seen:
+			return true
+		case <-time.After(2 * time.Second):
+			return false
+		}
+	}
+	is.True(!watches(s)) // a plain entry
+	s.TLS = pair
+	is.True(watches(s))
+	s.TLS.CA = ""
+	is.True(entryd.Run(t.Context(), s) != nil)
+}
