--- a/entry/resume.go
+++ b/entry/resume.go
@@ -25,8 +25,10 @@
 
 // event is what the entry reads of one streamed chunk.
 type event struct {
-	ID      string `json:"id"`
-	Choices []struct {
+	ID string `json:"id"`
+	// Fingerprint identifies the weights; engines may leave it out.
+	Fingerprint string `json:"system_fingerprint"`
+	Choices     []struct {
 		Index int `json:"index"`
 		// Delta is set in chat chunks, Text in those of plain completions.
 		Delta        *eventDelta `json:"delta"`
@@ -47,6 +49,7 @@
 	doneMarker  = []byte("[DONE]")
 	errNotPlain = errors.New("the answer is not plain text")
 	errTooLong  = errors.New("the answer is too long to resume")
+	errWeights  = errors.New("the continuation has other weights")
 	errNotEvent = errors.New("the stream holds an event that is not understood")
 )
 
@@ -84,6 +87,8 @@
 	size     int
 	text     []byte
 	id       string
+	// fingerprint is that of the first event that has one.
+	fingerprint string
 	// finished is true after a finish reason, done after [DONE].
 	finished, done bool
 	err            error
@@ -123,6 +128,9 @@
 	if t.id == "" {
 		t.id = e.ID
 	}
+	if t.fingerprint == "" {
+		t.fingerprint = e.Fingerprint
+	}
 	for _, c := range e.Choices {
 		text := c.Text
 		if d := c.Delta; d != nil {
@@ -144,6 +152,18 @@
 	}
 }
 
+// continues reports whether events come from the same weights as those before.
+// Engines and their agents report a change of weights with a lag.
+func (t *transcript) continues(raw []byte) bool {
+	for one := range eventsOf(raw) {
+		var e event
+		if json.Unmarshal(payload(one), &e) == nil && e.Fingerprint != "" && t.fingerprint != "" && e.Fingerprint != t.fingerprint {
+			return false
+		}
+	}
+	return true
+}
+
 // eventsOf yields the events of a piece of an event stream.
 func eventsOf(raw []byte) func(func([]byte) bool) {
 	return func(yield func([]byte) bool) {
@@ -171,17 +191,25 @@
 	resumes int
 	// deadline is the request's.
 	deadline time.Time
-	// next and close belong to the attempt that is being read.
-	next  func(context.Context) ([]byte, error)
-	close func()
+	// gaps and moves serve the prediction of silence and the bound on moves.
+	gaps  gaps
+	moves int
+	// attempt, next and close belong to the attempt that is being read.
+	attempt *attempt
+	next    func(context.Context) ([]byte, error)
+	close   func()
 }
 
 // resuming makes an event stream survive the loss of its endpoint.
 func (s *Server) resuming(ctx context.Context, r *Request, rr *route.Request, resp *Response) *Response {
-	if !r.resumable || !resp.events() || resp.Head.Status != http.StatusOK {
+	if !r.resumable || resp.attempt == nil || !resp.events() || resp.Head.Status != http.StatusOK {
 		return resp
 	}
-	m := &resumer{server: s, request: r, route: rr, resp: resp, next: resp.next, close: resp.close}
+	// The rest of the answer must come from the same weights.
+	pinned := *rr
+	pinned.Version = resp.version
+	m := &resumer{server: s, request: r, route: &pinned, resp: resp, attempt: resp.attempt, next: resp.next, close: resp.close,
+		gaps: gaps{service: s.budgetsOf(r.Service).gaps}}
 	m.deadline, _ = ctx.Deadline()
 	resp.next = m.read
 	resp.close = func() { m.close() }
@@ -191,7 +219,10 @@
 // read returns the next events for the caller.
 func (m *resumer) read(ctx context.Context) ([]byte, error) {
 	for {
-		b, err := m.next(ctx)
+		b, err := m.await(ctx)
+		if err == nil && m.resumes > 0 && !m.seen.continues(b) {
+			err = errWeights
+		}
 		switch {
 		case err != nil:
 			if b, err = m.recover(ctx, err); err != nil || b != nil {
@@ -252,39 +283,61 @@
 	return e
 }
 
-// reopen starts the continuation at the next candidate.
+// reopen starts the continuation of a cut stream at the next candidate.
 func (m *resumer) reopen(ctx context.Context) error {
 	if m.resumes+1 >= m.request.Document.Budgets.MaxAttemptsPerRequest {
 		return errBudget
 	}
-	body, err := m.request.continued(string(m.seen.text))
+	m.close()
+	m.close = func() {}
+	run, err := m.continuation(map[string]bool{m.resp.Endpoint: true})
 	if err != nil {
 		return err
 	}
-	next := *m.request
-	next.Body = body
-	m.close()
-	m.close = func() {}
-	m.resumes++
-	// Endpoints that refused the request earlier may take it by now; only the
-	// one that broke is avoided.
-	m.route.Exclude = map[string]bool{m.resp.Endpoint: true}
-	ctx, cancel := context.WithDeadline(ctx, m.deadline)
-	resp, rerr := m.server.newRace(&next, m.route).run(ctx)
-	if resp == nil {
-		cancel()
-		return errors.Join(errNoContinuation, rerr.orNil())
-	}
-	if resp.Head.Status != http.StatusOK || !resp.events() {
-		resp.close()
-		cancel()
-		return errNoContinuation
+	resp, err := run(ctx)
+	if err != nil {
+		return err
 	}
+	m.adopt(resp)
+	return nil
+}
+
+// continuation returns a function that runs the rest of the answer on another
+// endpoint and returns with its first token. The function doesn't use what the
+// resumer changes, so that the old stream can be read meanwhile. Endpoints that
+// refused the request earlier may take it by now; only the given ones are avoided.
+func (m *resumer) continuation(exclude map[string]bool) (func(context.Context) (*Response, error), error) {
+	body, err := m.request.continued(string(m.seen.text))
+	if err != nil {
+		return nil, err
+	}
+	next, rr := *m.request, *m.route
+	next.Body, rr.Exclude = body, exclude
+	s, deadline := m.server, m.deadline
+	return func(ctx context.Context) (*Response, error) {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		resp, rerr := s.newRace(&next, &rr).run(ctx)
+		if resp == nil {
+			cancel()
+			return nil, errors.Join(errNoContinuation, rerr.orNil())
+		}
+		resp.close = closeBoth(resp.close, cancel)
+		if resp.Head.Status != http.StatusOK || !resp.events() {
+			resp.close()
+			return nil, errNoContinuation
+		}
+		return resp, nil
+	}, nil
+}
+
+// adopt reads on from a continuation.
+func (m *resumer) adopt(resp *Response) {
+	m.resumes++
 	m.server.metrics.resumes.WithLabelValues(m.request.Service).Inc()
 	m.server.log.Info("resume", zap.String("request", m.request.ID), zap.String("from", m.resp.Endpoint),
 		zap.String("to", resp.Endpoint), zap.Int("bytes", len(m.seen.text)))
-	m.resp.Endpoint, m.next, m.close = resp.Endpoint, resp.next, closeBoth(resp.close, cancel)
-	return nil
+	m.resp.Endpoint, m.attempt, m.next, m.close = resp.Endpoint, resp.attempt, resp.next, resp.close
+	m.gaps.restart()
 }
 
 // continued returns the request body that continues the answer after text.
--- a/entry/tail.go
+++ b/entry/tail.go
@@ -26,8 +26,12 @@
 )
 
 // tail predicts the tail of a service's excess, the time by which first tokens
-// come later than predicted. It forgets samples after one to two windows.
+// come later than predicted, or of its gaps between tokens. It forgets samples
+// after one to two windows.
 type tail struct {
+	// initial is the prediction without enough samples, least the smallest one.
+	initial, least time.Duration
+
 	mu        sync.Mutex
 	now, last *hdrhistogram.Histogram
 	started   time.Time
@@ -35,11 +39,11 @@
 	computed  time.Time
 }
 
-func newTail() *tail {
-	return &tail{now: hdrhistogram.New(1, tailMaxMs, 2), last: hdrhistogram.New(1, tailMaxMs, 2), started: time.Now(), predicted: tailDefault}
+func newTail(initial, least time.Duration) *tail {
+	return &tail{initial: initial, least: least, now: hdrhistogram.New(1, tailMaxMs, 2), last: hdrhistogram.New(1, tailMaxMs, 2), started: time.Now(), predicted: initial}
 }
 
-// record adds one observed excess; a negative one counts as none.
+// record adds one observed time; a negative one counts as none.
 func (t *tail) record(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,7 +55,7 @@
 	_ = t.now.RecordValue(min(max(1, d.Milliseconds()), tailMaxMs))
 }
 
-// predict returns the excess after which a first token is unusually late.
+// predict returns the time after which a token is unusually late.
 func (t *tail) predict() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,9 +68,9 @@
 		h = t.last
 	}
 	if h.TotalCount() < tailSamples {
-		t.predicted = tailDefault
+		t.predicted = t.initial
 		return t.predicted
 	}
-	t.predicted = max(tailMin, time.Duration(h.ValueAtQuantile(tailQuantile)+1)*time.Millisecond)
+	t.predicted = max(t.least, time.Duration(h.ValueAtQuantile(tailQuantile)+1)*time.Millisecond)
 	return t.predicted
 }
