--- a/entry/tail.go
+++ b/entry/tail.go
@@ -25,9 +25,9 @@
 	tailMaxMs = 600_000
 )
 
-// tail predicts the tail of a service's excess, the time by which first tokens
-// come later than predicted, or of its gaps between tokens. It forgets samples
-// after one to two windows.
+// tail predicts the tail of a service's samples: the gaps between tokens, or
+// the excess by which first tokens come later than predicted. It forgets
+// samples after one to two windows.
 type tail struct {
 	// initial is the prediction without enough samples, least the smallest one.
 	initial, least time.Duration
