--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,11 @@
 	*agent.Server
 	Address string
 	GRPC    *grpc.Server
+
+	stop      context.CancelFunc
+	name      string
+	opts      agent.Options
+	endpoints []agent.Endpoint
 }
 
 // Entry is a running entry.
@@ -175,31 +181,50 @@
 	return a, nil
 }
 
+// driver speaks to an endpoint.
+func (f *Fleet) driver(ep agent.Endpoint) (agent.Driver, error) {
+	id := "endpoint.openai"
+	if ep.Kind == platform.Plain {
+		id = "endpoint.plain"
+	}
+	return kernel.Load[agent.Driver](f.ctx, id, f.settings(ep.Address))
+}
+
+// RestartAgent crashes an agent and starts it anew at the same address, which
+// refuses connections in between. On loopback ports the address changes, so that only a Memory network can do it.
+func (f *Fleet) RestartAgent(i int, down time.Duration) error {
+	old := f.Agents[i]
+	old.stop()
+	old.GRPC.Stop()
+	time.Sleep(down)
+	l, addr, err := f.Network.Listen(old.name)
+	if err != nil {
+		return err
+	}
+	f.Agents[i], err = f.startAgent(old.name, old.opts, l, addr, old.endpoints)
+	return err
+}
+
 func (f *Fleet) startAgent(name string, opts agent.Options, l net.Listener, addr string, eps []agent.Endpoint) (*Agent, error) {
 	if opts.Concurrency == 0 {
 		opts = agent.DefaultOptions()
 	}
 	opts.Log = f.Log
-	srv, err := agent.New(opts, eps, func(ep agent.Endpoint) (agent.Driver, error) {
-		id := "endpoint.openai"
-		if ep.Kind == platform.Plain {
-			id = "endpoint.plain"
-		}
-		return kernel.Load[agent.Driver](f.ctx, id, f.settings(ep.Address))
-	})
+	srv, err := agent.New(opts, eps, f.driver)
 	if err != nil {
 		return nil, err
 	}
-	g := grpc.NewServer(grpc.StreamInterceptor(f.Recorder.interceptor(name)))
+	ctx, stop := context.WithCancel(f.ctx)
+	g := grpc.NewServer(grpc.StreamInterceptor(f.Recorder.interceptor(name)), grpc.UnaryInterceptor(f.Recorder.unary(name)))
 	pb.RegisterAgentServer(g, srv)
 	f.wg.Go(func() { _ = g.Serve(l) })
 	f.wg.Go(func() {
-		<-f.ctx.Done()
+		<-ctx.Done()
 		g.Stop()
 	})
-	f.wg.Go(func() { srv.Sweep(f.ctx, 10*time.Second) })
-	f.wg.Go(func() { srv.Follow(f.ctx) })
-	return &Agent{Server: srv, Address: addr, GRPC: g}, nil
+	f.wg.Go(func() { srv.Sweep(ctx, 10*time.Second) })
+	f.wg.Go(func() { srv.Follow(ctx) })
+	return &Agent{Server: srv, Address: addr, GRPC: g, stop: stop, name: name, opts: opts, endpoints: eps}, nil
 }
 
 // AddEntry starts an entry.
@@ -215,6 +240,7 @@
 	opts.ID = name
 	opts.Log = f.Log
 	opts.Wire.Dial = f.Network.Dial
+	opts.Driver = f.driver
 	if opts.Random == nil {
 		opts.Random = seeds(name)
 	}
@@ -282,6 +308,14 @@
 	f.wg.Wait()
 }
 
+// List replaces the endpoints in the host list that have no agent.
+func (f *Fleet) List(direct ...platform.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(slices.DeleteFunc(f.list, func(h platform.Host) bool { return h.Agent == "" }), direct...)
+	f.Hosts.Set(f.list)
+}
+
 // StartEngine serves an engine without an agent and returns its address.
 func (f *Fleet) StartEngine(o engine.Options) (string, error) {
 	f.Engines[o.ID] = engine.New(o)
