wire: read the End when an acknowledgement meets an ended stream

Cause: Send returns io.EOF on a stream that the agent has ended. A call whose acknowledgement fell between the agent's End and its reading took that for a broken connection, dialled anew and attached to an attempt that the agent had finished. Ruled out: refusals and the deadline of the measurement. TestAcknowledgementAfterTheEnd failed before.

--- a/wire/call.go
+++ b/wire/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -313,7 +314,9 @@
 		case <-c.reattach:
 			return false, heard, errSilent
 		case <-ack.C:
-			if err := c.acknowledge(run); err != nil {
+			// Send returns io.EOF once the stream has ended; why it ended, or the
+			// End that this call has yet to read, comes from Recv.
+			if err := c.acknowledge(run); err != nil && !errors.Is(err, io.EOF) {
 				return false, heard, err
 			}
 		case <-ctx.Done():
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -1,13 +1,41 @@
 package wire
 
 import (
+	"io"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
+// endedRun is a stream that the agent has ended: nothing can be sent.
+type endedRun struct{ pb.Agent_RunClient }
+
+func (endedRun) Send(*pb.Up) error { return io.EOF }
+
+// Guards against a reattach, and with it a second reading of a response that is
+// gone, when an acknowledgement falls between the agent's End and its reading.
+func TestAcknowledgementAfterTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &Link{opts: DefaultOptions(), made: time.Now(), state: State{Loads: map[string]*pb.EndpointLoad{}}}
+		c := &Call{link: l, open: &pb.Open{}, out: make(chan Message, 4), sequencer: stream.NewSequencer(), stall: time.Minute}
+		in := make(chan received)
+		go func() {
+			in <- received{down: &pb.Down{Kind: &pb.Down_Chunk{Chunk: &pb.Chunk{Seq: 1, Parts: []*pb.Part{{Kind: &pb.Part_Data{Data: []byte("x")}}}}}}}
+			time.Sleep(2 * ackInterval)
+			in <- received{down: &pb.Down{Kind: &pb.Down_End{End: &pb.End{LastSeq: 1}}}}
+		}()
+		ended, _, err := c.converse(t.Context(), &conn{}, endedRun{}, in, time.Now(), time.NewTimer(time.Minute))
+		is.NoErr(err)
+		is.True(ended)
+	})
+}
+
 // Guards against a late reply of an agent's earlier incarnation whose ticket is
 // taken for the current one's and then never becomes stale.
 func TestTicketOfAnotherIncarnation(t *testing.T) {
