httpsd: ask for the host list only if it has changed

Cause: at the design size the list is about 0.4 MB and an entry polls it every second, against 2 KB/s of control traffic a daemon. With If-None-Match an unchanged list costs its headers. TestUnchangedListIsNotSent counts at the stand-in: 2 of 3 polls without a list; before, every poll carried it.

--- a/plugins/httpsd/httpsd.go
+++ b/plugins/httpsd/httpsd.go
@@ -10,7 +10,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +51,11 @@
 	log     *zap.Logger
 	// bad is the number of invalid targets in the last list.
 	bad atomic.Int64
+
+	mu sync.Mutex
+	// etag names the last list that was read, last holds it.
+	etag string
+	last []platform.Host
 }
 
 // maxReply bounds a list in bytes; 2,000 endpoints need about 0.6 MB.
@@ -78,7 +85,9 @@
 	return nil
 }
 
-// Hosts implements platform.HostList.
+// Hosts implements platform.HostList. It asks for the list only if it has
+// changed, where the service gives an ETag: 2,000 endpoints once a second are
+// about 0.4 MB/s otherwise.
 func (d *Driver) Hosts(ctx context.Context) ([]platform.Host, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
@@ -86,11 +95,18 @@
 	if err != nil {
 		return nil, &platform.Error{Code: platform.Invalid, Op: "host list", Err: err}
 	}
+	etag, last := d.known()
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return nil, &platform.Error{Code: platform.Unavailable, Op: "host list", Err: err}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified && etag != "" {
+		return slices.Clone(last), nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, &platform.Error{Code: platform.Unavailable, Op: "host list", Err: fmt.Errorf("status %s", resp.Status)}
 	}
@@ -102,9 +118,18 @@
 	if n := int64(len(bad)); d.bad.Swap(n) != n && n > 0 {
 		d.log.Error("host list has invalid targets", zap.Int64("targets", n), zap.Error(bad[0]))
 	}
+	d.mu.Lock()
+	d.etag, d.last = resp.Header.Get("ETag"), slices.Clone(list)
+	d.mu.Unlock()
 	return list, nil
 }
 
+func (d *Driver) known() (etag string, last []platform.Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.etag, d.last
+}
+
 // hosts returns the valid endpoints and what is wrong with the others. One
 // invalid target must not hide the changes of all others.
 func hosts(groups []Group) ([]platform.Host, []error) {
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -3,10 +3,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/plugins/httpsd"
 )
@@ -18,6 +22,8 @@
 	down  bool
 	delay time.Duration
 	lists []version
+	// unchanged counts the answers without a list.
+	unchanged int
 }
 
 type version struct {
@@ -105,6 +111,21 @@
 			httpsd.LabelID: h.ID, httpsd.LabelService: h.Service, httpsd.LabelKind: string(h.Kind), httpsd.LabelAgent: h.Agent,
 			httpsd.LabelRegion: h.Region, httpsd.LabelFailureDomain: h.FailureDomain, httpsd.LabelState: string(h.State)}})
 	}
+	body, _ := json.Marshal(groups)
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		s.unchanged++
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(groups)
+	_, _ = w.Write(body)
+}
+
+// Unchanged returns how often the answer was that nothing has changed.
+func (s *Server) Unchanged() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unchanged
 }
--- /dev/null
+++ b/standin/hosts/hosts_test.go
@@ -0,0 +1,35 @@
+package hosts
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/kernel"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/plugins/httpsd"
+)
+
+// Guards against a host list that is transferred at every poll, and against a
+// change that a reader of an unchanged list misses.
+func TestUnchangedListIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	srv := httptest.NewServer(s)
+	defer srv.Close()
+	var d httpsd.Driver
+	is.NoErr(d.Provision(t.Context(), kernel.Settings{Address: srv.URL}))
+	host := platform.Host{ID: "a", Service: "s", Kind: platform.Plain, Address: "10.0.0.1:80", State: platform.Live}
+	s.Set([]platform.Host{host})
+	for range 3 {
+		list, err := d.Hosts(t.Context())
+		is.NoErr(err)
+		is.Equal(list, []platform.Host{host})
+	}
+	is.Equal(s.Unchanged(), 2)
+	s.SetState("a", platform.Leaving)
+	list, err := d.Hosts(t.Context())
+	is.NoErr(err)
+	is.Equal(list[0].State, platform.Leaving)
+}
