--- a/bench/relay_test.go
+++ b/bench/relay_test.go
@@ -115,6 +115,9 @@
 	_ = cmd.Process.Signal(syscall.SIGTERM)
 	_ = cmd.Wait()
 	cpu := cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		b.ReportMetric(float64(u.Maxrss)/1024, name+"-peak-MiB")
+	}
 	perSecond := float64(tokens) / cpu.Seconds()
 	b.ReportMetric(perSecond, name+"-tokens/core-s")
 	b.ReportMetric(designTokens/perSecond, name+"-cores@370k")
