--- a/agent/settings_test.go
+++ b/agent/settings_test.go
@@ -28,7 +28,7 @@
 	is.Equal(s.weight("llm", "big"), defaultWeight)
 	put(2, `{"service":"llm","kind":"engine","model":"m","version":"v","accounts":[{"name":"big","weight":7}],
 		"limits":{"stream_buffer_bytes":8192},"timeouts":{"detach_grace_ms":250},
-		"engine":{"min_concurrency":2,"initial_concurrency":4,"max_concurrency":8,"short_reserve_percent":50,"token_gap_target_ms":10}}`)
+		"engine":{"min_concurrency":2,"max_concurrency":8,"short_reserve_percent":50,"token_gap_target_ms":10}}`)
 	put(1, `{"service":"llm","kind":"engine","model":"m","version":"v","accounts":[]}`)
 	is.Equal(s.weight("llm", "big"), 7)
 	is.Equal(s.weight("llm", "small"), defaultWeight)
--- a/config/document.go
+++ b/config/document.go
@@ -81,12 +81,9 @@
 	WriteStallMs int64 `json:"write_stall_ms" range:"100..600000" unit:"ms" doc:"Time a caller may block a response."`
 	// StallTimeoutMs is at least two of the agent's Progress messages, which
 	// it sends every second.
-	StallTimeoutMs int64 `json:"stall_timeout_ms" range:"2000..60000" unit:"ms" doc:"Time without a chunk or progress before the entry attaches on a new connection."`
-	DetachGraceMs  int64 `json:"detach_grace_ms" range:"0..600000" unit:"ms" doc:"Time an idempotent request runs on after its entry is lost."`
-	// ResultRetentionMs exceeds the ticket lifetime of 60 s, so that a delayed
-	// Open finds the record of its attempt.
-	ResultRetentionMs int64 `json:"result_retention_ms" range:"120000..86400000" unit:"ms" doc:"Time the agent keeps the result of a non-idempotent request."`
-	ClaimRetentionS   int64 `json:"claim_retention_s" range:"60..604800" unit:"s" doc:"Lease of an idempotency claim."`
+	StallTimeoutMs  int64 `json:"stall_timeout_ms" range:"2000..60000" unit:"ms" doc:"Time without a chunk or progress before the entry attaches on a new connection."`
+	DetachGraceMs   int64 `json:"detach_grace_ms" range:"0..600000" unit:"ms" doc:"Time an idempotent request runs on after its entry is lost."`
+	ClaimRetentionS int64 `json:"claim_retention_s" range:"60..604800" unit:"s" doc:"Lease of an idempotency claim."`
 }
 
 // Request returns the deadline of a request.
@@ -112,13 +109,11 @@
 
 // Engine are the settings of model engines and their agents.
 type Engine struct {
-	MinConcurrency     int `json:"min_concurrency" range:"1..4096" unit:"requests" doc:"Lower bound of an engine's concurrency limit."`
-	InitialConcurrency int `json:"initial_concurrency" range:"1..4096" unit:"requests" doc:"Concurrency limit before anything is measured."`
-	MaxConcurrency     int `json:"max_concurrency" range:"1..4096" unit:"requests" doc:"Upper bound of an engine's concurrency limit."`
+	MinConcurrency int `json:"min_concurrency" range:"1..4096" unit:"requests" doc:"Lower bound of an engine's concurrency limit."`
+	MaxConcurrency int `json:"max_concurrency" range:"1..4096" unit:"requests" doc:"Upper bound of an engine's concurrency limit."`
 	// TokenGapTargetMs is the time between tokens that 95 of 100 must keep.
 	TokenGapTargetMs    int `json:"token_gap_target_ms" range:"1..10000" unit:"ms" doc:"Time between tokens that the concurrency limit aims at."`
 	ShortReservePercent int `json:"short_reserve_percent" range:"0..90" unit:"%" doc:"Slots reserved for short requests."`
-	ShortOutputTokens   int `json:"short_output_tokens" range:"1..1000000" unit:"tokens" doc:"Predicted output up to which a request is short."`
 	WeightLoadSlots     int `json:"weight_load_slots" range:"1..1000" unit:"engines" doc:"Engines of the service that load weights at once."`
 	// PrefixPieceTokens is the size in which the stores keep KV cache.
 	PrefixPieceTokens int `json:"prefix_piece_tokens" range:"16..100000" unit:"tokens" doc:"Size of a piece of the prefix hash chain."`
@@ -142,10 +137,10 @@
 		Kind:          platform.Engine,
 		Limits:        Limits{MaxBodyBytes: 4 << 20, MaxRunningPerAccount: 4096, StreamBufferBytes: 64 << 10},
 		Timeouts: Timeouts{RequestMs: 300_000, MaxWaitMs: 5_000, BodyReadMs: 10_000, WriteStallMs: 30_000,
-			StallTimeoutMs: 3_000, DetachGraceMs: 5_000, ResultRetentionMs: 600_000, ClaimRetentionS: 86_400},
+			StallTimeoutMs: 3_000, DetachGraceMs: 5_000, ClaimRetentionS: 86_400},
 		Budgets: Budgets{RetryPercent: 10, HedgePercent: 5, ClaimWritesPerSecond: 50, MaxAttemptsPerRequest: 4},
-		Engine: Engine{MinConcurrency: 1, InitialConcurrency: 16, MaxConcurrency: 256, TokenGapTargetMs: 64,
-			ShortReservePercent: 25, ShortOutputTokens: 64, WeightLoadSlots: 2, PrefixPieceTokens: 2_000, PrefixBlockLifetimeMs: 8_000},
+		Engine: Engine{MinConcurrency: 1, MaxConcurrency: 256, TokenGapTargetMs: 64,
+			ShortReservePercent: 25, WeightLoadSlots: 2, PrefixPieceTokens: 2_000, PrefixBlockLifetimeMs: 8_000},
 		Routing: Routing{CrossRegionPriceMsPerMiB: 1024, EjectAfterFailures: 3, ProbeIntervalMs: 1_000},
 	}
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -115,8 +115,6 @@
 	p.check(d.Kind != platform.Plain || d.Model+d.Version == "" && len(d.Adapters) == 0, "model", strconv.Quote(d.Model), "no model, version or adapters for kind plain")
 	e := d.Engine
 	p.check(e.MinConcurrency <= e.MaxConcurrency, "engine.min_concurrency", e.MinConcurrency, "at most engine.max_concurrency")
-	p.check(e.InitialConcurrency >= e.MinConcurrency && e.InitialConcurrency <= e.MaxConcurrency,
-		"engine.initial_concurrency", e.InitialConcurrency, "engine.min_concurrency to engine.max_concurrency")
 }
 
 // unique checks names that must not repeat.
--- a/standin/fleet/settings_test.go
+++ b/standin/fleet/settings_test.go
@@ -87,7 +87,7 @@
 		is := is.New(t)
 		book := func(body, key string) answer { return <-ask(f, 0, body, key) }
 		for i, c := range []struct{ retention, bookings int }{{86_400, 1}, {60, 2}} {
-			editDesk(t, f, fmt.Sprintf(`"timeouts":{"claim_retention_s":%d,"result_retention_ms":120000}`, c.retention), "")
+			editDesk(t, f, fmt.Sprintf(`"timeouts":{"claim_retention_s":%d}`, c.retention), "")
 			body, key := fmt.Sprint("van ", i), fmt.Sprint("key-", i)
 			is.True(book(body, key).booked(body))
 			time.Sleep(20 * time.Minute) // longer than a lease's span of 10 minutes and 60 s
