route: keep the price of regions out of the residual

Cause: the residual divides the observed time to first token by the whole score, and the score of a remote endpoint holds a price in milliseconds that no clock shows. Remote endpoints looked faster than predicted, and at a straggler the price was multiplied too. Prices are now added after the residual; the predicted time alone teaches it.

--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -28,6 +28,7 @@
 	return &route.Scheduler{
 		Filters: []route.Filter{load[route.Filter](ready.ID, set)},
 		Scorers: []route.Scorer{load[route.Scorer](queue.ID, set), load[route.Scorer](prefixcache.ID, set), load[route.Scorer](region.ID, set)},
+		Prices:  []route.Scorer{load[route.Scorer](region.PriceID, set)},
 		Picker:  load[route.Picker](lowest.ID, set),
 	}
 }
--- a/internal/fleetsim/policy.go
+++ b/internal/fleetsim/policy.go
@@ -32,7 +32,7 @@
 
 func noResidual() *route.Scheduler {
 	return &route.Scheduler{Filters: []route.Filter{ready.Filter{}, flat{}},
-		Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Picker: lowest.Picker{}}
+		Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Prices: []route.Scorer{region.Price{}}, Picker: lowest.Picker{}}
 }
 
 // flat removes the residual from the candidates.
--- a/internal/routesim/sim_test.go
+++ b/internal/routesim/sim_test.go
@@ -19,7 +19,7 @@
 
 func measure(p Policy, entries int, restart bool, seed uint64) Result {
 	return Run(Options{Policy: p, Entries: entries, Restart: restart, Seed: seed, Scheduler: &route.Scheduler{
-		Filters: []route.Filter{ready.Filter{}}, Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Picker: lowest.Picker{}}})
+		Filters: []route.Filter{ready.Filter{}}, Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Prices: []route.Scorer{region.Price{}}, Picker: lowest.Picker{}}})
 }
 
 func ms(d time.Duration) int64 { return d.Milliseconds() }
--- a/plugins/region/setup.go
+++ b/plugins/region/setup.go
@@ -2,7 +2,13 @@
 
 import "github.com/citrontiller/citrontiller/kernel"
 
-// ID is the plug-in's id in the kernel.
-const ID = "scorer.region"
+// Ids of the plug-ins in the kernel.
+const (
+	ID      = "scorer.region"
+	PriceID = "price.region"
+)
 
-func init() { kernel.Register(kernel.Plugin{ID: ID, New: func() any { return new(Scorer) }}) }
+func init() {
+	kernel.Register(kernel.Plugin{ID: ID, New: func() any { return new(Scorer) }})
+	kernel.Register(kernel.Plugin{ID: PriceID, New: func() any { return new(Price) }})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -80,6 +80,9 @@
 	WaitMs float64
 	// CachedTokens is the expected length of the cached prefix, from the placement table.
 	CachedTokens float64
+	// PredictedMs is the predicted time to first token without the residual; the
+	// scheduler sets it.
+	PredictedMs float64
 	// Residual is the ratio of observed to predicted time to first token.
 	Residual float64
 	// Ejected is true while the endpoint receives probes only.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -20,7 +20,7 @@
 
 func scheduler() *route.Scheduler {
 	return &route.Scheduler{Filters: []route.Filter{ready.Filter{}},
-		Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Picker: lowest.Picker{}}
+		Scorers: []route.Scorer{queue.Scorer{}, prefixcache.Scorer{}, region.Scorer{}}, Prices: []route.Scorer{region.Price{}}, Picker: lowest.Picker{}}
 }
 
 func members(n int) []member.Endpoint {
--- a/route/scheduler.go
+++ b/route/scheduler.go
@@ -23,7 +23,10 @@
 // Scheduler chooses endpoints. It holds no state.
 type Scheduler struct {
 	Filters []Filter
+	// Scorers predict the time to first token, Prices add what else a choice
+	// costs. An endpoint's residual corrects the former only.
 	Scorers []Scorer
+	Prices  []Scorer
 	Picker  Picker
 }
 
@@ -59,8 +62,12 @@
 		sc.Score(r, kept, scores)
 	}
 	for i := range kept {
+		kept[i].PredictedMs = scores[i]
 		scores[i] *= max(1, kept[i].Residual)
 	}
+	for _, p := range s.Prices {
+		p.Score(r, kept, scores)
+	}
 	best := s.Picker.Pick(r, kept, scores)
 	if i := probe(kept); i >= 0 && d.Reason == ReasonLowest {
 		// By score a probe would wait for as long as others hold the prefixes.
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -330,7 +330,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(e.ID)
-	a := &Attempt{tracker: t, state: s, request: r, start: now, predicted: d.Score / max(1, e.Residual),
+	a := &Attempt{tracker: t, state: s, request: r, start: now, predicted: e.PredictedMs,
 		costMs: e.PrefillMs(max(0, float64(r.Tokens)-e.CachedTokens)), remote: e.Region != r.Region}
 	a.held = t.placement.ages(r.Levels, s, now)
 	s.inFlight++
