Use one piece for loading endpoint drivers, default URLs and an attempt's end

The agent, the entry and the fleet each mapped an endpoint's kind to a driver; agent.LoadDriver does it. The three platform drivers each checked and completed their address; kernel.Settings.URL does it, with the same messages. An attempt's finish and refuse differed only in what they record. Behaviour is unchanged.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -73,28 +73,19 @@
 }
 
 // finish records the end and closes the replay buffer.
-func (a *attempt) finish(end *pb.End) {
-	a.mu.Lock()
-	if a.done {
-		a.mu.Unlock()
-		return
-	}
-	a.done = true
-	a.end = end
-	a.mu.Unlock()
-	a.replay.Close()
-	a.cancel()
-}
+func (a *attempt) finish(end *pb.End) { a.conclude(end, nil) }
 
 // refuse records a refusal that every later Open of the attempt receives.
-func (a *attempt) refuse(r *pb.Refused) {
+func (a *attempt) refuse(r *pb.Refused) { a.conclude(nil, r) }
+
+// conclude records the first end or refusal; later ones are ignored.
+func (a *attempt) conclude(end *pb.End, refused *pb.Refused) {
 	a.mu.Lock()
 	if a.done {
 		a.mu.Unlock()
 		return
 	}
-	a.done = true
-	a.refused = r
+	a.done, a.end, a.refused = true, end, refused
 	a.mu.Unlock()
 	a.replay.Close()
 	a.cancel()
--- a/agent/driver.go
+++ b/agent/driver.go
@@ -7,6 +7,7 @@
 
 	"github.com/citrontiller/citrontiller/blocks"
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/stream"
 )
@@ -140,3 +141,14 @@
 
 // Unwrap returns the cause.
 func (e *DriverError) Unwrap() error { return e.Err }
+
+// LoadDriver loads the driver for an endpoint's kind. The process links the
+// plug-ins in.
+func LoadDriver(ctx context.Context, ep Endpoint, s kernel.Settings) (Driver, error) {
+	id := "endpoint.openai"
+	if ep.Kind == platform.Plain {
+		id = "endpoint.plain"
+	}
+	s.Address = ep.Address
+	return kernel.Load[Driver](ctx, id, s)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,6 @@
 	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	_ "github.com/citrontiller/citrontiller/plugins/openai" // registers endpoint.openai
 	_ "github.com/citrontiller/citrontiller/plugins/plain"  // registers endpoint.plain
 	"github.com/citrontiller/citrontiller/wire/pb"
@@ -70,11 +69,7 @@
 }
 
 func driver(ctx context.Context, ep agent.Endpoint, log *zap.Logger) (agent.Driver, error) {
-	id := "endpoint.openai"
-	if ep.Kind == platform.Plain {
-		id = "endpoint.plain"
-	}
-	return kernel.Load[agent.Driver](ctx, id, kernel.Settings{Address: ep.Address, Timeout: dialTimeout, Log: log})
+	return agent.LoadDriver(ctx, ep, kernel.Settings{Timeout: dialTimeout, Log: log})
 }
 
 // serve serves entries until ctx ends, then drains and stops.
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -77,11 +77,7 @@
 	opts := s.options()
 	opts.Log, opts.Registry = log, reg
 	opts.Driver = func(ep agent.Endpoint) (agent.Driver, error) {
-		id := "endpoint.openai"
-		if ep.Kind == platform.Plain {
-			id = "endpoint.plain"
-		}
-		return kernel.Load[agent.Driver](ctx, id, kernel.Settings{Address: ep.Address, Timeout: endpointTimeout, Log: log})
+		return agent.LoadDriver(ctx, ep, kernel.Settings{Timeout: endpointTimeout, Log: log})
 	}
 	if opts.Wire.Credentials, err = s.TLS.Client(); err != nil {
 		return nil, err
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +25,18 @@
 	Log *zap.Logger
 }
 
+// URL returns Address as a URL, for which "ip:port" stands for plain HTTP. The
+// error names the system whose address is missing.
+func (s Settings) URL(system string) (string, error) {
+	if s.Address == "" {
+		return "", fmt.Errorf("the address of the %s is missing", system)
+	}
+	if strings.Contains(s.Address, "://") {
+		return s.Address, nil
+	}
+	return "http://" + s.Address, nil
+}
+
 // Logger returns Log, or a logger that discards everything.
 func (s Settings) Logger() *zap.Logger {
 	if s.Log == nil {
--- a/plugins/etcd/etcd.go
+++ b/plugins/etcd/etcd.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -41,12 +40,9 @@
 
 // Provision implements kernel.Provisioner.
 func (d *Driver) Provision(_ context.Context, s kernel.Settings) error {
-	if s.Address == "" {
-		return errors.New("the address of the key-value service is missing")
-	}
-	d.base = s.Address
-	if !strings.Contains(d.base, "://") {
-		d.base = "http://" + d.base
+	var err error
+	if d.base, err = s.URL("key-value service"); err != nil {
+		return err
 	}
 	d.timeout = s.Timeout
 	if d.timeout <= 0 {
--- a/plugins/httpsd/httpsd.go
+++ b/plugins/httpsd/httpsd.go
@@ -5,13 +5,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,12 +61,9 @@
 
 // Provision implements kernel.Provisioner.
 func (d *Driver) Provision(_ context.Context, s kernel.Settings) error {
-	if s.Address == "" {
-		return errors.New("the address of the host list is missing")
-	}
-	d.url = s.Address
-	if !strings.Contains(d.url, "://") {
-		d.url = "http://" + d.url
+	var err error
+	if d.url, err = s.URL("host list"); err != nil {
+		return err
 	}
 	d.timeout = s.Timeout
 	if d.timeout <= 0 {
--- a/plugins/weights/weights.go
+++ b/plugins/weights/weights.go
@@ -41,13 +41,11 @@
 
 // Provision implements kernel.Provisioner.
 func (d *Driver) Provision(_ context.Context, s kernel.Settings) error {
-	if s.Address == "" {
-		return errors.New("the address of the weight store is missing")
-	}
-	d.base = strings.TrimSuffix(s.Address, "/")
-	if !strings.Contains(d.base, "://") {
-		d.base = "http://" + d.base
+	var err error
+	if d.base, err = s.URL("weight store"); err != nil {
+		return err
 	}
+	d.base = strings.TrimSuffix(d.base, "/")
 	if d.timeout = s.Timeout; d.timeout <= 0 {
 		d.timeout = defaultTimeout
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -183,11 +183,7 @@
 
 // driver speaks to an endpoint.
 func (f *Fleet) driver(ep agent.Endpoint) (agent.Driver, error) {
-	id := "endpoint.openai"
-	if ep.Kind == platform.Plain {
-		id = "endpoint.plain"
-	}
-	return kernel.Load[agent.Driver](f.ctx, id, f.settings(ep.Address))
+	return agent.LoadDriver(f.ctx, ep, f.settings(ep.Address))
 }
 
 // RestartAgent crashes an agent and starts it anew at the same address, which
