--- a/agent/driver.go
+++ b/agent/driver.go
@@ -7,8 +7,8 @@
 
 	"github.com/citrontiller/citrontiller/blocks"
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/stream"
 )
 
@@ -16,7 +16,7 @@
 type Endpoint struct {
 	ID      string
 	Service string
-	Kind    platform.Kind
+	Kind    infra.Kind
 	// Address is "ip:port".
 	Address string
 }
@@ -146,7 +146,7 @@
 // plug-ins in.
 func LoadDriver(ctx context.Context, ep Endpoint, s kernel.Settings) (Driver, error) {
 	id := "endpoint.openai"
-	if ep.Kind == platform.Plain {
+	if ep.Kind == infra.Plain {
 		id = "endpoint.plain"
 	}
 	s.Address = ep.Address
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/blocks"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // Times of the loops that follow an engine.
@@ -30,7 +30,7 @@
 func (s *Server) Follow(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, ep := range s.endpoints {
-		if ep.Kind == platform.Engine {
+		if ep.Kind == infra.Engine {
 			wg.Go(func() { s.followLoad(ctx, ep) })
 			wg.Go(func() { s.followEvents(ctx, ep) })
 		}
--- a/agent/order.go
+++ b/agent/order.go
@@ -5,7 +5,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
@@ -13,7 +13,7 @@
 // earlier one is refused, whether or not the engine checks the number.
 func (s *Server) Order(ctx context.Context, r *pb.OrderRequest) (*pb.OrderReply, error) {
 	ep := s.endpoints[r.EndpointId]
-	if ep == nil || ep.Kind != platform.Engine {
+	if ep == nil || ep.Kind != infra.Engine {
 		return &pb.OrderReply{Message: "no engine " + r.EndpointId + " at this agent"}, nil
 	}
 	o := Order{Model: r.Model, Version: r.Version, Adapters: r.Adapters, Role: r.Role, Fence: r.Fence}
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -10,7 +10,7 @@
 
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/blocks"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
@@ -109,7 +109,7 @@
 // have one. Plain services compute no prompts.
 func (l *local) expect(item admit.Item) time.Duration {
 	wait := l.queue.Wait(item)
-	if l.Kind == platform.Engine {
+	if l.Kind == infra.Engine {
 		wait += l.backlog.Wait()
 	}
 	return wait
@@ -178,7 +178,7 @@
 // gap records the time between two tokens and applies the resulting limit. The
 // answers of plain services have no tokens, so that their limit stays fixed.
 func (l *local) gap(d time.Duration) {
-	if l.Kind != platform.Engine {
+	if l.Kind != infra.Engine {
 		return
 	}
 	running, _, _ := l.queue.Counts()
--- a/agent/retain_test.go
+++ b/agent/retain_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/citrontiller/citrontiller/call"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/stream"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -17,7 +17,7 @@
 // finished returns a server and a function that ends an attempt whose response
 // has so many bytes. The entry has it all when acked is set.
 func finished(t *testing.T) (*Server, func(id string, idempotent, acked bool, bytes int)) {
-	s, err := New(DefaultOptions(), []Endpoint{{ID: "e", Service: "s", Kind: platform.Plain}},
+	s, err := New(DefaultOptions(), []Endpoint{{ID: "e", Service: "s", Kind: infra.Plain}},
 		func(Endpoint) (Driver, error) { return nil, nil })
 	is.New(t).NoErr(err)
 	return s, func(id string, idempotent, acked bool, bytes int) {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -5,7 +5,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // settings are what a service's document says of each of its attempts.
@@ -50,7 +50,7 @@
 		}
 		ep.settings.Store(&settings{streamBuffer: doc.Limits.StreamBufferBytes, detachGrace: milliseconds(doc.Timeouts.DetachGraceMs)})
 		ep.queue.SetReserve(doc.Engine.ShortReservePercent)
-		if ep.Kind != platform.Engine {
+		if ep.Kind != infra.Engine {
 			continue // its limit is fixed
 		}
 		limit := ep.limiter.Configure(doc.Engine.MinConcurrency, doc.Engine.MaxConcurrency, milliseconds(int64(doc.Engine.TokenGapTargetMs)))
--- a/agent/settings_test.go
+++ b/agent/settings_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/config"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // Guards against a document that changes nothing at the agent, and against an
@@ -17,7 +17,7 @@
 func TestDocumentIsApplied(t *testing.T) {
 	is := is.New(t)
 	opts := DefaultOptions()
-	s, err := New(opts, []Endpoint{{ID: "e", Service: "llm", Kind: platform.Engine}, {ID: "o", Service: "other", Kind: platform.Engine}},
+	s, err := New(opts, []Endpoint{{ID: "e", Service: "llm", Kind: infra.Engine}, {ID: "o", Service: "other", Kind: infra.Engine}},
 		func(Endpoint) (Driver, error) { return nil, nil })
 	is.NoErr(err)
 	put := func(generation int64, doc string) {
--- a/bench/relay_test.go
+++ b/bench/relay_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 )
@@ -126,14 +126,14 @@
 func startAgent(b *testing.B, f *fleet.Fleet, dir string) *exec.Cmd {
 	address := freePort(b)
 	args := []string{"--listen", address}
-	var hosts []platform.Host
+	var hosts []infra.Host
 	for i := range engines {
 		id := fmt.Sprintf("engine-%d", i)
 		a, err := f.StartEngine(engine.Options{ID: id, Model: "m", Version: "v1", TokenGap: tokenGap, Slots: streams})
 		must(b, err)
 		args = append(args, "--endpoint", id+",llm,engine,"+a)
-		hosts = append(hosts, platform.Host{ID: id, Service: "llm", Kind: platform.Engine, Address: a, Agent: address, Region: "r1",
-			FailureDomain: "d1", State: platform.Live})
+		hosts = append(hosts, infra.Host{ID: id, Service: "llm", Kind: infra.Engine, Address: a, Agent: address, Region: "r1",
+			FailureDomain: "d1", State: infra.Live})
 	}
 	f.Hosts.Set(hosts)
 	return launch(b, dir, "citrontiller-agent", args...)
--- a/call/claims.go
+++ b/call/claims.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // ClaimPrefix is the part of the key-value service that holds claims.
@@ -126,7 +126,7 @@
 
 // Claims makes idempotency claims in the key-value service.
 type Claims struct {
-	kv   platform.KV
+	kv   infra.KV
 	opts ClaimOptions
 
 	mu       sync.Mutex
@@ -141,7 +141,7 @@
 }
 
 // NewClaims returns claims in the given store.
-func NewClaims(kv platform.KV, opts ClaimOptions) *Claims {
+func NewClaims(kv infra.KV, opts ClaimOptions) *Claims {
 	return &Claims{kv: kv, opts: opts, leases: map[time.Duration]grantedLease{}, limiters: map[string]*rate.Limiter{}}
 }
 
@@ -161,7 +161,7 @@
 	return nil
 }
 
-// Read returns the claim under a key, or platform.ErrNotFound.
+// Read returns the claim under a key, or infra.ErrNotFound.
 func (c *Claims) Read(ctx context.Context, key string) (*Claim, error) {
 	p, err := c.kv.Get(ctx, key)
 	if err != nil {
@@ -169,7 +169,7 @@
 	}
 	cl := &Claim{Key: key, Revision: p.Revision}
 	if err := json.Unmarshal(p.Value, cl); err != nil {
-		return nil, &platform.Error{Code: platform.Invalid, Op: "read " + key, Err: err}
+		return nil, &infra.Error{Code: infra.Invalid, Op: "read " + key, Err: err}
 	}
 	return cl, nil
 }
@@ -188,8 +188,8 @@
 		return &ClaimError{Code: ClaimStore, Err: err}
 	}
 	revision, err := c.kv.Swap(ctx, cl.Key, cl.Revision, value, lease)
-	if errors.Is(err, platform.ErrConflict) && cl.Revision != 0 {
-		if _, gone := c.kv.Get(ctx, cl.Key); errors.Is(gone, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrConflict) && cl.Revision != 0 {
+		if _, gone := c.kv.Get(ctx, cl.Key); errors.Is(gone, infra.ErrNotFound) {
 			// The holder released the claim since it was read.
 			cl.Revision = 0
 			revision, err = c.kv.Swap(ctx, cl.Key, 0, value, lease)
@@ -199,7 +199,7 @@
 	case err == nil:
 		cl.Revision = revision
 		return nil
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, infra.ErrConflict), errors.Is(err, infra.ErrUnknown):
 		return c.settle(ctx, cl, err)
 	default:
 		return &ClaimError{Code: ClaimStore, Err: err}
--- a/config/document.go
+++ b/config/document.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // FormatVersion is the version of the document format this build reads.
@@ -20,8 +20,8 @@
 type Document struct {
 	FormatVersion int `json:"format_version" range:"1..1" doc:"Version of the document format."`
 	// Service is the service's name and the last part of the document's key.
-	Service string        `json:"service" match:"name" doc:"Name of the service."`
-	Kind    platform.Kind `json:"kind" match:"kind" doc:"What the endpoints are."`
+	Service string     `json:"service" match:"name" doc:"Name of the service."`
+	Kind    infra.Kind `json:"kind" match:"kind" doc:"What the endpoints are."`
 	// Model is the name callers use. Engines only.
 	Model string `json:"model,omitempty" match:"text" doc:"Name callers use for the model. Required for engines."`
 	// Version is the version of the weights. Engines only.
@@ -134,7 +134,7 @@
 func Default() Document {
 	return Document{
 		FormatVersion: FormatVersion,
-		Kind:          platform.Engine,
+		Kind:          infra.Engine,
 		Limits:        Limits{MaxBodyBytes: 4 << 20, MaxRunningPerAccount: 4096, StreamBufferBytes: 64 << 10},
 		Timeouts: Timeouts{RequestMs: 300_000, MaxWaitMs: 5_000, BodyReadMs: 10_000, WriteStallMs: 30_000,
 			StallTimeoutMs: 3_000, DetachGraceMs: 5_000, ClaimRetentionS: 86_400},
--- a/config/follow.go
+++ b/config/follow.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // scanner is implemented by drivers that list keys without values.
 type scanner interface {
-	Scan(ctx context.Context, prefix string) ([]platform.Pair, int64, error)
+	Scan(ctx context.Context, prefix string) ([]infra.Pair, int64, error)
 }
 
 // follower keeps a table up to date with the store.
@@ -92,7 +92,7 @@
 
 // list returns the services' pairs. Their values are nil unless this is a
 // full poll.
-func (f *follower) list(ctx context.Context) ([]platform.Pair, int64, error) {
+func (f *follower) list(ctx context.Context) ([]infra.Pair, int64, error) {
 	sc, ok := f.KV.(scanner)
 	full := f.polls%fullPolls == 0
 	f.polls++
@@ -103,7 +103,7 @@
 }
 
 // compare takes a pair, reading its value when the revision is new.
-func (f *follower) compare(ctx context.Context, service string, p platform.Pair) {
+func (f *follower) compare(ctx context.Context, service string, p infra.Pair) {
 	if p.Value == nil {
 		if s := f.seen[service]; s != nil && s.revision == p.Revision {
 			return
@@ -118,7 +118,7 @@
 }
 
 // take offers a stored value to the table. A refused one is reported once.
-func (f *follower) take(service string, p platform.Pair) {
+func (f *follower) take(service string, p infra.Pair) {
 	s := f.seen[service]
 	if s == nil {
 		s = &stored{}
--- a/config/store.go
+++ b/config/store.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // Store reads and writes records in the key-value service.
 type Store struct {
-	KV  platform.KV
+	KV  infra.KV
 	Log *zap.Logger
 	// Random spreads the tries of entries that start together; nil means the
 	// runtime's generator. It is called concurrently.
@@ -54,7 +54,7 @@
 	return b.String()
 }
 
-// StoreError is a failed operation on the store. Its cause is a platform.Error.
+// StoreError is a failed operation on the store. Its cause is a infra.Error.
 type StoreError struct {
 	Op      string
 	Service string
@@ -91,7 +91,7 @@
 // current is Get with an empty record of generation 0 for a new service.
 func (s *Store) current(ctx context.Context, service string) (*Record, int64, error) {
 	r, revision, err := s.Get(ctx, service)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return &Record{}, 0, nil
 	}
 	return r, revision, err
@@ -205,10 +205,10 @@
 		if _, err = s.KV.Swap(ctx, ServicePrefix+service, revision, value, 0); err == nil {
 			return nil, nil
 		}
-		if errors.Is(err, platform.ErrUnknown) {
+		if errors.Is(err, infra.ErrUnknown) {
 			uncertain = next.ChangeID
 		}
-		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+		if errors.Is(err, infra.ErrConflict) || errors.Is(err, infra.ErrUnknown) {
 			stored, at, readErr := s.current(ctx, service)
 			switch {
 			case readErr == nil && stored.includes(next):
@@ -237,7 +237,7 @@
 	}
 	key := fmt.Sprintf("%s%s/%012d", HistoryPrefix, service, r.Generation)
 	for try := range writeTries {
-		if _, err = s.KV.Swap(ctx, key, 0, value, 0); err == nil || errors.Is(err, platform.ErrConflict) {
+		if _, err = s.KV.Swap(ctx, key, 0, value, 0); err == nil || errors.Is(err, infra.ErrConflict) {
 			return nil
 		}
 		if !pause(ctx, s.backoff(err, try)) {
@@ -257,7 +257,7 @@
 // backoff is the wait before another try: what the store asked for, or a
 // doubling, jittered pause.
 func (s *Store) backoff(err error, try int) time.Duration {
-	var pe *platform.Error
+	var pe *infra.Error
 	if errors.As(err, &pe) && pe.RetryAfter > 0 {
 		return s.jitter(pe.RetryAfter) + pe.RetryAfter/4
 	}
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -17,7 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/citrontiller/citrontiller/config"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 	"github.com/citrontiller/citrontiller/standin/kv"
 )
@@ -101,7 +101,7 @@
 				for range edits {
 					got := step(c, operation{}, func() outcome {
 						r, _, err := s.Get(ctx, "llm")
-						if errors.Is(err, platform.ErrNotFound) {
+						if errors.Is(err, infra.ErrNotFound) {
 							return outcome{}
 						}
 						is.NoErr(err)
@@ -133,7 +133,7 @@
 
 // overtaken loses the answer of the first write and lets another one follow it.
 type overtaken struct {
-	platform.KV
+	infra.KV
 	once sync.Once
 	then func()
 }
@@ -142,7 +142,7 @@
 	rev, err := o.KV.Swap(ctx, key, expect, value, lease)
 	o.once.Do(func() {
 		o.then()
-		rev, err = 0, &platform.Error{Code: platform.Unknown, Op: "swap"}
+		rev, err = 0, &infra.Error{Code: infra.Unknown, Op: "swap"}
 	})
 	return rev, err
 }
@@ -168,7 +168,7 @@
 		fl.KV.SetFaults(kv.Faults{LoseWrites: 100})
 		_, err := s.Apply(ctx, document(30), 0, "lost")
 		var se *config.StoreError
-		is.True(errors.As(err, &se) && se.ChangeID != "" && errors.Is(err, platform.ErrUnknown))
+		is.True(errors.As(err, &se) && se.ChangeID != "" && errors.Is(err, infra.ErrUnknown))
 		fl.KV.SetFaults(kv.Faults{})
 		apply(is, s, 0, 10)
 		_, err = s.Apply(ctx, document(30), 0, "late")
--- a/config/validate.go
+++ b/config/validate.go
@@ -9,7 +9,7 @@
 	"strings"
 	"unicode/utf8"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // Error reports one problem of a document.
@@ -109,10 +109,10 @@
 
 // required checks what depends on more than one field.
 func (p *problems) required(d *Document) {
-	p.check(d.Kind != platform.Engine || d.Model != "", "model", `""`, "a name, for kind engine")
-	p.check(d.Kind != platform.Engine || len(d.Routes) == 0, "routes", len(d.Routes), "none for kind engine")
-	p.check(d.Kind != platform.Plain || len(d.Routes) > 0, "routes", 0, "at least one, for kind plain")
-	p.check(d.Kind != platform.Plain || d.Model+d.Version == "" && len(d.Adapters) == 0, "model", strconv.Quote(d.Model), "no model, version or adapters for kind plain")
+	p.check(d.Kind != infra.Engine || d.Model != "", "model", `""`, "a name, for kind engine")
+	p.check(d.Kind != infra.Engine || len(d.Routes) == 0, "routes", len(d.Routes), "none for kind engine")
+	p.check(d.Kind != infra.Plain || len(d.Routes) > 0, "routes", 0, "at least one, for kind plain")
+	p.check(d.Kind != infra.Plain || d.Model+d.Version == "" && len(d.Adapters) == 0, "model", strconv.Quote(d.Model), "no model, version or adapters for kind plain")
 	e := d.Engine
 	p.check(e.MinConcurrency <= e.MaxConcurrency, "engine.min_concurrency", e.MinConcurrency, "at most engine.max_concurrency")
 }
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/kv"
 	"github.com/citrontiller/citrontiller/standin/plain"
 )
@@ -161,7 +161,7 @@
 	wait := s.load([]int{0, 1}, stop)
 	time.Sleep(500 * time.Millisecond)
 	for i := range s.hosts[:2] {
-		s.hosts[i].State = platform.Leaving
+		s.hosts[i].State = infra.Leaving
 	}
 	s.Hosts.Set(s.hosts)
 	time.Sleep(3 * time.Second)
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 )
@@ -133,7 +133,7 @@
 	// apis are the entries' operator APIs.
 	apis   []string
 	client *http.Client
-	hosts  []platform.Host
+	hosts  []infra.Host
 }
 
 func freePort(t *testing.T) string {
@@ -181,9 +181,9 @@
 	port := freePort(s.t)
 	s.agents = append(s.agents, launch(s.t, "citrontiller-agent", "--listen", port,
 		"--endpoint", eng+",llm,engine,"+engineAddr, "--endpoint", desk+",desk,plain,"+deskAddr))
-	host := platform.Host{Agent: port, Region: "r1", FailureDomain: fmt.Sprintf("d%d", i), State: platform.Live}
-	for _, e := range []platform.Host{{ID: eng, Service: "llm", Kind: platform.Engine, Address: engineAddr},
-		{ID: desk, Service: "desk", Kind: platform.Plain, Address: deskAddr}} {
+	host := infra.Host{Agent: port, Region: "r1", FailureDomain: fmt.Sprintf("d%d", i), State: infra.Live}
+	for _, e := range []infra.Host{{ID: eng, Service: "llm", Kind: infra.Engine, Address: engineAddr},
+		{ID: desk, Service: "desk", Kind: infra.Plain, Address: deskAddr}} {
 		e.Agent, e.Region, e.FailureDomain, e.State = host.Agent, host.Region, host.FailureDomain, host.State
 		s.hosts = append(s.hosts, e)
 	}
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -7,9 +7,9 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/plugins/lowest"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/plugins/queue"
@@ -132,7 +132,7 @@
 		BlockLifetime: time.Duration(l.BlockLifetimeMs) * time.Millisecond}}
 }
 
-func (s *Server) pruneTracker(hosts []platform.Host) {
+func (s *Server) pruneTracker(hosts []infra.Host) {
 	listed := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		listed[h.ID] = true
--- a/entry/choose_test.go
+++ b/entry/choose_test.go
@@ -10,7 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/metadata"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/wire/pb"
@@ -59,11 +59,11 @@
 		return new(net.Dialer).DialContext(ctx, "tcp", l.Addr().String())
 	}
 	s := New(opts, nil, nil)
-	var hosts []platform.Host
+	var hosts []infra.Host
 	for a := range designAgents {
 		for e := range designEngines {
-			hosts = append(hosts, platform.Host{ID: engineID(a, e), Service: "llm", Kind: platform.Engine, Agent: fmt.Sprintf("agent-%d:80", a),
-				Region: fmt.Sprintf("r%d", a%3), State: platform.Live})
+			hosts = append(hosts, infra.Host{ID: engineID(a, e), Service: "llm", Kind: infra.Engine, Agent: fmt.Sprintf("agent-%d:80", a),
+				Region: fmt.Sprintf("r%d", a%3), State: infra.Live})
 		}
 	}
 	s.Members.SetHosts(hosts)
--- a/entry/embedded.go
+++ b/entry/embedded.go
@@ -12,8 +12,8 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
@@ -46,7 +46,7 @@
 
 // embeddedAgent is the agent of one endpoint.
 type embeddedAgent struct {
-	host     platform.Host
+	host     infra.Host
 	server   *agent.Server
 	grpc     *grpc.Server
 	listener *bufconn.Listener
@@ -60,12 +60,12 @@
 // serve starts agents for endpoints without one, ends those of endpoints that
 // are no longer listed or have moved, and returns the list with the agents'
 // addresses.
-func (m *embedded) serve(hosts []platform.Host) []platform.Host {
+func (m *embedded) serve(hosts []infra.Host) []infra.Host {
 	if m.driver == nil {
 		return hosts
 	}
-	out := make([]platform.Host, len(hosts))
-	listed := map[string]platform.Host{}
+	out := make([]infra.Host, len(hosts))
+	listed := map[string]infra.Host{}
 	for i, h := range hosts {
 		if h.Agent == "" {
 			h.Agent = embeddedPrefix + m.id + "." + h.ID
@@ -90,7 +90,7 @@
 }
 
 // start runs an agent; the caller holds mu.
-func (m *embedded) start(address string, h platform.Host) {
+func (m *embedded) start(address string, h infra.Host) {
 	opts := agent.DefaultOptions()
 	opts.Log = m.log
 	srv, err := agent.New(opts, []agent.Endpoint{{ID: h.ID, Service: h.Service, Kind: h.Kind, Address: h.Address}}, m.driver)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -8,10 +8,10 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/lease"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/order"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/wire"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -70,7 +70,7 @@
 	defer t.Stop()
 	for {
 		for _, name := range c.server.Config.Services() {
-			if e, ok := c.server.Config.Get(name); ok && e.Document.Kind == platform.Engine && e.Document.Version != "" {
+			if e, ok := c.server.Config.Get(name); ok && e.Document.Kind == infra.Engine && e.Document.Version != "" {
 				c.service(ctx, h, e.Document)
 			}
 		}
@@ -135,7 +135,7 @@
 		return true
 	}
 	pause := weightRetry
-	var pe *platform.Error
+	var pe *infra.Error
 	if errors.As(err, &pe) && pe.RetryAfter > 0 {
 		pause = pe.RetryAfter
 	}
--- a/entry/orders_test.go
+++ b/entry/orders_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/citrontiller/citrontiller/entry"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 	"github.com/citrontiller/citrontiller/standin/kv"
@@ -25,7 +25,7 @@
 
 func (store) Stat(_ context.Context, _, version string) error {
 	if version != "v1" && version != "v2" {
-		return &platform.Error{Code: platform.NotFound, Op: "stat " + version}
+		return &infra.Error{Code: infra.NotFound, Op: "stat " + version}
 	}
 	return nil
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -15,7 +15,7 @@
 
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/stream"
 )
@@ -206,7 +206,7 @@
 // matches reports whether a document serves the request, and for plain
 // services whether the call may be repeated.
 func (r *Request) matches(d *config.Document) bool {
-	if d.Kind == platform.Engine {
+	if d.Kind == infra.Engine {
 		return r.Model != "" && (r.Model == d.Model || slices.Contains(d.Adapters, r.Model))
 	}
 	if r.Model != "" {
--- a/entry/server.go
+++ b/entry/server.go
@@ -19,8 +19,8 @@
 	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/wire"
 )
@@ -47,7 +47,7 @@
 	Random func() uint64
 	// Weights is asked whether weights exist before engines are told to load
 	// them; nil means that nothing is asked.
-	Weights platform.WeightStore
+	Weights infra.WeightStore
 	// LeaseTTL is the length of the order controller's lease. Another entry
 	// takes over at most one and a half times this after the holder is lost.
 	LeaseTTL time.Duration
@@ -88,7 +88,7 @@
 	opts      Options
 	log       *zap.Logger
 	store     *config.Store
-	hosts     platform.HostList
+	hosts     infra.HostList
 	scheduler *route.Scheduler
 	tracker   *route.Tracker
 	decisions *decisions
@@ -117,7 +117,7 @@
 }
 
 // New returns an entry that uses the given platform systems.
-func New(opts Options, kv platform.KV, hosts platform.HostList) *Server {
+func New(opts Options, kv infra.KV, hosts infra.HostList) *Server {
 	if opts.Log == nil {
 		opts.Log = zap.NewNop()
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -46,13 +46,13 @@
 
 // EndpointStatus is an endpoint with its last load report.
 type EndpointStatus struct {
-	ID            string        `json:"id"`
-	Service       string        `json:"service"`
-	Kind          platform.Kind `json:"kind"`
-	Agent         string        `json:"agent"`
-	Region        string        `json:"region"`
-	FailureDomain string        `json:"failure_domain"`
-	State         member.State  `json:"state"`
+	ID            string       `json:"id"`
+	Service       string       `json:"service"`
+	Kind          infra.Kind   `json:"kind"`
+	Agent         string       `json:"agent"`
+	Region        string       `json:"region"`
+	FailureDomain string       `json:"failure_domain"`
+	State         member.State `json:"state"`
 	// Ejected endpoints get only probes, because of failures seen by this entry.
 	Ejected bool   `json:"ejected"`
 	Version string `json:"version"`
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,7 +1,7 @@
-// Package platform declares the interfaces to the systems the router runs on:
+// Package infra declares the interfaces to the systems the router runs on:
 // the key-value service, the host list and the weight store. Drivers live in
 // plugins/ and register themselves with the kernel.
-package platform
+package infra
 
 import (
 	"context"
@@ -49,7 +49,7 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Is reports whether target is a platform error with the same code, so that
-// errors.Is(err, platform.ErrConflict) works.
+// errors.Is(err, infra.ErrConflict) works.
 func (e *Error) Is(target error) bool {
 	t, ok := target.(*Error)
 	return ok && t.Op == "" && t.Code == e.Code
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/agent"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/process"
-	"github.com/citrontiller/citrontiller/platform"
 )
 
 // Settings are the agent's options, each a flag and an environment variable.
@@ -85,8 +85,8 @@
 		if len(f) != 4 || f[0] == "" || f[1] == "" || seen[f[0]] {
 			return nil, bad
 		}
-		kind := platform.Kind(f[2])
-		if (kind != platform.Engine && kind != platform.Plain) || process.CheckListen("--endpoint", f[3]) != nil {
+		kind := infra.Kind(f[2])
+		if (kind != infra.Engine && kind != infra.Plain) || process.CheckListen("--endpoint", f[3]) != nil {
 			return nil, bad
 		}
 		seen[f[0]] = true
--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -15,9 +15,9 @@
 
 	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 )
 
 // operatorTimeout bounds how long an operator's client may take to send its
@@ -66,11 +66,11 @@
 }
 
 func newServer(ctx context.Context, s Settings, log *zap.Logger, reg prometheus.Registerer) (*entry.Server, error) {
-	kv, err := kernel.Load[platform.KV](ctx, "kv.etcd", kernel.Settings{Address: s.KV, Timeout: s.KVTimeout, Log: log})
+	kv, err := kernel.Load[infra.KV](ctx, "kv.etcd", kernel.Settings{Address: s.KV, Timeout: s.KVTimeout, Log: log})
 	if err != nil {
 		return nil, err
 	}
-	hosts, err := kernel.Load[platform.HostList](ctx, "hosts.httpsd", kernel.Settings{Address: s.Hosts, Timeout: s.HostsTimeout, Log: log})
+	hosts, err := kernel.Load[infra.HostList](ctx, "hosts.httpsd", kernel.Settings{Address: s.Hosts, Timeout: s.HostsTimeout, Log: log})
 	if err != nil {
 		return nil, err
 	}
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	if s.Weights != "" {
-		opts.Weights, err = kernel.Load[platform.WeightStore](ctx, "weights.http", kernel.Settings{Address: s.Weights, Timeout: s.WeightsTimeout, Log: log})
+		opts.Weights, err = kernel.Load[infra.WeightStore](ctx, "weights.http", kernel.Settings{Address: s.Weights, Timeout: s.WeightsTimeout, Log: log})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entryd/tls_test.go
+++ b/internal/entryd/tls_test.go
@@ -15,9 +15,9 @@
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/entryd"
 	"github.com/citrontiller/citrontiller/internal/process"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
@@ -67,7 +67,7 @@
 	pb.RegisterAgentServer(g, w)
 	go func() { _ = g.Serve(l) }()
 	defer g.Stop()
-	f.Hosts.Set([]platform.Host{{ID: "e", Service: "llm", Kind: platform.Engine, Address: "127.0.0.1:1", Agent: l.Addr().String(), State: platform.Live}})
+	f.Hosts.Set([]infra.Host{{ID: "e", Service: "llm", Kind: infra.Engine, Address: "127.0.0.1:1", Agent: l.Addr().String(), State: infra.Live}})
 
 	s := parse(t, "--listen", "127.0.0.1:0", "--kv", f.KVAddress, "--hosts", f.HostsAddress, "--region", "r", "--failure-domain", "d",
 		"--drain-delay", "0s", "--log-level", "error")
--- a/internal/routesim/sim.go
+++ b/internal/routesim/sim.go
@@ -7,8 +7,8 @@
 	"sort"
 	"time"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -106,7 +106,7 @@
 	for i := range regions * enginesPerZone {
 		s.engines = append(s.engines, newEngine())
 		s.members = append(s.members, member.Endpoint{State: member.Ready,
-			Host: platform.Host{ID: fmt.Sprintf("engine-%d", i), Region: regionName(i / enginesPerZone)}})
+			Host: infra.Host{ID: fmt.Sprintf("engine-%d", i), Region: regionName(i / enginesPerZone)}})
 	}
 	for i := range o.Entries {
 		s.entries = append(s.entries, &entry{region: i % regions, tracker: route.NewTracker()})
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // Error reports a lock that could not be taken or kept.
@@ -36,7 +36,7 @@
 
 // Lock is a key that at most one process holds.
 type Lock struct {
-	KV  platform.KV
+	KV  infra.KV
 	Key string
 	// Holder is stored in the key for operators.
 	Holder string
@@ -62,7 +62,7 @@
 func (l *Lock) Acquire(ctx context.Context) (*Held, error) {
 	if _, err := l.KV.Get(ctx, l.Key); err == nil {
 		return nil, &Error{l.Key, "acquire", ErrHeld}
-	} else if !errors.Is(err, platform.ErrNotFound) {
+	} else if !errors.Is(err, infra.ErrNotFound) {
 		return nil, &Error{l.Key, "acquire", err}
 	}
 	start := time.Now()
@@ -72,7 +72,7 @@
 	}
 	value := l.Holder + " " + uuid.NewString()
 	fence, err := l.KV.Swap(ctx, l.Key, 0, []byte(value), id)
-	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, infra.ErrUnknown) || errors.Is(err, infra.ErrConflict) {
 		fence, err = l.reread(ctx, value)
 	}
 	if err != nil {
@@ -109,7 +109,7 @@
 	}
 	start := time.Now()
 	ttl, err := h.lock.KV.KeepAlive(ctx, h.id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		h.drop()
 		return &Error{h.lock.Key, "renew", ErrLapsed}
 	}
@@ -134,7 +134,7 @@
 		return nil
 	}
 	h.drop()
-	if err := h.lock.KV.Delete(ctx, h.lock.Key, h.Fence); err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err := h.lock.KV.Delete(ctx, h.lock.Key, h.Fence); err != nil && !errors.Is(err, infra.ErrConflict) {
 		return &Error{h.lock.Key, "release", err}
 	}
 	return nil
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -11,9 +11,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/lease"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/standin/fleet"
 	"github.com/citrontiller/citrontiller/standin/kv"
 )
@@ -21,7 +21,7 @@
 func lock(t *testing.T, f *fleet.Fleet, holder string) *lease.Lock {
 	t.Helper()
 	is := is.New(t)
-	d, err := kernel.Load[platform.KV](t.Context(), "kv.etcd", kernel.Settings{Address: f.KVAddress, Dial: f.Network.Dial})
+	d, err := kernel.Load[infra.KV](t.Context(), "kv.etcd", kernel.Settings{Address: f.KVAddress, Dial: f.Network.Dial})
 	is.NoErr(err)
 	return &lease.Lock{KV: d, Key: "citrontiller/leader/llm", Holder: holder, TTL: 10 * time.Second, Log: zap.NewNop()}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -8,7 +8,7 @@
 	"slices"
 	"sync"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // State is an endpoint's state. "Leaving" from any source stops new work.
@@ -24,14 +24,14 @@
 
 // Endpoint is an endpoint as the tracker sees it.
 type Endpoint struct {
-	platform.Host
+	infra.Host
 	State State
 }
 
 // Tracker merges the sources. It is safe for concurrent use.
 type Tracker struct {
 	mu     sync.RWMutex
-	hosts  map[string]platform.Host
+	hosts  map[string]infra.Host
 	agents map[string]agentState
 	// services holds the endpoints of each service in the order of their ids,
 	// byID all of them; both are rebuilt by the first reader after a change.
@@ -46,12 +46,12 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{hosts: map[string]platform.Host{}, agents: map[string]agentState{}}
+	return &Tracker{hosts: map[string]infra.Host{}, agents: map[string]agentState{}}
 }
 
 // SetHosts replaces the host list.
-func (t *Tracker) SetHosts(hosts []platform.Host) {
-	m := make(map[string]platform.Host, len(hosts))
+func (t *Tracker) SetHosts(hosts []infra.Host) {
+	m := make(map[string]infra.Host, len(hosts))
 	for _, h := range hosts {
 		m[h.ID] = h
 	}
@@ -101,10 +101,10 @@
 }
 
 // Hosts returns the host list.
-func (t *Tracker) Hosts() []platform.Host {
+func (t *Tracker) Hosts() []infra.Host {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	out := make([]platform.Host, 0, len(t.hosts))
+	out := make([]infra.Host, 0, len(t.hosts))
 	for _, h := range t.hosts {
 		out = append(out, h)
 	}
@@ -141,10 +141,10 @@
 }
 
 // state merges the sources; the caller holds mu.
-func (t *Tracker) state(h platform.Host) State {
+func (t *Tracker) state(h infra.Host) State {
 	a, known := t.agents[h.Agent]
 	switch {
-	case h.State == platform.Leaving || a.leaving:
+	case h.State == infra.Leaving || a.leaving:
 		return Leaving
 	case h.Agent == "" || (known && a.up):
 		return Ready
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -12,9 +12,9 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/config"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 )
 
 // Exit statuses of the commands.
@@ -137,7 +137,7 @@
 	if err := process.CheckURL("--kv", a.KV); err != nil {
 		return nil, &Error{Exit: ExitUsage, Err: err}
 	}
-	kv, err := kernel.Load[platform.KV](ctx, "kv.etcd", kernel.Settings{Address: a.KV, Timeout: kvTimeout, Log: zap.NewNop()})
+	kv, err := kernel.Load[infra.KV](ctx, "kv.etcd", kernel.Settings{Address: a.KV, Timeout: kvTimeout, Log: zap.NewNop()})
 	if err != nil {
 		return nil, &Error{Exit: ExitFailed, Err: err}
 	}
--- a/operator/service.go
+++ b/operator/service.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/citrontiller/citrontiller/config"
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // Service are the commands on service documents.
@@ -152,7 +152,7 @@
 }
 
 func unknownService(err error, name string) error {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return &Error{Exit: ExitFailed, Message: fmt.Sprintf("service %q does not exist; \"citrontiller service list\" shows the names", name)}
 	}
 	return err
--- a/plugins/etcd/etcd.go
+++ b/plugins/etcd/etcd.go
@@ -18,8 +18,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/plugins/internal/retryafter"
 )
 
@@ -30,7 +30,7 @@
 // maxReply bounds a reply; values are at most 1 MB, base64 adds a third.
 const maxReply = 64 << 20
 
-// Driver implements platform.KV.
+// Driver implements infra.KV.
 type Driver struct {
 	base    string
 	timeout time.Duration
@@ -65,8 +65,8 @@
 	ModRevision int64  `json:"mod_revision,string"`
 }
 
-func (kv keyValue) pair() platform.Pair {
-	return platform.Pair{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
+func (kv keyValue) pair() infra.Pair {
+	return infra.Pair{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
 }
 
 type header struct {
@@ -84,35 +84,35 @@
 	KVs    []keyValue `json:"kvs"`
 }
 
-// Get implements platform.KV.
-func (d *Driver) Get(ctx context.Context, key string) (platform.Pair, error) {
+// Get implements infra.KV.
+func (d *Driver) Get(ctx context.Context, key string) (infra.Pair, error) {
 	var reply rangeReply
 	if err := d.read(ctx, "get "+key, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &reply); err != nil {
-		return platform.Pair{}, err
+		return infra.Pair{}, err
 	}
 	if len(reply.KVs) == 0 {
-		return platform.Pair{}, &platform.Error{Code: platform.NotFound, Op: "get " + key}
+		return infra.Pair{}, &infra.Error{Code: infra.NotFound, Op: "get " + key}
 	}
 	return reply.KVs[0].pair(), nil
 }
 
-// List implements platform.KV.
-func (d *Driver) List(ctx context.Context, prefix string) ([]platform.Pair, int64, error) {
+// List implements infra.KV.
+func (d *Driver) List(ctx context.Context, prefix string) ([]infra.Pair, int64, error) {
 	return d.list(ctx, prefix, false)
 }
 
 // Scan is List without the values.
-func (d *Driver) Scan(ctx context.Context, prefix string) ([]platform.Pair, int64, error) {
+func (d *Driver) Scan(ctx context.Context, prefix string) ([]infra.Pair, int64, error) {
 	return d.list(ctx, prefix, true)
 }
 
-func (d *Driver) list(ctx context.Context, prefix string, keysOnly bool) ([]platform.Pair, int64, error) {
+func (d *Driver) list(ctx context.Context, prefix string, keysOnly bool) ([]infra.Pair, int64, error) {
 	var reply rangeReply
 	req := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), KeysOnly: keysOnly}
 	if err := d.read(ctx, "list "+prefix, "/v3/kv/range", req, &reply); err != nil {
 		return nil, 0, err
 	}
-	pairs := make([]platform.Pair, len(reply.KVs))
+	pairs := make([]infra.Pair, len(reply.KVs))
 	for i, kv := range reply.KVs {
 		pairs[i] = kv.pair()
 	}
@@ -159,13 +159,13 @@
 	Succeeded bool   `json:"succeeded"`
 }
 
-// Swap implements platform.KV.
+// Swap implements infra.KV.
 func (d *Driver) Swap(ctx context.Context, key string, expect int64, value []byte, lease int64) (int64, error) {
 	op := operation{Put: &putRequest{Key: []byte(key), Value: value, Lease: lease}}
 	return d.txn(ctx, "swap "+key, key, expect, op)
 }
 
-// Delete implements platform.KV.
+// Delete implements infra.KV.
 func (d *Driver) Delete(ctx context.Context, key string, expect int64) error {
 	_, err := d.txn(ctx, "delete "+key, key, expect, operation{Delete: &rangeRequest{Key: []byte(key)}})
 	return err
@@ -181,7 +181,7 @@
 		return 0, err
 	}
 	if !reply.Succeeded {
-		return 0, &platform.Error{Code: platform.Conflict, Op: op}
+		return 0, &infra.Error{Code: infra.Conflict, Op: op}
 	}
 	return reply.Header.Revision, nil
 }
@@ -195,7 +195,7 @@
 	TTL int64 `json:"TTL,string"`
 }
 
-// Grant implements platform.KV. The service counts leases in whole seconds.
+// Grant implements infra.KV. The service counts leases in whole seconds.
 func (d *Driver) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
 	var reply leaseReply
 	req := grantRequest{TTL: int64((ttl + time.Second - 1) / time.Second)}
@@ -213,7 +213,7 @@
 	Result leaseReply `json:"result"`
 }
 
-// KeepAlive implements platform.KV.
+// KeepAlive implements infra.KV.
 func (d *Driver) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
 	var reply keepAliveReply
 	op := fmt.Sprintf("renew lease %d", lease)
@@ -221,7 +221,7 @@
 		return 0, err
 	}
 	if reply.Result.TTL <= 0 {
-		return 0, &platform.Error{Code: platform.NotFound, Op: op}
+		return 0, &infra.Error{Code: infra.NotFound, Op: op}
 	}
 	return time.Duration(reply.Result.TTL) * time.Second, nil
 }
@@ -246,27 +246,27 @@
 	} `json:"result"`
 }
 
-// Watch implements platform.KV.
-func (d *Driver) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.Event, error) {
+// Watch implements infra.KV.
+func (d *Driver) Watch(ctx context.Context, prefix string, from int64) (<-chan infra.Event, error) {
 	op := "watch " + prefix
 	body, err := json.Marshal(watchRequest{watchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from + 1}})
 	if err != nil {
-		return nil, &platform.Error{Code: platform.Invalid, Op: op, Err: err}
+		return nil, &infra.Error{Code: infra.Invalid, Op: op, Err: err}
 	}
 	resp, err := d.post(ctx, "/v3/watch", body)
 	if err != nil {
-		return nil, &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
+		return nil, &infra.Error{Code: infra.Unavailable, Op: op, Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
-		return nil, &platform.Error{Code: platform.Unavailable, Op: op, Err: fmt.Errorf("status %s", resp.Status)}
+		return nil, &infra.Error{Code: infra.Unavailable, Op: op, Err: fmt.Errorf("status %s", resp.Status)}
 	}
-	out := make(chan platform.Event)
+	out := make(chan infra.Event)
 	go d.readWatch(ctx, op, resp.Body, out)
 	return out, nil
 }
 
-func (d *Driver) readWatch(ctx context.Context, op string, body io.ReadCloser, out chan<- platform.Event) {
+func (d *Driver) readWatch(ctx context.Context, op string, body io.ReadCloser, out chan<- infra.Event) {
 	defer close(out)
 	defer body.Close()
 	dec := json.NewDecoder(body)
@@ -279,7 +279,7 @@
 			return
 		}
 		for _, e := range reply.Result.Events {
-			ev := platform.Event{Pair: e.KV.pair(), Deleted: e.Type == "DELETE"}
+			ev := infra.Event{Pair: e.KV.pair(), Deleted: e.Type == "DELETE"}
 			select {
 			case out <- ev:
 			case <-ctx.Done():
@@ -297,9 +297,9 @@
 // write reports ErrUnknown when the request may have reached the service.
 func (d *Driver) write(ctx context.Context, op, path string, req, reply any) error {
 	sent, err := d.exchange(ctx, op, path, req, reply)
-	var pe *platform.Error
-	if errors.As(err, &pe) && pe.Code == platform.Unavailable && sent {
-		pe.Code = platform.Unknown
+	var pe *infra.Error
+	if errors.As(err, &pe) && pe.Code == infra.Unavailable && sent {
+		pe.Code = infra.Unknown
 	}
 	return err
 }
@@ -307,7 +307,7 @@
 func (d *Driver) exchange(ctx context.Context, op, path string, req, reply any) (sent bool, err error) {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return false, &platform.Error{Code: platform.Invalid, Op: op, Err: err}
+		return false, &infra.Error{Code: infra.Invalid, Op: op, Err: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
@@ -317,7 +317,7 @@
 	if err != nil {
 		var op2 *net.OpError
 		dial := errors.As(err, &op2) && op2.Op == "dial"
-		return got.Load() && !dial, &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
+		return got.Load() && !dial, &infra.Error{Code: infra.Unavailable, Op: op, Err: err}
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
@@ -325,10 +325,10 @@
 		return statusError(resp, op, data)
 	}
 	if err != nil {
-		return true, &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
+		return true, &infra.Error{Code: infra.Unavailable, Op: op, Err: err}
 	}
 	if err := json.Unmarshal(data, reply); err != nil {
-		return true, &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
+		return true, &infra.Error{Code: infra.Unavailable, Op: op, Err: err}
 	}
 	return true, nil
 }
@@ -341,11 +341,11 @@
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests:
 		wait := retryafter.Parse(resp.Header, time.Now())
-		return false, &platform.Error{Code: platform.RateLimited, Op: op, RetryAfter: wait, Err: cause}
+		return false, &infra.Error{Code: infra.RateLimited, Op: op, RetryAfter: wait, Err: cause}
 	case resp.StatusCode >= 300 && resp.StatusCode < 500:
-		return false, &platform.Error{Code: platform.Invalid, Op: op, Err: cause}
+		return false, &infra.Error{Code: infra.Invalid, Op: op, Err: cause}
 	default:
-		return true, &platform.Error{Code: platform.Unavailable, Op: op, Err: cause}
+		return true, &infra.Error{Code: infra.Unavailable, Op: op, Err: cause}
 	}
 }
 
--- a/plugins/etcd/etcd_test.go
+++ b/plugins/etcd/etcd_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 )
 
 // Guards against a write reported as not written that may have taken effect,
@@ -22,28 +22,28 @@
 	for _, tt := range []struct {
 		name   string
 		handle http.HandlerFunc
-		want   platform.Code
+		want   infra.Code
 	}{
-		{"lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.Unknown},
-		{"leader", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, platform.Unknown},
+		{"lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, infra.Unknown},
+		{"leader", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, infra.Unknown},
 		{"slow", func(_ http.ResponseWriter, r *http.Request) {
 			// The server notices a closed connection only after the body is read.
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
-		}, platform.Unknown},
-		{"damaged", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"succ`)) }, platform.Unknown},
-		{"limited", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "7"); w.WriteHeader(429) }, platform.RateLimited},
-		{"refused", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(400) }, platform.Invalid},
-		{"conflict", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) }, platform.Conflict},
+		}, infra.Unknown},
+		{"damaged", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"succ`)) }, infra.Unknown},
+		{"limited", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "7"); w.WriteHeader(429) }, infra.RateLimited},
+		{"refused", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(400) }, infra.Invalid},
+		{"conflict", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) }, infra.Conflict},
 	} {
 		srv := httptest.NewServer(tt.handle)
 		err := swap(is, srv.URL)
 		srv.Close()
-		var pe *platform.Error
+		var pe *infra.Error
 		is.True(errors.As(err, &pe))
 		is.Equal(tt.name+" "+string(pe.Code), tt.name+" "+string(tt.want))
 		is.Equal(pe.RetryAfter == 7*time.Second, tt.name == "limited")
-		is.True(errors.Is(swap(is, srv.URL), platform.ErrUnavailable)) // closed: nothing was sent
+		is.True(errors.Is(swap(is, srv.URL), infra.ErrUnavailable)) // closed: nothing was sent
 	}
 }
 
--- a/plugins/httpsd/httpsd.go
+++ b/plugins/httpsd/httpsd.go
@@ -16,8 +16,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 )
 
 func init() {
@@ -41,7 +41,7 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// Driver implements platform.HostList.
+// Driver implements infra.HostList.
 type Driver struct {
 	url     string
 	timeout time.Duration
@@ -53,7 +53,7 @@
 	mu sync.Mutex
 	// etag names the last list that was read, last holds it.
 	etag string
-	last []platform.Host
+	last []infra.Host
 }
 
 // maxReply bounds a list in bytes; 2,000 endpoints need about 0.6 MB.
@@ -80,15 +80,15 @@
 	return nil
 }
 
-// Hosts implements platform.HostList. It asks for the list only if it has
+// Hosts implements infra.HostList. It asks for the list only if it has
 // changed, where the service gives an ETag: 2,000 endpoints once a second are
 // about 0.4 MB/s otherwise.
-func (d *Driver) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (d *Driver) Hosts(ctx context.Context) ([]infra.Host, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url, nil)
 	if err != nil {
-		return nil, &platform.Error{Code: platform.Invalid, Op: "host list", Err: err}
+		return nil, &infra.Error{Code: infra.Invalid, Op: "host list", Err: err}
 	}
 	etag, last := d.known()
 	if etag != "" {
@@ -96,18 +96,18 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return nil, &platform.Error{Code: platform.Unavailable, Op: "host list", Err: err}
+		return nil, &infra.Error{Code: infra.Unavailable, Op: "host list", Err: err}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusNotModified && etag != "" {
 		return slices.Clone(last), nil
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, &platform.Error{Code: platform.Unavailable, Op: "host list", Err: fmt.Errorf("status %s", resp.Status)}
+		return nil, &infra.Error{Code: infra.Unavailable, Op: "host list", Err: fmt.Errorf("status %s", resp.Status)}
 	}
 	var groups []Group
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&groups); err != nil {
-		return nil, &platform.Error{Code: platform.Invalid, Op: "host list", Err: err}
+		return nil, &infra.Error{Code: infra.Invalid, Op: "host list", Err: err}
 	}
 	list, bad := hosts(groups)
 	if n := int64(len(bad)); d.bad.Swap(n) != n && n > 0 {
@@ -119,7 +119,7 @@
 	return list, nil
 }
 
-func (d *Driver) known() (etag string, last []platform.Host) {
+func (d *Driver) known() (etag string, last []infra.Host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.etag, d.last
@@ -127,19 +127,19 @@
 
 // hosts returns the valid endpoints and what is wrong with the others. One
 // invalid target must not hide the changes of all others.
-func hosts(groups []Group) ([]platform.Host, []error) {
-	var out []platform.Host
+func hosts(groups []Group) ([]infra.Host, []error) {
+	var out []infra.Host
 	var bad []error
 	seen := map[string]bool{}
 	for _, g := range groups {
 		for _, target := range g.Targets {
-			h := platform.Host{
-				ID: g.Labels[LabelID], Service: g.Labels[LabelService], Kind: platform.Kind(g.Labels[LabelKind]),
+			h := infra.Host{
+				ID: g.Labels[LabelID], Service: g.Labels[LabelService], Kind: infra.Kind(g.Labels[LabelKind]),
 				Address: target, Agent: g.Labels[LabelAgent], Region: g.Labels[LabelRegion],
-				FailureDomain: g.Labels[LabelFailureDomain], State: platform.HostState(g.Labels[LabelState]),
+				FailureDomain: g.Labels[LabelFailureDomain], State: infra.HostState(g.Labels[LabelState]),
 			}
 			if h.State == "" {
-				h.State = platform.Live
+				h.State = infra.Live
 			}
 			if err := check(h, seen); err != nil {
 				bad = append(bad, err)
@@ -152,7 +152,7 @@
 	return out, bad
 }
 
-func check(h platform.Host, seen map[string]bool) error {
+func check(h infra.Host, seen map[string]bool) error {
 	_, _, err := net.SplitHostPort(h.Address)
 	switch {
 	case h.ID == "" || h.Service == "":
@@ -161,9 +161,9 @@
 		return fmt.Errorf("target %q: id %q is listed twice", h.Address, h.ID)
 	case err != nil:
 		return fmt.Errorf("endpoint %q: address %q, allowed: ip:port", h.ID, h.Address)
-	case h.Kind != platform.Engine && h.Kind != platform.Plain:
+	case h.Kind != infra.Engine && h.Kind != infra.Plain:
 		return fmt.Errorf("endpoint %q: kind %q, allowed: engine, plain", h.ID, h.Kind)
-	case h.State != platform.Live && h.State != platform.Leaving:
+	case h.State != infra.Live && h.State != infra.Leaving:
 		return fmt.Errorf("endpoint %q: state %q, allowed: live, leaving", h.ID, h.State)
 	}
 	return nil
--- a/plugins/weights/weights.go
+++ b/plugins/weights/weights.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/plugins/internal/retryafter"
 )
 
@@ -28,7 +28,7 @@
 	defaultWait = time.Second
 )
 
-// Driver implements platform.WeightStore.
+// Driver implements infra.WeightStore.
 type Driver struct {
 	base    string
 	timeout time.Duration
@@ -59,26 +59,26 @@
 	return nil
 }
 
-// Stat implements platform.WeightStore with HEAD <address>/<model>/<version>.
+// Stat implements infra.WeightStore with HEAD <address>/<model>/<version>.
 // While the store has asked to wait, it fails with ErrRateLimited without a call.
 func (d *Driver) Stat(ctx context.Context, model, version string) error {
 	op := fmt.Sprintf("stat weights %s/%s", model, version)
 	if model == "" || version == "" {
-		return &platform.Error{Code: platform.Invalid, Op: op, Err: errors.New("model and version are required")}
+		return &infra.Error{Code: infra.Invalid, Op: op, Err: errors.New("model and version are required")}
 	}
 	if wait := d.wait(); wait > 0 {
-		return &platform.Error{Code: platform.RateLimited, Op: op, RetryAfter: wait}
+		return &infra.Error{Code: infra.RateLimited, Op: op, RetryAfter: wait}
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
 	u := d.base + "/" + url.PathEscape(model) + "/" + url.PathEscape(version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodHead, u, nil)
 	if err != nil {
-		return &platform.Error{Code: platform.Invalid, Op: op, Err: err}
+		return &infra.Error{Code: infra.Invalid, Op: op, Err: err}
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return &platform.Error{Code: platform.Unavailable, Op: op, Err: err}
+		return &infra.Error{Code: infra.Unavailable, Op: op, Err: err}
 	}
 	resp.Body.Close()
 	return d.check(resp, op)
@@ -91,13 +91,13 @@
 	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusNoContent:
 		return nil
 	case resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusGone:
-		return &platform.Error{Code: platform.NotFound, Op: op, Err: cause}
+		return &infra.Error{Code: infra.NotFound, Op: op, Err: cause}
 	case resp.StatusCode == http.StatusTooManyRequests:
-		return &platform.Error{Code: platform.RateLimited, Op: op, RetryAfter: d.hold(resp.Header), Err: cause}
+		return &infra.Error{Code: infra.RateLimited, Op: op, RetryAfter: d.hold(resp.Header), Err: cause}
 	case resp.StatusCode < http.StatusInternalServerError:
-		return &platform.Error{Code: platform.Invalid, Op: op, Err: cause}
+		return &infra.Error{Code: infra.Invalid, Op: op, Err: cause}
 	default:
-		return &platform.Error{Code: platform.Unavailable, Op: op, Err: cause}
+		return &infra.Error{Code: infra.Unavailable, Op: op, Err: cause}
 	}
 }
 
--- a/plugins/weights/weights_test.go
+++ b/plugins/weights/weights_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 )
 
 // Guards against calls while the store has asked to wait, and statuses that
@@ -27,19 +27,19 @@
 	}))
 	defer srv.Close()
 	ctx := context.Background()
-	d, err := kernel.Load[platform.WeightStore](ctx, "weights.http", kernel.Settings{Address: srv.URL})
+	d, err := kernel.Load[infra.WeightStore](ctx, "weights.http", kernel.Settings{Address: srv.URL})
 	is.NoErr(err)
 	is.NoErr(d.Stat(ctx, "org/m", "v1"))
 	is.Equal(path, "HEAD /org%2Fm/v1")
-	for s, want := range map[int]error{404: platform.ErrNotFound, 503: platform.ErrUnavailable, 403: &platform.Error{Code: platform.Invalid}} {
+	for s, want := range map[int]error{404: infra.ErrNotFound, 503: infra.ErrUnavailable, 403: &infra.Error{Code: infra.Invalid}} {
 		status = s
 		is.True(errors.Is(d.Stat(ctx, "m", "v1"), want))
 	}
 	status = http.StatusTooManyRequests
-	is.True(errors.Is(d.Stat(ctx, "m", "v1"), platform.ErrRateLimited))
+	is.True(errors.Is(d.Stat(ctx, "m", "v1"), infra.ErrRateLimited))
 	before := calls
-	var pe *platform.Error
+	var pe *infra.Error
 	is.True(errors.As(d.Stat(ctx, "m", "v1"), &pe))
 	is.Equal(calls, before)
-	is.True(pe.Code == platform.RateLimited && pe.RetryAfter > 25*time.Second)
+	is.True(pe.Code == infra.RateLimited && pe.RetryAfter > 25*time.Second)
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/plugins/lowest"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/plugins/queue"
@@ -26,7 +26,7 @@
 func members(n int) []member.Endpoint {
 	out := make([]member.Endpoint, n)
 	for i := range out {
-		out[i] = member.Endpoint{Host: platform.Host{ID: fmt.Sprintf("e%04d", i), Region: "a"}, State: member.Ready}
+		out[i] = member.Endpoint{Host: infra.Host{ID: fmt.Sprintf("e%04d", i), Region: "a"}, State: member.Ready}
 	}
 	return out
 }
--- a/standin/fleet/drain_test.go
+++ b/standin/fleet/drain_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/kv"
 )
 
@@ -62,7 +62,7 @@
 	f.KV.SetFaults(kv.Faults{Down: outage == "kv"})
 	f.Hosts.SetDown(outage == "hosts")
 	if list {
-		f.Hosts.SetState("engine-0", platform.Leaving)
+		f.Hosts.SetState("engine-0", infra.Leaving)
 	}
 	if agent {
 		f.Agents[0].Leave()
--- a/standin/fleet/embedded_test.go
+++ b/standin/fleet/embedded_test.go
@@ -8,27 +8,27 @@
 
 	"github.com/matryer/is"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/plain"
 )
 
 // direct runs a test on a fleet whose only live endpoints have no agent.
-func direct(t *testing.T, test func(t *testing.T, f *Fleet, hosts []platform.Host)) {
+func direct(t *testing.T, test func(t *testing.T, f *Fleet, hosts []infra.Host)) {
 	virtual(t, func(t *testing.T, f *Fleet, _ *Memory) {
 		is := is.New(t)
 		for _, a := range f.Agents {
 			a.Leave()
 		}
-		var hosts []platform.Host
+		var hosts []infra.Host
 		for _, id := range []string{"near-0", "near-1"} {
 			addr, err := f.StartEngine(engine.Options{ID: id, Model: "m", Version: "v1", TokenGap: time.Millisecond})
 			is.NoErr(err)
-			hosts = append(hosts, platform.Host{ID: id, Service: "llm", Kind: platform.Engine, Address: addr, Region: "r1", State: platform.Live})
+			hosts = append(hosts, infra.Host{ID: id, Service: "llm", Kind: infra.Engine, Address: addr, Region: "r1", State: infra.Live})
 		}
 		addr, err := f.StartPlain("near-desk")
 		is.NoErr(err)
-		f.List(append(hosts, platform.Host{ID: "near-desk", Service: "desk", Kind: platform.Plain, Address: addr, Region: "r1", State: platform.Live})...)
+		f.List(append(hosts, infra.Host{ID: "near-desk", Service: "desk", Kind: infra.Plain, Address: addr, Region: "r1", State: infra.Live})...)
 		time.Sleep(3 * time.Second)
 		test(t, f, hosts)
 	})
@@ -37,7 +37,7 @@
 // Guards against endpoints without an agent that get no work, or whose streams
 // and bookings differ from those of others.
 func TestEndpointWithoutAgent(t *testing.T) {
-	direct(t, func(t *testing.T, f *Fleet, _ []platform.Host) {
+	direct(t, func(t *testing.T, f *Fleet, _ []infra.Host) {
 		is := is.New(t)
 		for i := range 20 {
 			answered(t, f, i, 8, i%2 == 0)
@@ -57,7 +57,7 @@
 // Guards against a booking that runs twice, or is called "not run" although it
 // ran, when an endpoint without an agent fails after or before the request.
 func TestEndpointWithoutAgentFails(t *testing.T) {
-	direct(t, func(t *testing.T, f *Fleet, _ []platform.Host) {
+	direct(t, func(t *testing.T, f *Fleet, _ []infra.Host) {
 		is := is.New(t)
 		desk := f.Plains["near-desk"]
 		desk.SetFaults(plain.Faults{DropAnswers: 1})
@@ -74,7 +74,7 @@
 // Guards against new work on an endpoint without an agent after the host list
 // says that it leaves, and against endpoints that need a restart to come or go.
 func TestEndpointWithoutAgentLeaves(t *testing.T) {
-	direct(t, func(t *testing.T, f *Fleet, hosts []platform.Host) {
+	direct(t, func(t *testing.T, f *Fleet, hosts []infra.Host) {
 		is := is.New(t)
 		resp, r, want := stream(t, f, t.Context(), 1, 8_000)
 		defer resp.Body.Close()
@@ -82,7 +82,7 @@
 		if resp.Header.Get("X-Citrontiller-Endpoint") == staying.ID {
 			leaving, staying = staying, leaving
 		}
-		leaving.State = platform.Leaving
+		leaving.State = infra.Leaving
 		f.List(leaving, staying)
 		time.Sleep(2 * time.Second)
 		before := f.Engines[leaving.ID].Counts().Requests
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -21,8 +21,8 @@
 	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	_ "github.com/citrontiller/citrontiller/plugins/etcd"   // registers kv.etcd
 	_ "github.com/citrontiller/citrontiller/plugins/httpsd" // registers hosts.httpsd
 	_ "github.com/citrontiller/citrontiller/plugins/openai" // registers endpoint.openai
@@ -54,7 +54,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	mu     sync.Mutex
-	list   []platform.Host
+	list   []infra.Host
 }
 
 // Agent is a running agent.
@@ -148,26 +148,26 @@
 		return nil, err
 	}
 	var eps []agent.Endpoint
-	var list []platform.Host
-	add := func(id string, kind platform.Kind, address string) {
+	var list []infra.Host
+	add := func(id string, kind infra.Kind, address string) {
 		ep := agent.Endpoint{ID: id, Service: spec.Service(id), Kind: kind, Address: address}
 		eps = append(eps, ep)
-		list = append(list, platform.Host{ID: id, Service: ep.Service, Kind: kind, Address: address, Agent: addr,
-			Region: spec.Region, FailureDomain: spec.FailureDomain, State: platform.Live})
+		list = append(list, infra.Host{ID: id, Service: ep.Service, Kind: kind, Address: address, Agent: addr,
+			Region: spec.Region, FailureDomain: spec.FailureDomain, State: infra.Live})
 	}
 	for _, o := range spec.Engines {
 		a, err := f.StartEngine(o)
 		if err != nil {
 			return nil, err
 		}
-		add(o.ID, platform.Engine, a)
+		add(o.ID, infra.Engine, a)
 	}
 	for _, id := range spec.Plains {
 		a, err := f.StartPlain(id)
 		if err != nil {
 			return nil, err
 		}
-		add(id, platform.Plain, a)
+		add(id, infra.Plain, a)
 	}
 	a, err := f.startAgent(spec.Name, spec.Options, l, addr, eps)
 	if err != nil {
@@ -225,11 +225,11 @@
 
 // AddEntry starts an entry.
 func (f *Fleet) AddEntry(name string, opts entry.Options) (*Entry, error) {
-	kvd, err := kernel.Load[platform.KV](f.ctx, "kv.etcd", f.settings(f.KVAddress))
+	kvd, err := kernel.Load[infra.KV](f.ctx, "kv.etcd", f.settings(f.KVAddress))
 	if err != nil {
 		return nil, err
 	}
-	hl, err := kernel.Load[platform.HostList](f.ctx, "hosts.httpsd", f.settings(f.HostsAddress))
+	hl, err := kernel.Load[infra.HostList](f.ctx, "hosts.httpsd", f.settings(f.HostsAddress))
 	if err != nil {
 		return nil, err
 	}
@@ -272,7 +272,7 @@
 
 // Store returns the operator's access to the configuration.
 func (f *Fleet) Store() (*config.Store, error) {
-	kvd, err := kernel.Load[platform.KV](f.ctx, "kv.etcd", f.settings(f.KVAddress))
+	kvd, err := kernel.Load[infra.KV](f.ctx, "kv.etcd", f.settings(f.KVAddress))
 	if err != nil {
 		return nil, err
 	}
@@ -305,10 +305,10 @@
 }
 
 // List replaces the endpoints in the host list that have no agent.
-func (f *Fleet) List(direct ...platform.Host) {
+func (f *Fleet) List(direct ...infra.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list = append(slices.DeleteFunc(f.list, func(h platform.Host) bool { return h.Agent == "" }), direct...)
+	f.list = append(slices.DeleteFunc(f.list, func(h infra.Host) bool { return h.Agent == "" }), direct...)
 	f.Hosts.Set(f.list)
 }
 
--- a/standin/fleet/weights_test.go
+++ b/standin/fleet/weights_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/standin/engine"
 )
 
@@ -33,7 +33,7 @@
 func TestCacheScopes(t *testing.T) {
 	virtual(t, func(t *testing.T, f *Fleet, n *Memory) {
 		is := is.New(t)
-		f.Hosts.SetState("engine-1", platform.Leaving) // one engine, so that every request could hit
+		f.Hosts.SetState("engine-1", infra.Leaving) // one engine, so that every request could hit
 		f.apply(t, "v1", 1)
 		e := f.Engines["engine-0"]
 		ask := func(key string) int {
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/plugins/httpsd"
 )
 
@@ -28,7 +28,7 @@
 
 type version struct {
 	from  time.Time
-	hosts []platform.Host
+	hosts []infra.Host
 }
 
 // New returns an empty list.
@@ -56,16 +56,16 @@
 }
 
 // Set replaces the list, effective after the lag.
-func (s *Server) Set(hosts []platform.Host) {
+func (s *Server) Set(hosts []infra.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lists = append(s.lists, version{from: time.Now().Add(s.lag), hosts: append([]platform.Host(nil), hosts...)})
+	s.lists = append(s.lists, version{from: time.Now().Add(s.lag), hosts: append([]infra.Host(nil), hosts...)})
 }
 
 // SetState changes one endpoint's state, effective after the lag.
-func (s *Server) SetState(id string, state platform.HostState) {
+func (s *Server) SetState(id string, state infra.HostState) {
 	s.mu.Lock()
-	var hosts []platform.Host
+	var hosts []infra.Host
 	if n := len(s.lists); n > 0 {
 		hosts = append(hosts, s.lists[n-1].hosts...)
 	}
@@ -78,9 +78,9 @@
 	s.Set(hosts)
 }
 
-func (s *Server) visible() []platform.Host {
+func (s *Server) visible() []infra.Host {
 	now := time.Now()
-	var out []platform.Host
+	var out []infra.Host
 	for _, v := range s.lists {
 		if !v.from.After(now) {
 			out = v.hosts
--- a/standin/hosts/hosts_test.go
+++ b/standin/hosts/hosts_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/plugins/httpsd"
 )
 
@@ -20,16 +20,16 @@
 	defer srv.Close()
 	var d httpsd.Driver
 	is.NoErr(d.Provision(t.Context(), kernel.Settings{Address: srv.URL}))
-	host := platform.Host{ID: "a", Service: "s", Kind: platform.Plain, Address: "10.0.0.1:80", State: platform.Live}
-	s.Set([]platform.Host{host})
+	host := infra.Host{ID: "a", Service: "s", Kind: infra.Plain, Address: "10.0.0.1:80", State: infra.Live}
+	s.Set([]infra.Host{host})
 	for range 3 {
 		list, err := d.Hosts(t.Context())
 		is.NoErr(err)
-		is.Equal(list, []platform.Host{host})
+		is.Equal(list, []infra.Host{host})
 	}
 	is.Equal(s.Unchanged(), 2)
-	s.SetState("a", platform.Leaving)
+	s.SetState("a", infra.Leaving)
 	list, err := d.Hosts(t.Context())
 	is.NoErr(err)
-	is.Equal(list[0].State, platform.Leaving)
+	is.Equal(list[0].State, infra.Leaving)
 }
