gateway: serve callers on the users' platform, first path

Cause: the product had no way to run on the platform. The gateway forwards without an agent; platform/ translates settings, store, headers and orders.

--- a/cmd/citrontiller/main.go
+++ b/cmd/citrontiller/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -11,6 +10,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/citrontiller/citrontiller/internal/entryd"
+	"github.com/citrontiller/citrontiller/internal/gatewayd"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/operator"
 	_ "github.com/citrontiller/citrontiller/plugins/etcd"    // registers kv.etcd
@@ -21,7 +21,8 @@
 )
 
 type settings struct {
-	Entry *entryd.Settings `arg:"subcommand:entry" help:"run an entry"`
+	Entry   *entryd.Settings   `arg:"subcommand:entry" help:"run an entry"`
+	Gateway *gatewayd.Settings `arg:"subcommand:gateway" help:"run a gateway on the platform"`
 	operator.Commands
 }
 
@@ -37,14 +38,17 @@
 	// An interrupted write of a command still reports its change id.
 	ctx, stop := process.UntilSignal()
 	defer stop()
+	if s.Gateway != nil {
+		os.Exit(exitStatus(gatewayd.Run(ctx, *s.Gateway)))
+	}
 	if s.Entry != nil {
-		os.Exit(runEntry(ctx, *s.Entry))
+		os.Exit(exitStatus(entryd.Run(ctx, *s.Entry)))
 	}
 	os.Exit(s.Run(ctx, operator.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
 }
 
-func runEntry(ctx context.Context, s entryd.Settings) int {
-	err := entryd.Run(ctx, s)
+// exitStatus reports how a server process ended.
+func exitStatus(err error) int {
 	if err == nil {
 		return operator.ExitDone
 	}
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+const (
+	// ejectAfter is the number of consecutive failures that ejects an endpoint.
+	ejectAfter = 2
+	// probeInterval is the time to the first request to an ejected endpoint.
+	probeInterval = 700 * time.Millisecond
+	// blockLifetime is how long an engine keeps an unused part of a prompt.
+	blockLifetime = 15 * time.Second
+	// regionPriceMsPerMiB is the time that a MiB between regions must save.
+	regionPriceMsPerMiB = 1500
+)
+
+// choice is an endpoint with the feedback that its attempt owes the tracker.
+type choice struct {
+	endpoint route.Endpoint
+	attempt  *route.Attempt
+}
+
+// choose picks an endpoint and records the dispatch; ok is false without one.
+func (x *exchange) choose() (choice, bool) {
+	now := time.Now()
+	r := x.routeRequest(now)
+	members := x.g.Members.Service(x.service)
+	candidates := x.g.Tracker.AppendSnapshot(nil, r, members, unreported, now)
+	d := x.g.Scheduler.Choose(r, candidates)
+	x.reason, x.score = d.Reason, d.Score
+	if ce := x.g.Log.Check(zap.DebugLevel, "route"); ce != nil || d.Chosen == "" {
+		x.g.Log.Info("route", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("chosen", d.Chosen),
+			zap.String("reason", d.Reason), zap.Int("total", d.Total), zap.Stringer("candidates", d))
+	}
+	for i := range candidates {
+		if candidates[i].ID == d.Chosen {
+			x.endpoint = d.Chosen
+			return choice{candidates[i], x.g.Tracker.Dispatch(r, &candidates[i], d, now)}, true
+		}
+	}
+	return choice{}, false
+}
+
+// unreported stands for endpoints that have not been reported.
+func unreported(member.Endpoint) route.Report { return route.Report{} }
+
+func (x *exchange) routeRequest(now time.Time) *route.Request {
+	r := &route.Request{ID: x.call.ID, Service: x.service, Account: x.accountName(), Model: x.call.Model, Region: x.g.Region,
+		Idempotent: x.route.Repeatable(), Stream: x.call.Model != "", Levels: x.levels(), Tokens: x.call.PromptTokens,
+		Bytes: int64(len(x.body)), Seed: xxhash.Sum64String(x.call.ID), Exclude: x.excluded,
+		Policy: route.Policy{PriceMsPerMiB: regionPriceMsPerMiB, EjectAfter: ejectAfter, ProbeInterval: probeInterval, BlockLifetime: blockLifetime}}
+	if required, preferred := x.g.Targets.Version(x.call.Model, now); preferred > 0 {
+		r.Preferred = strconv.FormatInt(preferred, 10)
+		if required > 0 {
+			r.Version = strconv.FormatInt(required, 10)
+		}
+	}
+	return r
+}
+
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
+// salt separates the cached prompts of a dedicated account from all others.
+func (x *exchange) salt() string {
+	if x.account == nil || !x.account.Dedicated || x.call.Model == "" {
+		return ""
+	}
+	return prefix.Scope{Account: x.account.Name, Model: x.call.Model}.Salt()
+}
+
+// levels returns the prompt's prefixes at the ends of its parts.
+func (x *exchange) levels() []prefix.Level {
+	if len(x.call.Parts) == 0 {
+		return nil
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(x.call.Model + "/" + x.salt())
+	out := make([]prefix.Level, 0, len(x.call.Parts))
+	var tokens int64
+	for _, p := range x.call.Parts[:min(len(x.call.Parts), prefix.MaxLevels)] {
+		var size [8]byte
+		binary.LittleEndian.PutUint64(size[:], uint64(len(p.ID)))
+		_, _ = d.Write(size[:])
+		_, _ = d.WriteString(p.ID)
+		tokens += p.Tokens
+		out = append(out, prefix.Level{Hash: d.Sum64(), Tokens: tokens})
+	}
+	return out
+}
+
+// priority returns the rank of the request at the endpoint.
+func (x *exchange) priority() int {
+	if x.call.Model == "" {
+		return -1
+	}
+	if x.account != nil && x.account.Ranked {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
--- /dev/null
+++ b/gateway/directory.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"maps"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/rollout"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+const (
+	// basePrefillPerSecond is the prompt speed assumed of an engine at its usual pace.
+	basePrefillPerSecond = 120_000
+	// queuedMs is the wait assumed for each request in an engine's queue.
+	queuedMs = 25
+)
+
+// Directory keeps what is known of the endpoints and passes it to the member
+// and route trackers. It is safe for concurrent use.
+//
+// Lock order: Directory before member.Tracker and route.Tracker.
+type Directory struct {
+	members *member.Tracker
+	tracker *route.Tracker
+	log     *zap.Logger
+
+	mu        sync.Mutex
+	endpoints map[string]*record
+	updating  map[string]bool
+	reports   uint64
+}
+
+// record is an endpoint's list entry with what its answers have shown since.
+type record struct {
+	catalog.Endpoint
+	load    Load
+	version int64
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory(members *member.Tracker, tracker *route.Tracker, log *zap.Logger) *Directory {
+	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*record{}, updating: map[string]bool{}}
+}
+
+// Put takes an endpoint's list entry. revision is the entry's, for the log.
+func (d *Directory) Put(e catalog.Endpoint, revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.endpoints[e.ID]
+	r := &record{Endpoint: e, version: newest(e.Weights)}
+	if old != nil && old.Boot == e.Boot {
+		r.load = old.load
+	}
+	d.endpoints[e.ID] = r
+	if old == nil || old.State != e.State || old.Boot != e.Boot || old.version != r.version {
+		d.log.Info("endpoint", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("state", string(e.State)),
+			zap.String("address", e.Address), zap.String("boot", e.Boot), zap.Int64("weights", r.version), zap.Int64("revision", revision))
+	}
+	d.publish()
+	d.report(r)
+}
+
+// Remove forgets an endpoint that has left the list.
+func (d *Directory) Remove(id string, revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.endpoints[id]; !ok {
+		return
+	}
+	delete(d.endpoints, id)
+	d.log.Info("endpoint gone", zap.String("endpoint", id), zap.Int64("revision", revision))
+	d.publish()
+}
+
+// SetUpdating names the endpoints that are about to load weights or do so;
+// they get no new requests.
+func (d *Directory) SetUpdating(ids map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !maps.Equal(ids, d.updating) {
+		d.updating = maps.Clone(ids)
+		d.publish()
+	}
+}
+
+// Observe takes what an answer shows of its endpoint.
+func (d *Directory) Observe(id string, a Answer) {
+	if !a.HasLoad && a.Weights == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.endpoints[id]
+	if r == nil {
+		return
+	}
+	if a.HasLoad {
+		r.load = a.Load
+	}
+	if a.Weights > 0 {
+		r.version = a.Weights
+	}
+	d.report(r)
+}
+
+// Endpoints returns the endpoints of a service with the version of their weights.
+func (d *Directory) Endpoints(service string) map[string]catalog.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]catalog.Endpoint{}
+	for id, r := range d.endpoints {
+		if r.Service == service {
+			out[id] = r.Endpoint
+		}
+	}
+	return out
+}
+
+// publish passes the list to the member tracker; the caller holds mu.
+func (d *Directory) publish() {
+	hosts := make([]infra.Host, 0, len(d.endpoints))
+	listed := make(map[string]bool, len(d.endpoints))
+	for id, r := range d.endpoints {
+		h := r.Host
+		if h.State == infra.Live && d.updating[id] {
+			h.State = infra.Updating
+		}
+		hosts = append(hosts, h)
+		listed[id] = true
+	}
+	d.members.SetHosts(hosts)
+	d.tracker.Prune(listed)
+}
+
+// report passes an endpoint's load to the route tracker; the caller holds mu.
+func (d *Directory) report(r *record) {
+	d.reports++
+	slow := max(100, float64(r.load.SlowdownPercent)) / 100
+	limit := r.load.Slots
+	if limit == 0 {
+		limit = int64(r.Slots)
+	}
+	l := route.Load{
+		// Cached prompts end with the incarnation and with its weights.
+		BootID:  r.Boot + "/" + strconv.FormatInt(r.version, 10),
+		Running: r.load.Running, Queued: r.load.Queued, Limit: limit,
+		Wait:             time.Duration(float64(r.load.Queued) * queuedMs * slow * float64(time.Millisecond)),
+		PrefillPerSecond: basePrefillPerSecond / slow,
+	}
+	if r.version > 0 {
+		l.Version = strconv.FormatInt(r.version, 10)
+	}
+	d.tracker.Report(r.ID, route.Report{Key: d.reports, Load: l}, time.Now())
+}
+
+// newest returns the version of an engine's weights. Engines with several
+// models get orders for each; the highest stands for the incarnation's cache.
+func newest(weights map[string]int64) int64 {
+	var v int64
+	for _, w := range weights {
+		v = max(v, w)
+	}
+	return v
+}
+
+// Engines returns the engines that have a model.
+func (d *Directory) Engines(model string) []rollout.Engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []rollout.Engine
+	for id, r := range d.endpoints {
+		if _, ok := r.Weights[model]; ok {
+			out = append(out, rollout.Engine{ID: id, Address: r.Address, Weights: r.version, Live: r.State == infra.Live, Running: r.load.Running})
+		}
+	}
+	return out
+}
+
+// ApplyPlan takes the holder's announcement of which engines load weights.
+func (d *Directory) ApplyPlan(p rollout.Plan) {
+	updating := make(map[string]bool, len(p.Updating))
+	for _, id := range p.Updating {
+		updating[id] = true
+	}
+	d.SetUpdating(updating)
+	for _, id := range p.Current {
+		d.Observe(id, Answer{Weights: p.Version})
+	}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// latencyBuckets cover the time to a first token and whole answers, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .4, .6, .8, 1.2, 2, 4, 8, 16}
+
+// Metrics are the gateway's counters and histograms.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+	open     prometheus.Gauge
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrontiller_gateway_requests_total", Help: "Requests by kind of route and outcome."}, []string{"kind", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrontiller_gateway_attempt_failures_total", Help: "Sends without a usable answer."}, []string{"failure"}),
+		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_first_byte_seconds", Help: "Time from arrival to the answer's first byte.", Buckets: latencyBuckets}, []string{"kind"}),
+		total:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_request_seconds", Help: "Time from arrival to the answer's end.", Buckets: latencyBuckets}, []string{"kind"}),
+		open:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "citrontiller_gateway_open_requests", Help: "Requests in progress."}),
+	}
+	reg.MustRegister(m.requests, m.attempts, m.first, m.total, m.open)
+	return m
+}
+
+// done counts a finished request.
+func (m *Metrics) done(x *exchange, total time.Duration) {
+	kind := "none"
+	if x.route != nil {
+		kind = string(x.route.Kind)
+	}
+	m.requests.WithLabelValues(kind, x.outcome).Inc()
+	m.total.WithLabelValues(kind).Observe(total.Seconds())
+	if x.first > 0 {
+		m.first.WithLabelValues(kind).Observe(x.first.Seconds())
+	}
+}
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -24,6 +24,8 @@
 	Unavailable Code = "unavailable"
 	// RateLimited means the system asks the caller to slow down.
 	RateLimited Code = "rate_limited"
+	// Compacted means that the history asked for is no longer kept.
+	Compacted Code = "compacted"
 	// Invalid means the request or the answer was malformed.
 	Invalid Code = "invalid"
 )
@@ -62,6 +64,7 @@
 	ErrUnknown     = &Error{Code: Unknown}
 	ErrUnavailable = &Error{Code: Unavailable}
 	ErrRateLimited = &Error{Code: RateLimited}
+	ErrCompacted   = &Error{Code: Compacted}
 )
 
 // Pair is a key with its value and the store revision that last changed it.
@@ -119,6 +122,8 @@
 const (
 	Live    HostState = "live"
 	Leaving HostState = "leaving"
+	// Updating hosts load weights and take no requests meanwhile.
+	Updating HostState = "updating"
 )
 
 // Host is one endpoint in the host list.
--- /dev/null
+++ b/internal/gatewayd/gatewayd.go
@@ -0,0 +1,179 @@
+package gatewayd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/citrontiller/citrontiller/admit"
+	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/gateway"
+	"github.com/citrontiller/citrontiller/internal/process"
+	"github.com/citrontiller/citrontiller/lease"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/mirror"
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/rollout"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+const (
+	// memoryShare is the part of the process's limit that the heap may fill.
+	memoryShare = 0.7
+	// shutdownMargin is the time left before SIGKILL when the last requests are cut.
+	shutdownMargin = 700 * time.Millisecond
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's headers; net/http answers 431.
+	maxHeaderBytes = 64 << 10
+	// idleTimeout closes callers' connections without requests. It is above any
+	// limit that the configuration tells callers to expect.
+	idleTimeout = 2 * time.Minute
+)
+
+// gatewayProcess is a running gateway.
+type gatewayProcess struct {
+	set     Settings
+	host    platform.Settings
+	log     *zap.Logger
+	gateway *gateway.Gateway
+	server  *http.Server
+	// checks answers the load balancer and serves metrics.
+	checks *http.ServeMux
+	mirror *mirror.Mirror
+	store  *platform.Store
+}
+
+// Run serves until SIGTERM and returns after a complete drain. It returns a
+// *process.SettingError, joined with others, for wrong settings.
+func Run(ctx context.Context, set Settings) error {
+	if err := set.Check(); err != nil {
+		return err
+	}
+	host, err := platform.LoadSettings(set.File)
+	if err != nil {
+		return err
+	}
+	out := process.NewAsyncWriter(os.Stdout)
+	defer func() { _ = out.Sync() }() // never fails
+	log, err := process.LoggerTo(zapcore.AddSync(out), set.LogLevel)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(float64(host.MemoryBytes) * memoryShare))
+	p := newProcess(set, host, log)
+	return p.run(ctx)
+}
+
+func newProcess(set Settings, host platform.Settings, log *zap.Logger) *gatewayProcess {
+	members, tracker := member.NewTracker(), route.NewTracker()
+	p := &gatewayProcess{set: set, host: host, log: log, store: platform.NewStore(host.StoreAddress, newTransport(storeIdle))}
+	reg := prometheus.NewRegistry()
+	p.gateway = &gateway.Gateway{
+		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
+		Scheduler: gateway.NewScheduler(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
+		Recent: newTransport(recentIdle), Kept: newTransport(keptIdle), Region: host.Region,
+		Budget: admit.NewBudget(host.RetryPercent / 2), Metrics: gateway.NewMetrics(reg), Log: log,
+	}
+	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		ErrorLog: zap.NewStdLog(log)}
+	p.mirror = mirror.New(mirror.Mirror{Source: p.store, Wait: set.PollWait, Deferred: deferred, Changed: p.changed, Log: log})
+	p.checks = http.NewServeMux()
+	p.checks.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
+	p.checks.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	return p
+}
+
+// readiness answers the load balancer.
+func (p *gatewayProcess) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !p.gateway.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (p *gatewayProcess) run(ctx context.Context) error {
+	ignoreHangup(p.log)
+	p.log.Info("start", zap.String("host", p.host.Name), zap.String("region", p.host.Region), zap.String("version", process.Version("citrontiller")))
+	callers, err := net.Listen("tcp", p.host.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	checks, err := net.Listen("tcp", p.host.ReadinessAddress)
+	if err != nil {
+		return fmt.Errorf("listen for readiness checks: %w", err)
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go p.mirror.Run(background)
+	go p.coordinator().Run(ctx)
+	go p.serve(checks, &http.Server{Handler: p.checks, ReadHeaderTimeout: headerTimeout})
+	go p.serve(callers, p.server)
+	<-ctx.Done()
+	return p.drain()
+}
+
+func (p *gatewayProcess) serve(l net.Listener, s *http.Server) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		p.log.Error("server ended", zap.String("address", l.Addr().String()), zap.Error(err))
+	}
+}
+
+// drain fails readiness, serves on until the load balancer has noticed, and
+// then waits for open requests.
+func (p *gatewayProcess) drain() error {
+	started := time.Now()
+	p.gateway.SetDraining()
+	p.log.Info("draining", zap.Duration("delay", p.set.DrainDelay))
+	time.Sleep(p.set.DrainDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.host.Grace-shutdownMargin))
+	defer cancel()
+	err := p.server.Shutdown(ctx)
+	p.log.Info("stop", zap.Duration("drained_in", time.Since(started)), zap.Error(err))
+	return nil
+}
+
+// coordinator returns the part that gives engines orders.
+func (p *gatewayProcess) coordinator() *rollout.Coordinator {
+	return &rollout.Coordinator{
+		KV: p.store,
+		Lock: &lease.Lock{KV: p.store, Key: rollout.LockKey, Holder: p.host.Name, TTL: p.set.LeaseTTL, Clock: bootTime,
+			Free: p.lockFree, Log: p.log},
+		Engines: &platform.Engines{Client: &http.Client{Transport: newTransport(keptIdle)}, Holder: p.host.Name},
+		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.revision,
+		Announced: p.gateway.Directory.ApplyPlan, Strategy: rollout.Strategy(p.set.RolloutStrategy), Log: p.log,
+	}
+}
+
+// lockFree reports whether nobody holds the lock and there is work for a holder.
+func (p *gatewayProcess) lockFree() bool {
+	_, held := p.mirror.Get(rollout.LockKey)
+	return !held && p.gateway.Book.Current() != nil
+}
+
+func (p *gatewayProcess) revision(key string) int64 {
+	pair, _ := p.mirror.Get(key)
+	return pair.Revision
+}
+
+// ignoreHangup keeps SIGHUP from ending the process.
+func ignoreHangup(log *zap.Logger) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	go func() {
+		for range ch {
+			log.Info("SIGHUP")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/gatewayd/settings.go
@@ -0,0 +1,40 @@
+// Package gatewayd is the gateway as a process: its settings, the copy of the
+// store that it follows, the servers for callers and the load balancer, and its
+// end on a signal.
+package gatewayd
+
+import (
+	"errors"
+	"time"
+
+	"github.com/citrontiller/citrontiller/internal/process"
+	"github.com/citrontiller/citrontiller/rollout"
+)
+
+// Settings are the flags of a gateway. Each is also an environment variable.
+// What the platform tells the process stands in the file that --settings names.
+type Settings struct {
+	File            string        `arg:"--settings,env:CITRONTILLER_BOOT" help:"path of the platform's settings file (required)"`
+	LogLevel        string        `arg:"--log-level,env:CITRONTILLER_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	PollWait        time.Duration `arg:"--poll-wait,env:CITRONTILLER_POLL_WAIT" default:"4s" help:"longest wait of one poll of the store for changes"`
+	DrainDelay      time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"time between failing readiness and closing the listener"`
+	LeaseTTL        time.Duration `arg:"--lease-ttl,env:CITRONTILLER_LEASE_TTL" default:"3s" help:"length of the lease of the process that gives engines orders"`
+	RolloutStrategy string        `arg:"--rollout-strategy,env:CITRONTILLER_ROLLOUT_STRATEGY" default:"finish" help:"what happens to running requests when weights change: finish, keep or cut"`
+}
+
+// Check returns every setting that is missing or out of range, joined. Each is
+// a *process.SettingError.
+func (s Settings) Check() error {
+	errs := []error{
+		process.CheckGiven("--settings", s.File, "the path of the platform's settings file"),
+		process.CheckRange("--poll-wait", s.PollWait, 100*time.Millisecond, 30*time.Second),
+		process.CheckRange("--drain-delay", s.DrainDelay, 0, 10*time.Minute),
+		process.CheckRange("--lease-ttl", s.LeaseTTL, time.Second, 5*time.Minute),
+	}
+	switch rollout.Strategy(s.RolloutStrategy) {
+	case rollout.Finish, rollout.Keep, rollout.Cut:
+	default:
+		errs = append(errs, &process.SettingError{Flag: "--rollout-strategy", Value: s.RolloutStrategy, Allowed: "finish, keep or cut"})
+	}
+	return errors.Join(errs...)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -18,13 +18,19 @@
 // Logger returns a logger that writes one line of key=value pairs per event to
 // standard error. level is debug, info, warn or error.
 func Logger(level string) (*zap.Logger, error) {
+	return LoggerTo(zapcore.Lock(os.Stderr), level)
+}
+
+// LoggerTo is Logger with another destination, which must be safe for
+// concurrent use.
+func LoggerTo(out zapcore.WriteSyncer, level string) (*zap.Logger, error) {
 	lv, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("--log-level: got %q, allowed: debug, info, warn, error", level)
 	}
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(os.Stderr), lv)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), out, lv)
 	return zap.New(core), nil
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -42,7 +43,23 @@
 	Holder string
 	// TTL is the lease's length. The holder renews after a third of it.
 	TTL time.Duration
-	Log *zap.Logger
+	// Clock is a steady clock that counts the time a host is suspended; nil
+	// means the monotonic clock, which may not.
+	Clock func() time.Duration
+	// Free reports from a local copy whether the key seems free, which spares a
+	// read for each try; nil means unknown.
+	Free func() bool
+	Log  *zap.Logger
+}
+
+// processStart is the origin of the monotonic clock.
+var processStart = time.Now()
+
+func (l *Lock) now() time.Duration {
+	if l.Clock != nil {
+		return l.Clock()
+	}
+	return time.Since(processStart)
 }
 
 // Held is a lock in this process's hands.
@@ -54,18 +71,21 @@
 	id   int64
 
 	mu      sync.Mutex
-	expires time.Time
+	expires time.Duration
 }
 
 // Acquire tries once to take the lock. The remaining time counts from before
 // the lease was asked for, so it never exceeds what the service grants.
 func (l *Lock) Acquire(ctx context.Context) (*Held, error) {
+	if l.Free != nil && !l.Free() {
+		return nil, &Error{l.Key, "acquire", ErrHeld}
+	}
 	if _, err := l.KV.Get(ctx, l.Key); err == nil {
 		return nil, &Error{l.Key, "acquire", ErrHeld}
 	} else if !errors.Is(err, infra.ErrNotFound) {
 		return nil, &Error{l.Key, "acquire", err}
 	}
-	start := time.Now()
+	start := l.now()
 	id, err := l.KV.Grant(ctx, l.TTL)
 	if err != nil {
 		return nil, &Error{l.Key, "grant", err}
@@ -78,7 +98,7 @@
 	if err != nil {
 		return nil, &Error{l.Key, "acquire", err}
 	}
-	return &Held{Fence: fence, lock: l, id: id, expires: start.Add(l.TTL)}, nil
+	return &Held{Fence: fence, lock: l, id: id, expires: start + l.TTL}, nil
 }
 
 // reread settles a write whose answer was lost: the value names this try.
@@ -93,12 +113,12 @@
 	return p.Revision, nil
 }
 
-// Remaining returns how long the lock is surely held, by the monotonic clock.
+// Remaining returns how long the lock is surely held, by the lock's clock.
 // It is negative after a pause that outlasted the lease.
 func (h *Held) Remaining() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Until(h.expires)
+	return h.expires - h.lock.now()
 }
 
 // Renew extends the lease. A lease that has lapsed is not renewed: another
@@ -107,7 +127,7 @@
 	if h.Remaining() <= 0 {
 		return &Error{h.lock.Key, "renew", ErrLapsed}
 	}
-	start := time.Now()
+	start := h.lock.now()
 	ttl, err := h.lock.KV.KeepAlive(ctx, h.id)
 	if errors.Is(err, infra.ErrNotFound) {
 		h.drop()
@@ -118,14 +138,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.expires = start.Add(min(ttl, h.lock.TTL))
+	h.expires = start + min(ttl, h.lock.TTL)
 	return nil
 }
 
 func (h *Held) drop() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.expires = time.Time{}
+	h.expires = math.MinInt64 / 2
 }
 
 // Release deletes the key if it is still this holder's.
--- a/member/member.go
+++ b/member/member.go
@@ -20,6 +20,8 @@
 	Ready   State = "ready"
 	Leaving State = "leaving"
 	Gone    State = "gone"
+	// Updating endpoints load weights and take no requests meanwhile.
+	Updating State = "updating"
 )
 
 // Endpoint is an endpoint as the tracker sees it.
@@ -146,6 +148,8 @@
 	switch {
 	case h.State == infra.Leaving || a.leaving:
 		return Leaving
+	case h.State == infra.Updating:
+		return Updating
 	case h.Agent == "" || (known && a.up):
 		return Ready
 	default:
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,259 @@
+// Package mirror keeps a local copy of a key range of the key-value service,
+// with the revision of each key. State never goes back: an older revision of a
+// key never replaces a newer one, whatever order answers arrive in.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/infra"
+)
+
+const (
+	// minBackoff and maxBackoff bound the time between failed reads.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+	// outage is the time without an answer after which removals are deferred:
+	// leases may have lapsed while their owners could not renew them.
+	outage = 700 * time.Millisecond
+	// rejoinTime is how long owners need to write their keys again after an outage.
+	rejoinTime = 2500 * time.Millisecond
+)
+
+// Source is the part of the key-value service that a mirror reads.
+type Source interface {
+	// List returns the pairs under a prefix and a revision from which Poll goes on.
+	List(ctx context.Context, prefix string) ([]infra.Pair, int64, error)
+	// Poll returns the changes after a revision, waiting for the first one up to
+	// wait, and the revision to go on from. It returns infra.ErrCompacted when
+	// the service no longer has them.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]infra.Event, int64, error)
+}
+
+// Mirror is the local copy. Set the exported fields before Run.
+type Mirror struct {
+	Source Source
+	// Prefix is the key range; "" is all keys.
+	Prefix string
+	// Wait bounds one poll without changes.
+	Wait time.Duration
+	// Deferred reports whether a key's removal right after an outage waits until
+	// its owner had time to write it again. Nil defers none.
+	Deferred func(key string) bool
+	// Changed is called after each change, without a lock held.
+	Changed func(ev infra.Event)
+	Log     *zap.Logger
+
+	mu       sync.RWMutex
+	items    map[string]infra.Pair
+	revision int64
+	answered time.Time
+	resumed  time.Time
+	lost     bool
+}
+
+// New returns an empty mirror.
+func New(m Mirror) *Mirror {
+	m.items = map[string]infra.Pair{}
+	return &m
+}
+
+// Get returns a key's pair.
+func (m *Mirror) Get(key string) (infra.Pair, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	p, ok := m.items[key]
+	return p, ok
+}
+
+// Each calls f for each pair, in no order, with a lock held.
+func (m *Mirror) Each(f func(p infra.Pair)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, p := range m.items {
+		f(p)
+	}
+}
+
+// State returns the copy's revision and the time since the service last
+// answered; a negative age means that it never has.
+func (m *Mirror) State() (revision int64, age time.Duration) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.answered.IsZero() {
+		return 0, -1
+	}
+	return m.revision, time.Since(m.answered)
+}
+
+// Run follows the service until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	backoff := minBackoff
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = m.poll(ctx)
+		} else if err = m.list(ctx); err == nil {
+			listed = true
+		}
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, infra.ErrCompacted) {
+			m.Log.Info("store history is gone, reading anew", zap.String("prefix", m.Prefix), zap.Int64("revision", m.revision))
+			listed = false
+			continue
+		}
+		m.failed(err)
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// failed logs the first error after an answer.
+func (m *Mirror) failed(err error) {
+	m.mu.Lock()
+	first := !m.lost
+	m.lost = true
+	rev := m.revision
+	m.mu.Unlock()
+	if first {
+		m.Log.Warn("store lost", zap.String("prefix", m.Prefix), zap.Int64("revision", rev), zap.Error(err))
+	}
+}
+
+// heard notes an answer, and the end of an outage.
+func (m *Mirror) heard() {
+	now := time.Now()
+	m.mu.Lock()
+	gap := now.Sub(m.answered)
+	lost := m.lost
+	if lost && !m.answered.IsZero() && gap > outage {
+		m.resumed = now
+	}
+	m.answered, m.lost = now, false
+	rev := m.revision
+	m.mu.Unlock()
+	if lost {
+		m.Log.Info("store regained", zap.String("prefix", m.Prefix), zap.Int64("revision", rev), zap.Duration("gap", gap))
+	}
+}
+
+func (m *Mirror) list(ctx context.Context) error {
+	pairs, rev, err := m.Source.List(ctx, m.Prefix)
+	if err != nil {
+		return err
+	}
+	m.heard()
+	present := make(map[string]bool, len(pairs))
+	for _, p := range pairs {
+		present[p.Key] = true
+		m.apply(infra.Event{Pair: p})
+	}
+	for _, key := range m.missing(present, rev) {
+		m.apply(infra.Event{Pair: infra.Pair{Key: key, Revision: rev}, Deleted: true})
+	}
+	m.advance(rev)
+	return nil
+}
+
+// missing returns the keys that a list at a revision no longer has.
+func (m *Mirror) missing(present map[string]bool, rev int64) []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []string
+	for key, p := range m.items {
+		if !present[key] && p.Revision <= rev {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+func (m *Mirror) poll(ctx context.Context) error {
+	m.mu.RLock()
+	after := m.revision
+	m.mu.RUnlock()
+	events, rev, err := m.Source.Poll(ctx, m.Prefix, after, m.Wait)
+	if err != nil {
+		return err
+	}
+	m.heard()
+	for _, ev := range events {
+		m.apply(ev)
+	}
+	m.advance(rev)
+	return nil
+}
+
+func (m *Mirror) advance(rev int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision = max(m.revision, rev)
+}
+
+// apply takes a change, unless the copy knows a newer one.
+func (m *Mirror) apply(ev infra.Event) {
+	m.mu.Lock()
+	old, ok := m.items[ev.Key]
+	switch {
+	case ok && old.Revision >= ev.Revision, !ok && ev.Deleted:
+		m.mu.Unlock()
+		return
+	case ev.Deleted && m.deferred(ev.Key):
+		m.mu.Unlock()
+		m.Log.Info("removal deferred after an outage", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision))
+		m.remove(ev)
+		return
+	case ev.Deleted:
+		delete(m.items, ev.Key)
+	default:
+		m.items[ev.Key] = ev.Pair
+	}
+	m.mu.Unlock()
+	m.Changed(ev)
+}
+
+// deferred reports whether a removal waits; the caller holds mu.
+func (m *Mirror) deferred(key string) bool {
+	return m.Deferred != nil && m.Deferred(key) && !m.resumed.IsZero() && time.Since(m.resumed) < rejoinTime
+}
+
+// remove removes a key when its owner's time to write it again is over.
+func (m *Mirror) remove(ev infra.Event) {
+	m.mu.RLock()
+	wait := time.Until(m.resumed.Add(rejoinTime))
+	m.mu.RUnlock()
+	time.AfterFunc(wait, func() {
+		m.mu.Lock()
+		p, ok := m.items[ev.Key]
+		gone := ok && p.Revision < ev.Revision
+		if gone {
+			delete(m.items, ev.Key)
+		}
+		m.mu.Unlock()
+		if gone {
+			m.Changed(ev)
+		}
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/rollout/coordinator.go
@@ -0,0 +1,244 @@
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/lease"
+	"github.com/citrontiller/citrontiller/order"
+)
+
+const (
+	// tick is the time between two looks at what is due.
+	tick = 50 * time.Millisecond
+	// announceDelay is the time for an announcement to reach all processes.
+	announceDelay = 80 * time.Millisecond
+	// loadShare is the share of a model's engines that load at the same time:
+	// one in this many, rounded up.
+	loadShare = 6
+)
+
+// Engine is an engine as the coordinator sees it.
+type Engine struct {
+	ID      string
+	Address string
+	// Weights is the version of its weights.
+	Weights int64
+	// Live is false for engines that leave.
+	Live bool
+	// Running is its number of requests; the least loaded change first.
+	Running int64
+}
+
+// Plan is what the holder announces of a model.
+type Plan struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	// Updating are the engines that load now or are about to.
+	Updating []string `json:"updating"`
+	// Current are the engines that have the version.
+	Current []string `json:"current"`
+}
+
+// PlanPrefix precedes a model's name in the key of its plan.
+const PlanPrefix = "citrontiller/rollout/"
+
+// LockKey is held by the process that gives orders.
+const LockKey = "citrontiller/rollout-lock"
+
+// ParsePlan reads a plan.
+func ParsePlan(value []byte) (Plan, error) {
+	var p Plan
+	if err := json.Unmarshal(value, &p); err != nil {
+		return Plan{}, fmt.Errorf("rollout plan: %w", err)
+	}
+	return p, nil
+}
+
+// Coordinator gives orders while it holds the lock.
+type Coordinator struct {
+	KV      infra.KV
+	Lock    *lease.Lock
+	Engines Engines
+	Targets *Targets
+	// List returns the engines of a model.
+	List func(model string) []Engine
+	// PlanRevision returns the known revision of a key, 0 when it doesn't exist.
+	PlanRevision func(key string) int64
+	// Announced is told of this process's own plans at once.
+	Announced func(p Plan)
+	Strategy  Strategy
+	Log       *zap.Logger
+}
+
+// Run gives orders whenever this process holds the lock, until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	c.Lock.Run(ctx, func(ctx context.Context, h *lease.Held) {
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		t := &term{Coordinator: c, held: h, cancel: cancel, models: map[string]*progress{}}
+		t.run(ctx)
+		t.wg.Wait()
+	})
+}
+
+// term is the time of one holder.
+type term struct {
+	*Coordinator
+	held   *lease.Held
+	cancel context.CancelCauseFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	models map[string]*progress
+}
+
+// progress is the state of a model's rollout.
+type progress struct {
+	version  int64
+	updating map[string]bool
+	done     map[string]int64
+	// published is the text of the last announcement.
+	published string
+	revision  int64
+}
+
+func (t *term) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, want := range t.Targets.All() {
+			t.step(ctx, want)
+		}
+		pause(ctx, tick)
+	}
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+		t.Log.Warn("holder steps down", zap.Int64("fence", t.held.Fence), zap.Error(cause))
+	}
+}
+
+// step starts the updates that are due, and announces what has changed.
+func (t *term) step(ctx context.Context, want catalog.Target) {
+	engines := t.List(want.Model)
+	starting := t.begin(want, engines)
+	t.announce(ctx, want)
+	for _, e := range starting {
+		t.start(ctx, want, e)
+	}
+}
+
+// begin marks the engines to be updated next and returns them.
+func (t *term) begin(want catalog.Target, engines []Engine) []Engine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.models[want.Model]
+	if p == nil {
+		p = &progress{updating: map[string]bool{}, done: map[string]int64{}}
+		t.models[want.Model] = p
+	}
+	p.version = want.Version
+	byID := make(map[string]Engine, len(engines))
+	var states []order.Endpoint
+	for _, e := range engines {
+		byID[e.ID] = e
+		version := max(e.Weights, p.done[e.ID])
+		states = append(states, order.Endpoint{ID: e.ID, State: stateOf(want.Model, min(version, want.Version)),
+			Loading: p.updating[e.ID], Reachable: e.Live, Load: e.Running})
+	}
+	for id := range p.done {
+		if _, ok := byID[id]; !ok {
+			delete(p.done, id)
+		}
+	}
+	slots := (len(engines) + loadShare - 1) / loadShare
+	var out []Engine
+	for _, o := range order.Plan(stateOf(want.Model, want.Version), states, slots) {
+		p.updating[o.Endpoint] = true
+		out = append(out, byID[o.Endpoint])
+	}
+	return out
+}
+
+func stateOf(model string, version int64) order.State {
+	return order.State{Model: model, Version: strconv.FormatInt(version, 10)}
+}
+
+// start updates an engine in the background, once the announcement has spread.
+func (t *term) start(ctx context.Context, want catalog.Target, e Engine) {
+	t.wg.Go(func() {
+		pause(ctx, announceDelay)
+		u := &update{engines: t.Engines, remaining: t.held.Remaining, log: t.Log,
+			order: Order{Endpoint: e.ID, Address: e.Address, Model: want.Model, Version: want.Version, Strategy: t.Strategy, Fence: t.held.Fence}}
+		began := time.Now()
+		err := u.run(ctx)
+		t.Log.Info("engine updated", zap.String("endpoint", e.ID), zap.String("model", want.Model), zap.Int64("version", want.Version),
+			zap.Duration("took", time.Since(began)), zap.Error(err))
+		t.ended(want, e.ID, err)
+	})
+}
+
+func (t *term) ended(want catalog.Target, id string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.models[want.Model]
+	delete(p.updating, id)
+	if err == nil {
+		p.done[id] = max(p.done[id], want.Version)
+	}
+	if errors.Is(err, errStale) {
+		t.cancel(err)
+	}
+}
+
+// announce publishes the plan if it has changed. Without an answer the orders
+// go out unannounced: endpoints refuse for the moment of their load.
+func (t *term) announce(ctx context.Context, want catalog.Target) {
+	plan, text := t.plan(want)
+	p := t.models[want.Model]
+	if text == p.published {
+		return
+	}
+	t.Announced(plan)
+	key := PlanPrefix + want.Model
+	expect := max(p.revision, t.PlanRevision(key))
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rev, err := t.KV.Swap(call, key, expect, []byte(text), 0)
+	if err != nil {
+		t.Log.Warn("plan not announced", zap.String("model", want.Model), zap.Int64("version", want.Version), zap.Error(err))
+		return
+	}
+	p.revision, p.published = rev, text
+}
+
+// plan returns the present plan and its text.
+func (t *term) plan(want catalog.Target) (Plan, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.models[want.Model]
+	out := Plan{Model: want.Model, Version: want.Version, Updating: []string{}, Current: []string{}}
+	for id := range p.updating {
+		out.Updating = append(out.Updating, id)
+	}
+	for id, v := range p.done {
+		if v >= want.Version {
+			out.Current = append(out.Current, id)
+		}
+	}
+	slices.SortFunc(out.Updating, cmp.Compare)
+	slices.SortFunc(out.Current, cmp.Compare)
+	text, err := json.Marshal(out)
+	if err != nil {
+		panic(err) // strings and integers always encode
+	}
+	return out, string(text)
+}
--- /dev/null
+++ b/rollout/targets.go
@@ -0,0 +1,80 @@
+// Package rollout brings engines to the version of weights that the operator
+// names: one process at a time holds a lease, announces which engines are about
+// to load, orders them a few at a time, and follows each until it is done.
+package rollout
+
+import (
+	"sync"
+	"time"
+
+	"github.com/citrontiller/citrontiller/catalog"
+)
+
+const (
+	// preferAfter is the age of a version from which answers made with older
+	// weights are worth less.
+	preferAfter = time.Second
+	// requireMargin is the time before the deadline from which older weights are
+	// no longer used: a request takes a moment to start.
+	requireMargin = 800 * time.Millisecond
+)
+
+// Targets holds the wanted version of each model's weights. It is safe for
+// concurrent use.
+type Targets struct {
+	// Deadline is the age of a version at which older weights must not serve
+	// any more; 0 means never.
+	Deadline time.Duration
+
+	mu     sync.Mutex
+	models map[string]target
+}
+
+type target struct {
+	version int64
+	since   time.Time
+}
+
+// Offer takes a wanted version, and reports whether it is newer than before.
+func (t *Targets) Offer(want catalog.Target, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.models == nil {
+		t.models = map[string]target{}
+	}
+	if t.models[want.Model].version >= want.Version {
+		return false
+	}
+	t.models[want.Model] = target{want.Version, now}
+	return true
+}
+
+// All returns the wanted versions.
+func (t *Targets) All() []catalog.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]catalog.Target, 0, len(t.models))
+	for m, v := range t.models {
+		out = append(out, catalog.Target{Model: m, Version: v.version})
+	}
+	return out
+}
+
+// Version returns the version that a request to a model must have, and the one
+// it should have; 0 means any.
+func (t *Targets) Version(model string, now time.Time) (required, preferred int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v, ok := t.models[model]
+	if !ok {
+		return 0, 0
+	}
+	age := now.Sub(v.since)
+	if age > preferAfter {
+		preferred = v.version
+	}
+	if t.Deadline > 0 && age > t.Deadline-requireMargin {
+		required = v.version
+	}
+	return required, preferred
+}
--- a/route/route.go
+++ b/route/route.go
@@ -15,11 +15,14 @@
 
 // Request is what the choice depends on.
 type Request struct {
-	ID         string
-	Service    string
-	Account    string
-	Model      string
-	Version    string
+	ID      string
+	Service string
+	Account string
+	Model   string
+	Version string
+	// Preferred is the version of weights that answers should be made with;
+	// endpoints with another one cost more.
+	Preferred  string
 	Region     string
 	Idempotent bool
 	// Stream is true when the first token is seen before the whole answer.
