rollout: change the oldest weights first and judge each version by its own deadline

Cause: a version named before the last was everywhere sent engines that had the intermediate one first again, so the oldest passed their deadline; an engine that was down held one of two slots for 15 s. Ruled out: lost orders (all were accepted at once).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -39,6 +39,11 @@
 	Account  string
 	// Salt separates cached prompts; empty for the part shared by all.
 	Salt string
+	// Weights is the version that the receiver's weights must have, 0 for any.
+	Weights int64
+	// Fetch is the address of an endpoint that holds more of the prompt's cached
+	// parts; empty for none.
+	Fetch string
 	// Priority is 0 for the most urgent; negative when the route has none.
 	Priority int
 	// Deadline is the time left for the answer.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -28,6 +29,8 @@
 type choice struct {
 	endpoint route.Endpoint
 	attempt  *route.Attempt
+	// source is where the endpoint fetches cached parts of the prompt from.
+	source route.Source
 }
 
 // choose picks an endpoint and records the dispatch; ok is false without one.
@@ -45,7 +48,13 @@
 	for i := range candidates {
 		if candidates[i].ID == d.Chosen {
 			x.endpoint = d.Chosen
-			return choice{candidates[i], x.g.Tracker.Dispatch(r, &candidates[i], d, now)}, true
+			c := choice{endpoint: candidates[i]}
+			if len(r.Levels) > 0 {
+				home := func(l prefix.Level) string { return prefixcache.Home(l, candidates) }
+				c.source, _ = x.g.Tracker.Source(r, candidates, &candidates[i], home, now)
+			}
+			c.attempt = x.g.Tracker.Dispatch(r, &candidates[i], d, now)
+			return c, true
 		}
 	}
 	return choice{}, false
@@ -59,12 +68,7 @@
 		Idempotent: x.route.Repeatable(), Stream: x.call.Model != "", Levels: x.levels(), Tokens: x.call.PromptTokens,
 		Bytes: int64(len(x.body)), Seed: xxhash.Sum64String(x.call.ID), Exclude: x.excluded,
 		Policy: route.Policy{PriceMsPerMiB: regionPriceMsPerMiB, EjectAfter: ejectAfter, ProbeInterval: probeInterval, BlockLifetime: blockLifetime}}
-	if required, preferred := x.g.Targets.Version(x.call.Model, now); preferred > 0 {
-		r.Preferred = strconv.FormatInt(preferred, 10)
-		if required > 0 {
-			r.Version = strconv.FormatInt(required, 10)
-		}
-	}
+	r.MinWeights, r.PreferredWeights = x.g.Targets.Version(x.call.Model, now)
 	return r
 }
 
@@ -75,12 +79,22 @@
 	return x.account.Name
 }
 
-// salt separates the cached prompts of a dedicated account from all others.
-func (x *exchange) salt() string {
-	if x.account == nil || !x.account.Dedicated || x.call.Model == "" {
+// salt separates the cached prompts of a dedicated account from all others, and
+// those of one version of the weights from those of another.
+func (x *exchange) salt(weights int64) string {
+	if x.call.Model == "" {
+		return ""
+	}
+	return prefix.Scope{Account: x.cacheAccount(), Model: x.call.Model, Version: strconv.FormatInt(weights, 10)}.Salt()
+}
+
+// cacheAccount returns the account whose cached prompts are its own; "" for the
+// accounts that share theirs.
+func (x *exchange) cacheAccount() string {
+	if x.account == nil || !x.account.Dedicated {
 		return ""
 	}
-	return prefix.Scope{Account: x.account.Name, Model: x.call.Model}.Salt()
+	return x.account.Name
 }
 
 // levels returns the prompt's prefixes at the ends of its parts.
@@ -90,7 +104,7 @@
 	}
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(x.call.Model + "/" + x.salt())
+	_, _ = d.WriteString(x.call.Model + "/" + x.cacheAccount())
 	out := make([]prefix.Level, 0, len(x.call.Parts))
 	var tokens int64
 	for _, p := range x.call.Parts[:min(len(x.call.Parts), prefix.MaxLevels)] {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -89,7 +89,7 @@
 	}
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
-	p.mirror = mirror.New(mirror.Mirror{Source: p.store, Wait: set.PollWait, Deferred: deferred, Changed: p.changed, Log: log})
+	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Deferred: deferred, Changed: p.changed, Log: log})
 	p.checks = http.NewServeMux()
 	p.checks.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
 	p.checks.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
@@ -152,7 +152,7 @@
 			Free: p.lockFree, Log: p.log},
 		Engines: &platform.Engines{Client: &http.Client{Transport: newTransport(keptIdle)}, Holder: p.host.Name},
 		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.revision,
-		Announced: p.gateway.Directory.ApplyPlan, Strategy: rollout.Strategy(p.set.RolloutStrategy), Log: p.log,
+		Announced: p.gateway.Directory.ApplyPlan, Strategy: rollout.Strategy(p.set.RolloutStrategy), Share: p.set.RolloutShare, Log: p.log,
 	}
 }
 
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -19,7 +19,8 @@
 	PollWait        time.Duration `arg:"--poll-wait,env:CITRONTILLER_POLL_WAIT" default:"4s" help:"longest wait of one poll of the store for changes"`
 	DrainDelay      time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"time between failing readiness and closing the listener"`
 	LeaseTTL        time.Duration `arg:"--lease-ttl,env:CITRONTILLER_LEASE_TTL" default:"3s" help:"length of the lease of the process that gives engines orders"`
-	RolloutStrategy string        `arg:"--rollout-strategy,env:CITRONTILLER_ROLLOUT_STRATEGY" default:"finish" help:"what happens to running requests when weights change: finish, keep or cut"`
+	RolloutStrategy string        `arg:"--rollout-strategy,env:CITRONTILLER_ROLLOUT_STRATEGY" default:"keep" help:"what happens to running requests when weights change: finish, keep or cut"`
+	RolloutShare    int           `arg:"--rollout-share,env:CITRONTILLER_ROLLOUT_SHARE" default:"6" help:"one in this many engines of a model is updated at the same time"`
 }
 
 // Check returns every setting that is missing or out of range, joined. Each is
@@ -29,6 +30,7 @@
 		process.CheckGiven("--settings", s.File, "the path of the platform's settings file"),
 		process.CheckRange("--poll-wait", s.PollWait, 100*time.Millisecond, 30*time.Second),
 		process.CheckRange("--drain-delay", s.DrainDelay, 0, 10*time.Minute),
+		process.CheckRange("--rollout-share", s.RolloutShare, 1, 1000),
 		process.CheckRange("--lease-ttl", s.LeaseTTL, time.Second, 5*time.Minute),
 	}
 	switch rollout.Strategy(s.RolloutStrategy) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -36,8 +36,8 @@
 	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]infra.Event, int64, error)
 }
 
-// Mirror is the local copy. Set the exported fields before Run.
-type Mirror struct {
+// Options are a mirror's settings.
+type Options struct {
 	Source Source
 	// Prefix is the key range; "" is all keys.
 	Prefix string
@@ -49,6 +49,11 @@
 	// Changed is called after each change, without a lock held.
 	Changed func(ev infra.Event)
 	Log     *zap.Logger
+}
+
+// Mirror is the local copy. It is safe for concurrent use.
+type Mirror struct {
+	Options
 
 	mu       sync.RWMutex
 	items    map[string]infra.Pair
@@ -59,9 +64,8 @@
 }
 
 // New returns an empty mirror.
-func New(m Mirror) *Mirror {
-	m.items = map[string]infra.Pair{}
-	return &m
+func New(o Options) *Mirror {
+	return &Mirror{Options: o, items: map[string]infra.Pair{}}
 }
 
 // Get returns a key's pair.
--- a/order/order.go
+++ b/order/order.go
@@ -32,7 +32,10 @@
 	Loading bool
 	// Reachable is false when the state could not be read lately.
 	Reachable bool
-	// Load is the engine's load in requests; idle engines change first.
+	// Behind is how many versions the engine's weights are behind; those that are
+	// furthest behind change first.
+	Behind int64
+	// Load is the engine's load in requests; idle engines change before others.
 	Load int64
 }
 
@@ -42,7 +45,7 @@
 	State    State
 }
 
-// Plan returns the orders to send now, idle endpoints first. At most slots
+// Plan returns the orders to send now: those furthest behind first, and of these the idle ones. At most slots
 // engines load at the same time; unreachable ones take a slot when they were
 // loading, because they may still load. An engine that is loading gets no order.
 func Plan(want State, endpoints []Endpoint, slots int) []Order {
@@ -56,7 +59,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.Behind, a.Behind), cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
 	})
 	var out []Order
 	for _, e := range due {
--- a/plugins/outdated/outdated.go
+++ b/plugins/outdated/outdated.go
@@ -20,11 +20,8 @@
 
 // Score implements route.Scorer.
 func (Price) Score(r *route.Request, endpoints []route.Endpoint, scores []float64) {
-	if r.Preferred == "" {
-		return
-	}
 	for i := range endpoints {
-		if v := endpoints[i].Load.Version; v != "" && v != r.Preferred {
+		if v := endpoints[i].Load.Weights; v != 0 && v < r.PreferredWeights {
 			scores[i] += outdatedMs
 		}
 	}
--- a/plugins/prefixcache/prefixcache.go
+++ b/plugins/prefixcache/prefixcache.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// Home returns the id of the endpoint that a level prefers, "" without any.
+func Home(l prefix.Level, endpoints []route.Endpoint) string {
+	id, best := "", 0.0
+	for i := range endpoints {
+		if w := weight(l.Hash, &endpoints[i]); w > best {
+			id, best = endpoints[i].ID, w
+		}
+	}
+	return id
+}
+
 // expected is a prior expectation for one endpoint.
 type expected struct {
 	endpoint int
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -22,11 +22,10 @@
 const (
 	// tick is the time between two looks at what is due.
 	tick = 50 * time.Millisecond
+	// retryAfter is the time after which an engine whose update failed is tried again.
+	retryAfter = time.Second
 	// announceDelay is the time for an announcement to reach all processes.
 	announceDelay = 80 * time.Millisecond
-	// loadShare is the share of a model's engines that load at the same time:
-	// one in this many, rounded up.
-	loadShare = 6
 )
 
 // Engine is an engine as the coordinator sees it.
@@ -79,7 +78,10 @@
 	// Announced is told of this process's own plans at once.
 	Announced func(p Plan)
 	Strategy  Strategy
-	Log       *zap.Logger
+	// Share is the part of a model's engines that are updated at the same time:
+	// one in this many, rounded up.
+	Share int
+	Log   *zap.Logger
 }
 
 // Run gives orders whenever this process holds the lock, until ctx ends.
@@ -109,6 +111,8 @@
 	version  int64
 	updating map[string]bool
 	done     map[string]int64
+	// failed is when the last update of an engine failed.
+	failed map[string]time.Time
 	// published is the text of the last announcement.
 	published string
 	revision  int64
@@ -142,7 +146,7 @@
 	defer t.mu.Unlock()
 	p := t.models[want.Model]
 	if p == nil {
-		p = &progress{updating: map[string]bool{}, done: map[string]int64{}}
+		p = &progress{updating: map[string]bool{}, done: map[string]int64{}, failed: map[string]time.Time{}}
 		t.models[want.Model] = p
 	}
 	p.version = want.Version
@@ -152,14 +156,16 @@
 		byID[e.ID] = e
 		version := max(e.Weights, p.done[e.ID])
 		states = append(states, order.Endpoint{ID: e.ID, State: stateOf(want.Model, min(version, want.Version)),
-			Loading: p.updating[e.ID], Reachable: e.Live, Load: e.Running})
+			Loading: p.updating[e.ID], Reachable: e.Live && time.Since(p.failed[e.ID]) > retryAfter,
+			Behind: want.Version - version, Load: e.Running})
 	}
 	for id := range p.done {
 		if _, ok := byID[id]; !ok {
 			delete(p.done, id)
+			delete(p.failed, id)
 		}
 	}
-	slots := (len(engines) + loadShare - 1) / loadShare
+	slots := (len(engines) + t.Share - 1) / t.Share
 	var out []Engine
 	for _, o := range order.Plan(stateOf(want.Model, want.Version), states, slots) {
 		p.updating[o.Endpoint] = true
@@ -193,6 +199,9 @@
 	delete(p.updating, id)
 	if err == nil {
 		p.done[id] = max(p.done[id], want.Version)
+		delete(p.failed, id)
+	} else {
+		p.failed[id] = time.Now()
 	}
 	if errors.Is(err, errStale) {
 		t.cancel(err)
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -27,25 +27,35 @@
 	Deadline time.Duration
 
 	mu     sync.Mutex
-	models map[string]target
+	models map[string][]target
 }
 
+// target is a version with the time at which it was named; a model's targets
+// are in the order of their versions.
 type target struct {
 	version int64
 	since   time.Time
 }
 
+// maxTargets bounds the versions remembered of a model. Of older ones all
+// deadlines have passed.
+const maxTargets = 32
+
 // Offer takes a wanted version, and reports whether it is newer than before.
 func (t *Targets) Offer(want catalog.Target, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.models == nil {
-		t.models = map[string]target{}
+		t.models = map[string][]target{}
 	}
-	if t.models[want.Model].version >= want.Version {
+	known := t.models[want.Model]
+	if len(known) > 0 && known[len(known)-1].version >= want.Version {
 		return false
 	}
-	t.models[want.Model] = target{want.Version, now}
+	if len(known) >= maxTargets {
+		known = known[1:]
+	}
+	t.models[want.Model] = append(known, target{want.Version, now})
 	return true
 }
 
@@ -54,27 +64,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]catalog.Target, 0, len(t.models))
-	for m, v := range t.models {
-		out = append(out, catalog.Target{Model: m, Version: v.version})
+	for m, known := range t.models {
+		out = append(out, catalog.Target{Model: m, Version: known[len(known)-1].version})
 	}
 	return out
 }
 
-// Version returns the version that a request to a model must have, and the one
-// it should have; 0 means any.
+// Version returns the least version that a request to a model may be served
+// with, and the one that it should be served with; 0 means any.
 func (t *Targets) Version(model string, now time.Time) (required, preferred int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v, ok := t.models[model]
-	if !ok {
-		return 0, 0
-	}
-	age := now.Sub(v.since)
-	if age > preferAfter {
-		preferred = v.version
-	}
-	if t.Deadline > 0 && age > t.Deadline-requireMargin {
-		required = v.version
+	for _, v := range t.models[model] {
+		age := now.Sub(v.since)
+		if age > preferAfter {
+			preferred = v.version
+		}
+		if t.Deadline > 0 && age > t.Deadline-requireMargin {
+			required = v.version
+		}
 	}
 	return required, preferred
 }
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -12,9 +12,11 @@
 	// callTimeout bounds a call to an engine.
 	callTimeout = 700 * time.Millisecond
 	// pollInterval is the time between two readings of a loading engine's state.
-	pollInterval = 200 * time.Millisecond
+	pollInterval = 100 * time.Millisecond
 	// reportLag is the age that an engine's state may have.
 	reportLag = 500 * time.Millisecond
+	// maxReads is how often an engine that doesn't answer is asked in a row.
+	maxReads = 3
 	// maxUpdate bounds the work on one engine; after it the engine is planned anew.
 	maxUpdate = 15 * time.Second
 )
@@ -58,20 +60,20 @@
 	}
 }
 
-// state reads the engine's state, trying again until ctx ends.
+// state reads the engine's state, again if it doesn't answer.
 func (u *update) state(ctx context.Context) (State, error) {
-	for {
+	for try := 1; ; try++ {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		st, err := u.engines.State(call, u.order.Endpoint, u.order.Address)
 		cancel()
 		if err == nil {
 			return st, nil
 		}
-		u.log.Info("engine state not read", zap.String("endpoint", u.order.Endpoint), zap.Error(err))
-		pause(ctx, pollInterval)
-		if ctx.Err() != nil {
+		u.log.Info("engine state not read", zap.String("endpoint", u.order.Endpoint), zap.Int("try", try), zap.Error(err))
+		if try == maxReads || ctx.Err() != nil {
 			return State{}, err
 		}
+		pause(ctx, pollInterval)
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -20,11 +20,12 @@
 	Account string
 	Model   string
 	Version string
-	// Preferred is the version of weights that answers should be made with;
-	// endpoints with another one cost more.
-	Preferred  string
-	Region     string
-	Idempotent bool
+	// MinWeights is the least number of weights that may serve the request, and
+	// PreferredWeights the one that should; endpoints with older ones cost more.
+	// 0 means any.
+	MinWeights, PreferredWeights int64
+	Region                       string
+	Idempotent                   bool
 	// Stream is true when the first token is seen before the whole answer.
 	Stream bool
 	Levels []prefix.Level
@@ -63,6 +64,8 @@
 type Load struct {
 	BootID  string
 	Version string
+	// Weights numbers the weights where their versions have an order; else 0.
+	Weights int64
 	Running int64
 	Queued  int64
 	Limit   int64
