gateway: keep serving and ordering while draining; look for the lock every 100 ms

Now short requests are taken until the end, long ones are refused with a time to return, and the lock is released last.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -34,6 +34,9 @@
 		return err
 	}
 	x.until = x.arrived.Add(x.patience())
+	if end := x.g.closing.Load(); end != nil && x.until.After(*end) {
+		return x.noRoom("closing", nil)
+	}
 	x.service = x.route.Service(x.call.ID)
 	return x.readBody(c.Limits.BodyBytes)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,11 +35,21 @@
 	Log     *zap.Logger
 
 	draining atomic.Bool
+	// closing is when the process ends; nil while that is not known.
+	closing atomic.Pointer[time.Time]
+	open    atomic.Int64
 }
 
 // SetDraining makes answers ask callers to close their connections.
 func (g *Gateway) SetDraining() { g.draining.Store(true) }
 
+// SetClosing names the time at which the process ends. Requests that could last
+// longer are refused from now on.
+func (g *Gateway) SetClosing(end time.Time) { g.closing.Store(&end) }
+
+// Open returns the number of requests in progress.
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
 // Draining reports whether the process is about to end.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
@@ -81,8 +91,8 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), excluded: map[string]bool{}}
-	g.Metrics.open.Inc()
-	defer g.Metrics.open.Dec()
+	g.open.Add(1)
+	defer g.open.Add(-1)
 	defer x.finish()
 	if g.Draining() {
 		w.Header().Set("Connection", "close")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,19 +15,18 @@
 	attempts *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	total    *prometheus.HistogramVec
-	open     prometheus.Gauge
 }
 
-// NewMetrics registers the metrics.
-func NewMetrics(reg prometheus.Registerer) *Metrics {
+// NewMetrics registers the metrics. open returns the number of requests in progress.
+func NewMetrics(reg prometheus.Registerer, open func() float64) *Metrics {
 	m := &Metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrontiller_gateway_requests_total", Help: "Requests by kind of route and outcome."}, []string{"kind", "outcome"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrontiller_gateway_attempt_failures_total", Help: "Sends without a usable answer."}, []string{"failure"}),
 		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_first_byte_seconds", Help: "Time from arrival to the answer's first byte.", Buckets: latencyBuckets}, []string{"kind"}),
 		total:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_request_seconds", Help: "Time from arrival to the answer's end.", Buckets: latencyBuckets}, []string{"kind"}),
-		open:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "citrontiller_gateway_open_requests", Help: "Requests in progress."}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.first, m.total, m.open)
+	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_open_requests", Help: "Requests in progress."}, open))
+	reg.MustRegister(m.requests, m.attempts, m.first, m.total)
 	return m
 }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -34,6 +34,8 @@
 	memoryShare = 0.7
 	// shutdownMargin is the time left before SIGKILL when the last requests are cut.
 	shutdownMargin = 700 * time.Millisecond
+	// drainStep is the time between two looks for open requests.
+	drainStep = 20 * time.Millisecond
 	// headerTimeout bounds how long a caller may take to send its headers.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a request's headers; net/http answers 431.
@@ -85,8 +87,9 @@
 		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
 		Scheduler: gateway.NewScheduler(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
 		Recent: newTransport(recentIdle), Kept: newTransport(keptIdle), Region: host.Region,
-		Budget: admit.NewBudget(host.RetryPercent / 2), Metrics: gateway.NewMetrics(reg), Log: log,
+		Budget: admit.NewBudget(host.RetryPercent / 2), Log: log,
 	}
+	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
 	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Deferred: deferred, Changed: p.changed, Log: log})
@@ -117,11 +120,18 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go p.mirror.Run(background)
-	go p.coordinator().Run(ctx)
+	coordinating := make(chan struct{})
+	go func() {
+		p.coordinator().Run(background)
+		close(coordinating)
+	}()
 	go p.serve(checks, &http.Server{Handler: p.checks, ReadHeaderTimeout: headerTimeout})
 	go p.serve(callers, p.server)
 	<-ctx.Done()
-	return p.drain()
+	p.drain()
+	stop()
+	<-coordinating // the lock is released
+	return nil
 }
 
 func (p *gatewayProcess) serve(l net.Listener, s *http.Server) {
@@ -130,18 +140,22 @@
 	}
 }
 
-// drain fails readiness, serves on until the load balancer has noticed, and
-// then waits for open requests.
-func (p *gatewayProcess) drain() error {
+// drain fails readiness and serves on until the load balancer has noticed. Then
+// it takes only requests that end in time, until none is open.
+func (p *gatewayProcess) drain() {
 	started := time.Now()
+	end := started.Add(p.host.Grace - shutdownMargin)
 	p.gateway.SetDraining()
-	p.log.Info("draining", zap.Duration("delay", p.set.DrainDelay))
+	p.log.Info("draining", zap.Duration("delay", p.set.DrainDelay), zap.Int64("open", p.gateway.Open()))
 	time.Sleep(p.set.DrainDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.host.Grace-shutdownMargin))
+	p.gateway.SetClosing(end)
+	for p.gateway.Open() > 0 && time.Now().Before(end) {
+		time.Sleep(drainStep)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := p.server.Shutdown(ctx)
-	p.log.Info("stop", zap.Duration("drained_in", time.Since(started)), zap.Error(err))
-	return nil
+	p.log.Info("stop", zap.Duration("drained_in", time.Since(started)), zap.Int64("open", p.gateway.Open()), zap.Error(err))
 }
 
 // coordinator returns the part that gives engines orders.
@@ -159,7 +173,7 @@
 // lockFree reports whether nobody holds the lock and there is work for a holder.
 func (p *gatewayProcess) lockFree() bool {
 	_, held := p.mirror.Get(rollout.LockKey)
-	return !held && p.gateway.Book.Current() != nil
+	return !held && !p.gateway.Draining() && p.gateway.Book.Current() != nil
 }
 
 func (p *gatewayProcess) revision(key string) int64 {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -176,10 +176,22 @@
 		if !errors.Is(err, ErrHeld) {
 			l.Log.Warn("lock not acquired", zap.String("key", l.Key), zap.Error(err))
 		}
-		sleep(ctx, l.TTL/2)
+		sleep(ctx, l.retry())
 	}
 }
 
+// freeInterval is the time between two looks at the local copy.
+const freeInterval = 100 * time.Millisecond
+
+// retry returns the time between two tries to take the lock. A look at a local
+// copy costs nothing.
+func (l *Lock) retry() time.Duration {
+	if l.Free != nil {
+		return freeInterval
+	}
+	return l.TTL / 2
+}
+
 // releaseTimeout bounds the deletion of the key at shutdown.
 const releaseTimeout = time.Second
 
