--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -54,6 +54,7 @@
 				c.source, _ = x.g.Tracker.Source(r, candidates, &candidates[i], home, now)
 			}
 			c.attempt = x.g.Tracker.Dispatch(r, &candidates[i], d, now)
+			x.g.Dispatched(d.Chosen, r.Levels[:max(0, len(r.Levels)-1)], c.attempt.CostMs())
 			return c, true
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -29,10 +30,12 @@
 	// closed it. Kept carries the others.
 	Recent, Kept http.RoundTripper
 	// Region is this host's.
-	Region  string
-	Budget  *admit.Budget
-	Metrics *Metrics
-	Log     *zap.Logger
+	Region string
+	// Dispatched tells the other processes where a request goes; it never blocks.
+	Dispatched func(endpoint string, levels []prefix.Level, costMs float64)
+	Budget     *admit.Budget
+	Metrics    *Metrics
+	Log        *zap.Logger
 
 	draining atomic.Bool
 	// closing is when the process ends; nil while that is not known.
--- a/internal/gatewayd/follow.go
+++ b/internal/gatewayd/follow.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/rollout"
 )
@@ -20,6 +21,8 @@
 		p.takeTarget(ev.Pair)
 	case strings.HasPrefix(ev.Key, platform.EndpointPrefix):
 		p.takeEndpoint(ev)
+	case strings.HasPrefix(ev.Key, peerPrefix):
+		p.takePeer(ev)
 	case strings.HasPrefix(ev.Key, rollout.PlanPrefix) && !ev.Deleted:
 		p.takePlan(ev.Pair)
 	}
@@ -72,5 +75,20 @@
 	p.gateway.Directory.ApplyPlan(plan)
 }
 
+func (p *gatewayProcess) takePeer(ev infra.Event) {
+	if ev.Deleted {
+		p.peers.Remove(strings.TrimPrefix(ev.Key, peerPrefix))
+		return
+	}
+	r, err := peer.ParseRecord(ev.Value)
+	if err != nil {
+		p.log.Warn("peer record not readable", zap.Int64("revision", ev.Revision), zap.Error(err))
+		return
+	}
+	p.peers.Put(r)
+}
+
 // deferred names the keys whose owners write them again after an outage.
-func deferred(key string) bool { return strings.HasPrefix(key, platform.EndpointPrefix) }
+func deferred(key string) bool {
+	return strings.HasPrefix(key, platform.EndpointPrefix) || strings.HasPrefix(key, peerPrefix)
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -24,6 +24,7 @@
 	"github.com/citrontiller/citrontiller/lease"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/mirror"
+	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
@@ -54,8 +55,11 @@
 	server  *http.Server
 	// checks answers the load balancer and serves metrics.
 	checks *http.ServeMux
-	mirror *mirror.Mirror
-	store  *platform.Store
+	peers  *peer.Set
+	// peerServer answers other gateways.
+	peerServer *peer.Server
+	mirror     *mirror.Mirror
+	store      *platform.Store
 }
 
 // Run serves until SIGTERM and returns after a complete drain. It returns a
@@ -92,7 +96,10 @@
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
-	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Deferred: deferred, Changed: p.changed, Log: log})
+	p.peers = peer.NewSet(p.record(), tracker, log)
+	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
+	p.peerServer = peer.NewServer(p.mirror, log)
+	p.gateway.Dispatched = p.peerServer.Dispatched
 	p.checks = http.NewServeMux()
 	p.checks.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
 	p.checks.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
@@ -117,9 +124,15 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
+	peers, err := net.Listen("tcp", p.host.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go p.mirror.Run(background)
+	go p.register(background)
+	go p.servePeers(background, peers)
 	coordinating := make(chan struct{})
 	go func() {
 		p.coordinator().Run(background)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -46,6 +46,8 @@
 	// Deferred reports whether a key's removal right after an outage waits until
 	// its owner had time to write it again. Nil defers none.
 	Deferred func(key string) bool
+	// Fallback is asked while the service doesn't answer; nil means none.
+	Fallback Fallback
 	// Changed is called after each change, without a lock held.
 	Changed func(ev infra.Event)
 	Log     *zap.Logger
@@ -61,11 +63,17 @@
 	answered time.Time
 	resumed  time.Time
 	lost     bool
+	// removed holds the revisions at which keys were removed lately. Changes up to
+	// floor may be missing in it.
+	removed map[string]int64
+	floor   int64
+	// changed is closed and replaced when the copy changes.
+	changed chan struct{}
 }
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, items: map[string]infra.Pair{}}
+	return &Mirror{Options: o, items: map[string]infra.Pair{}, removed: map[string]int64{}, changed: make(chan struct{})}
 }
 
 // Get returns a key's pair.
@@ -98,6 +106,9 @@
 
 // Run follows the service until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
+	if m.Fallback != nil {
+		go m.borrow(ctx)
+	}
 	backoff := minBackoff
 	listed := false
 	for ctx.Err() == nil {
@@ -160,15 +171,11 @@
 		return err
 	}
 	m.heard()
-	present := make(map[string]bool, len(pairs))
+	events := make([]infra.Event, 0, len(pairs))
 	for _, p := range pairs {
-		present[p.Key] = true
-		m.apply(infra.Event{Pair: p})
-	}
-	for _, key := range m.missing(present, rev) {
-		m.apply(infra.Event{Pair: infra.Pair{Key: key, Revision: rev}, Deleted: true})
+		events = append(events, infra.Event{Pair: p})
 	}
-	m.advance(rev)
+	m.take(events, rev, true)
 	return nil
 }
 
@@ -194,17 +201,22 @@
 		return err
 	}
 	m.heard()
-	for _, ev := range events {
-		m.apply(ev)
-	}
-	m.advance(rev)
+	m.take(events, rev, false)
 	return nil
 }
 
 func (m *Mirror) advance(rev int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.revision = max(m.revision, rev)
+	if rev <= m.revision {
+		return
+	}
+	if m.revision == 0 {
+		m.floor = rev // what was removed before is not known
+	}
+	m.revision = rev
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // apply takes a change, unless the copy knows a newer one.
@@ -221,9 +233,10 @@
 		m.remove(ev)
 		return
 	case ev.Deleted:
-		delete(m.items, ev.Key)
+		m.forget(ev)
 	default:
 		m.items[ev.Key] = ev.Pair
+		delete(m.removed, ev.Key)
 	}
 	m.mu.Unlock()
 	m.Changed(ev)
@@ -244,7 +257,7 @@
 		p, ok := m.items[ev.Key]
 		gone := ok && p.Revision < ev.Revision
 		if gone {
-			delete(m.items, ev.Key)
+			m.forget(ev)
 		}
 		m.mu.Unlock()
 		if gone {
--- /dev/null
+++ b/mirror/share.go
@@ -0,0 +1,99 @@
+package mirror
+
+import (
+	"context"
+	"time"
+
+	"github.com/citrontiller/citrontiller/infra"
+)
+
+// maxRemoved bounds the removals that are remembered for others.
+const maxRemoved = 4096
+
+// forget removes a key; the caller holds mu.
+func (m *Mirror) forget(ev infra.Event) {
+	delete(m.items, ev.Key)
+	if len(m.removed) >= maxRemoved {
+		clear(m.removed)
+		m.floor = m.revision
+	}
+	m.removed[ev.Key] = ev.Revision
+}
+
+// Since returns the changes after a revision, waiting for the first one up to
+// wait. complete is true when events holds every key: the removals since that
+// revision are not all known.
+func (m *Mirror) Since(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool) {
+	m.mu.RLock()
+	revision, changed := m.revision, m.changed
+	m.mu.RUnlock()
+	if revision <= after {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	complete = after <= m.floor
+	for _, p := range m.items {
+		if complete || p.Revision > after {
+			events = append(events, infra.Event{Pair: p})
+		}
+	}
+	if complete {
+		return events, m.revision, m.revision > 0
+	}
+	for key, rev := range m.removed {
+		if rev > after {
+			events = append(events, infra.Event{Pair: infra.Pair{Key: key, Revision: rev}, Deleted: true})
+		}
+	}
+	return events, m.revision, false
+}
+
+// Fallback hands on another process's copy while the service doesn't answer.
+type Fallback interface {
+	// Changes returns the changes after a revision as Since does.
+	Changes(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error)
+}
+
+// fallbackWait bounds one call to the fallback.
+const fallbackWait = time.Second
+
+// borrow takes changes from the fallback while the service is lost, until ctx ends.
+func (m *Mirror) borrow(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mu.RLock()
+		lost, after := m.lost, m.revision
+		m.mu.RUnlock()
+		if !lost {
+			pause(ctx, minBackoff)
+			continue
+		}
+		events, rev, complete, err := m.Fallback.Changes(ctx, after, fallbackWait)
+		if err != nil || rev < after {
+			pause(ctx, maxBackoff/2) // peers may be lost too; the service is still asked
+			continue
+		}
+		m.take(events, rev, complete)
+	}
+}
+
+// take applies changes.
+func (m *Mirror) take(events []infra.Event, rev int64, complete bool) {
+	present := make(map[string]bool, len(events))
+	for _, ev := range events {
+		present[ev.Key] = true
+		m.apply(ev)
+	}
+	if complete {
+		for _, key := range m.missing(present, rev) {
+			m.apply(infra.Event{Pair: infra.Pair{Key: key, Revision: rev}, Deleted: true})
+		}
+	}
+	m.advance(rev)
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+const (
+	// retryInterval is the time between two tries to follow a peer.
+	retryInterval = time.Second
+	// callTimeout is added to the wait of a call for changes.
+	callTimeout = time.Second
+	// maxMessageBytes bounds a message: a configuration may have up to 1 MB.
+	maxMessageBytes = 16 << 20
+)
+
+// ErrNoPeer means that no other gateway is known or answers.
+var ErrNoPeer = errors.New("no peer answers")
+
+// Record is how a gateway announces itself in the store.
+type Record struct {
+	Name string `json:"name"`
+	// Address takes the calls of other gateways.
+	Address string `json:"address"`
+	Region  string `json:"region"`
+}
+
+// ParseRecord reads a gateway's announcement.
+func ParseRecord(value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, fmt.Errorf("peer record: %w", err)
+	}
+	if r.Name == "" || r.Address == "" {
+		return Record{}, errors.New("peer record: name or address is missing")
+	}
+	return r, nil
+}
+
+// Set follows all known gateways. It is safe for concurrent use.
+type Set struct {
+	self    Record
+	tracker *route.Tracker
+	log     *zap.Logger
+
+	mu    sync.Mutex
+	peers map[string]*link
+}
+
+// link is a connection to a peer.
+type link struct {
+	record Record
+	conn   *grpc.ClientConn
+	cancel context.CancelFunc
+}
+
+// NewSet returns a set without peers.
+func NewSet(self Record, tracker *route.Tracker, log *zap.Logger) *Set {
+	return &Set{self: self, tracker: tracker, log: log, peers: map[string]*link{}}
+}
+
+// Put adds a peer, or replaces it when its address has changed.
+func (s *Set) Put(r Record) {
+	if r.Name == s.self.Name {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.peers[r.Name]; old != nil {
+		if old.record == r {
+			return
+		}
+		old.close()
+	}
+	conn, err := grpc.NewClient("passthrough:///"+r.Address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second}, MinConnectTimeout: time.Second}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig())
+	if err != nil {
+		s.log.Warn("peer not usable", zap.String("peer", r.Name), zap.String("address", r.Address), zap.Error(err))
+		delete(s.peers, r.Name)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.peers[r.Name] = &link{record: r, conn: conn, cancel: cancel}
+	s.log.Info("peer", zap.String("peer", r.Name), zap.String("address", r.Address), zap.String("region", r.Region))
+	go s.follow(ctx, r, pb.NewPeerClient(conn))
+}
+
+// Remove forgets a peer.
+func (s *Set) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.peers[name]; l != nil {
+		l.close()
+		delete(s.peers, name)
+		s.log.Info("peer gone", zap.String("peer", name))
+	}
+}
+
+// Size returns the number of known peers.
+func (s *Set) Size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers)
+}
+
+func (l *link) close() {
+	l.cancel()
+	_ = l.conn.Close() // fails only when it is closed already
+}
+
+// follow takes a peer's batches until ctx ends.
+func (s *Set) follow(ctx context.Context, r Record, client pb.PeerClient) {
+	for ctx.Err() == nil {
+		err := s.receive(ctx, client)
+		if ctx.Err() == nil {
+			s.log.Info("peer lost", zap.String("peer", r.Name), zap.Error(err))
+		}
+		pause(ctx, retryInterval)
+	}
+}
+
+func (s *Set) receive(ctx context.Context, client pb.PeerClient) error {
+	stream, err := client.Follow(ctx, &pb.FollowRequest{Follower: s.self.Name}, grpc.WaitForReady(true))
+	if err != nil {
+		return err
+	}
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		tell(s.tracker, b, time.Now())
+	}
+}
+
+// clients returns the peers in random order, those of the own region first:
+// traffic between regions is paid.
+func (s *Set) clients() []pb.PeerClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var near, far []pb.PeerClient
+	for _, l := range s.peers {
+		if l.record.Region == s.self.Region {
+			near = append(near, pb.NewPeerClient(l.conn))
+		} else {
+			far = append(far, pb.NewPeerClient(l.conn))
+		}
+	}
+	for _, list := range [][]pb.PeerClient{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(near, far...)
+}
+
+// Changes asks peers for the changes of the store after a revision. It returns
+// ErrNoPeer when none answers.
+func (s *Set) Changes(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error) {
+	err = ErrNoPeer
+	for _, c := range s.clients() {
+		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		reply, cerr := c.Changes(call, &pb.ChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+		cancel()
+		if cerr != nil {
+			err = fmt.Errorf("%w: %w", ErrNoPeer, cerr)
+			continue
+		}
+		for _, ch := range reply.Changes {
+			events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: ch.Revision}, Deleted: ch.Deleted})
+		}
+		return events, reply.Revision, reply.Complete, nil
+	}
+	return nil, 0, false, err
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,130 @@
+// Package peer connects gateways with each other. Each tells the others where it
+// sends requests, so that all know what the endpoints hold and how busy they
+// are; and each hands on its copy of the store to a process that the store turns
+// away. All of it is soft state: without peers a gateway knows less, but serves.
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+const (
+	// minInterval is the time between two batches, and perFollower what each
+	// follower adds to it, so that a large fleet sends fewer messages.
+	minInterval = 30 * time.Millisecond
+	perFollower = 5 * time.Millisecond
+	// pingInterval and pingTimeout find connections that have gone silent.
+	pingInterval = 2 * time.Second
+	pingTimeout  = time.Second
+	// maxChangesWait bounds the wait for a change of the store.
+	maxChangesWait = 5 * time.Second
+)
+
+// Copy is a local copy of the store.
+type Copy interface {
+	// Since returns the changes after a revision, waiting for the first one up to
+	// wait. complete is true when events holds every key.
+	Since(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool)
+}
+
+// Server answers the other gateways.
+type Server struct {
+	pb.UnimplementedPeerServer
+	copy Copy
+	out  *outbox
+	log  *zap.Logger
+}
+
+// NewServer returns a server that hands on a copy of the store.
+func NewServer(c Copy, log *zap.Logger) *Server { return &Server{copy: c, out: newOutbox(), log: log} }
+
+// Dispatched tells the followers that a request goes to an endpoint. It never blocks.
+func (s *Server) Dispatched(endpoint string, levels []prefix.Level, costMs float64) {
+	d := &pb.Dispatch{Endpoint: endpoint, CostUs: uint32(max(0, costMs) * 1000)}
+	for _, l := range levels {
+		d.Levels = append(d.Levels, l.Hash)
+		d.Tokens = append(d.Tokens, uint32(l.Tokens))
+	}
+	s.out.add(d)
+}
+
+// Serve answers on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	g := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}))
+	pb.RegisterPeerServer(g, s)
+	go s.flush(ctx)
+	go func() {
+		<-ctx.Done()
+		g.Stop()
+	}()
+	return g.Serve(l)
+}
+
+// flush sends batches until ctx ends.
+func (s *Server) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, minInterval+time.Duration(s.out.size())*perFollower)
+		s.out.flush()
+	}
+}
+
+// Follow implements pb.PeerServer.
+func (s *Server) Follow(r *pb.FollowRequest, stream grpc.ServerStreamingServer[pb.Batch]) error {
+	batches, leave := s.out.join()
+	defer leave()
+	s.log.Info("follower joined", zap.String("peer", r.Follower))
+	defer s.log.Info("follower left", zap.String("peer", r.Follower))
+	for {
+		select {
+		case b := <-batches:
+			if err := stream.Send(b); err != nil {
+				return err
+			}
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+// Changes implements pb.PeerServer.
+func (s *Server) Changes(ctx context.Context, r *pb.ChangesRequest) (*pb.ChangesReply, error) {
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxChangesWait)
+	events, revision, complete := s.copy.Since(ctx, r.After, wait)
+	reply := &pb.ChangesReply{Revision: revision, Complete: complete}
+	for _, ev := range events {
+		reply.Changes = append(reply.Changes, &pb.Change{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Deleted: ev.Deleted})
+	}
+	return reply, nil
+}
+
+// tell passes a batch to the tracker.
+func tell(t *route.Tracker, b *pb.Batch, now time.Time) {
+	for _, d := range b.Dispatches {
+		levels := make([]prefix.Level, 0, len(d.Levels))
+		for i, hash := range d.Levels[:min(len(d.Levels), len(d.Tokens))] {
+			levels = append(levels, prefix.Level{Hash: hash, Tokens: int64(d.Tokens[i])})
+		}
+		t.DispatchedElsewhere(d.Endpoint, levels, float64(d.CostUs)/1000, now)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -48,6 +48,8 @@
 	version  any
 	pending  []*Attempt
 	inFlight int64
+	// elsewhere are the latest dispatches of other processes.
+	elsewhere []work
 
 	residual   float64
 	residualAt time.Time
@@ -231,7 +233,8 @@
 // since, plus the own requests that the report can't include; and all own
 // requests without a first token, because a zero report means unknown.
 func (s *endpointState) wait(now time.Time) float64 {
-	if len(s.pending) == 0 && s.load.Wait == 0 {
+	s.elsewhere = current(s.elsewhere, now)
+	if len(s.pending) == 0 && len(s.elsewhere) == 0 && s.load.Wait == 0 {
 		return 0
 	}
 	reported := max(0, ms(s.load.Wait)-ms(now.Sub(s.reported)))
@@ -240,9 +243,16 @@
 		if !a.request.Stream && ms(now.Sub(a.start)) > a.predicted {
 			continue // its first token isn't seen; prefill should be over
 		}
-		own.add(a)
+		w := work{a.start, a.costMs}
+		own.add(w)
 		if a.accepted.IsZero() || a.accepted.After(s.reported) {
-			unreported.add(a)
+			unreported.add(w)
+		}
+	}
+	for _, w := range s.elsewhere {
+		own.add(w)
+		if w.start.After(s.reported) {
+			unreported.add(w)
 		}
 	}
 	return max(reported+unreported.rest(now), own.rest(now))
@@ -254,11 +264,44 @@
 	oldest time.Time
 }
 
-func (q *queued) add(a *Attempt) {
-	if q.total == 0 {
-		q.oldest = a.start
+func (q *queued) add(w work) {
+	if q.total == 0 || w.start.Before(q.oldest) {
+		q.oldest = w.start
+	}
+	q.total += w.costMs
+}
+
+// work is prefill work sent to an endpoint.
+type work struct {
+	start  time.Time
+	costMs float64
+}
+
+// elsewhereAge is how long another process's dispatch counts as waiting work;
+// its end isn't reported.
+const elsewhereAge = 400 * time.Millisecond
+
+// current returns the work that is recent enough to count.
+func current(list []work, now time.Time) []work {
+	i := 0
+	for i < len(list) && now.Sub(list[i].start) > max(elsewhereAge, time.Duration(list[i].costMs*float64(time.Millisecond))) {
+		i++
+	}
+	return list[i:]
+}
+
+// DispatchedElsewhere records that another process has sent a request to an
+// endpoint, with the prompt's shared levels and the expected time to compute the
+// rest in milliseconds. An endpoint that isn't known here is ignored.
+func (t *Tracker) DispatchedElsewhere(id string, levels []prefix.Level, costMs float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.endpoints[id]
+	if s == nil {
+		return
 	}
-	q.total += a.costMs
+	s.elsewhere = append(current(s.elsewhere, now), work{now, costMs})
+	t.placement.add(levels, s, now)
 }
 
 // rest is the work left, as prefill has gone on since the oldest was sent.
@@ -361,6 +404,9 @@
 	return out
 }
 
+// CostMs returns the expected time to compute the prompt, in milliseconds.
+func (a *Attempt) CostMs() float64 { return a.costMs }
+
 // Accepted records the agent's acceptance. cached is its view of the cached
 // tokens, 0 when unknown.
 func (a *Attempt) Accepted(cached int64, now time.Time) {
