admit: refuse at the crest of a swing what could not be in time

The predicted time to the first token decides; urgent requests are refused last. Ruled out: placement alone (busiest/mean 1.08).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -236,7 +236,7 @@
 		if c, ok := x.choose(); ok {
 			return c, true
 		}
-		if x.ctx.Err() != nil || time.Now().After(until) {
+		if x.overload > 0 || x.ctx.Err() != nil || time.Now().After(until) {
 			return choice{}, false
 		}
 		time.Sleep(awaitStep)
@@ -252,6 +252,9 @@
 		if x.maybeRun {
 			return &Refusal{Status: http.StatusBadGateway, Outcome: "failed", Err: err}
 		}
+		if x.overload > 0 {
+			return x.overloaded()
+		}
 		return x.noRoom("no_room", err)
 	case x.r.Context().Err() != nil:
 		return &Refusal{Status: http.StatusBadGateway, Outcome: "caller_left", Err: err}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -45,6 +45,9 @@
 		x.g.Log.Info("route", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("chosen", d.Chosen),
 			zap.String("reason", d.Reason), zap.Int("total", d.Total), zap.Stringer("candidates", d))
 	}
+	if x.late(d) {
+		return choice{}, false
+	}
 	for i := range candidates {
 		if candidates[i].ID == d.Chosen {
 			x.endpoint = d.Chosen
@@ -61,6 +64,20 @@
 	return choice{}, false
 }
 
+// late reports whether the request is refused because its answer would come
+// too late; one that has been sent already goes on.
+func (x *exchange) late(d route.Decision) bool {
+	if d.Chosen == "" || x.call.Model == "" || x.sends > 0 {
+		return false
+	}
+	x.overload = time.Duration(d.Score * float64(time.Millisecond))
+	if x.g.Crest.Takes(x.route.Priority, x.overload, x.route.Target) {
+		x.overload = 0
+		return false
+	}
+	return true
+}
+
 // unreported stands for endpoints that have not been reported.
 func unreported(member.Endpoint) route.Report { return route.Report{} }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,8 +34,10 @@
 	// Dispatched tells the other processes where a request goes; it never blocks.
 	Dispatched func(endpoint string, levels []prefix.Level, costMs float64)
 	Budget     *admit.Budget
-	Metrics    *Metrics
-	Log        *zap.Logger
+	// Crest decides which requests are taken when endpoints are overloaded.
+	Crest   admit.Crest
+	Metrics *Metrics
+	Log     *zap.Logger
 
 	draining atomic.Bool
 	// closing is when the process ends; nil while that is not known.
@@ -82,7 +84,10 @@
 	// maybeRun is true once an endpoint may have run the request.
 	maybeRun bool
 	// sends counts the endpoints that the request was sent to.
-	sends    int
+	sends int
+	// overload is the expected time to the first token that was too long, 0 when
+	// it was not.
+	overload time.Duration
 	endpoint string
 	reason   string
 	score    float64
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -18,6 +18,8 @@
 	// room; the spread keeps them from returning together.
 	minRetry = 60 * time.Millisecond
 	maxRetry = 400 * time.Millisecond
+	// maxOverloadRetry bounds the wait for an overload to pass.
+	maxOverloadRetry = 3 * time.Second
 )
 
 // Refusal is a request that the gateway answers itself.
@@ -47,6 +49,14 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Outcome: outcome, RetryAfter: minRetry + spread, Err: err}
 }
 
+// overloaded refuses a request whose answer would come too late. The caller
+// returns when the present queue is expected to be gone.
+func (x *exchange) overloaded() *Refusal {
+	r := x.noRoom("overload", nil)
+	r.RetryAfter += min(maxOverloadRetry, x.overload)
+	return r
+}
+
 // refuse answers with an error. Nothing has been sent to the caller yet.
 func (x *exchange) refuse(err error) {
 	var r *Refusal
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -91,6 +91,7 @@
 		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
 		Scheduler: gateway.NewScheduler(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
 		Recent: newTransport(recentIdle), Kept: newTransport(keptIdle), Region: host.Region,
+		Crest:  admit.Crest{Urgent: set.CrestUrgent, Other: set.CrestOther},
 		Budget: admit.NewBudget(host.RetryPercent / 2), Log: log,
 	}
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
