gateway: learn how fast the engines of a service compute prompts

Cause: a fixed 120,000 tokens a second predicted first tokens far too early at Asante-Boakye (its engines read 82 tokens a ms, less while they decode), so that requests went to full engines and the crest check let too many pass.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// basePrefillPerSecond is the prompt speed assumed of an engine at its usual pace.
-	basePrefillPerSecond = 120_000
 	// queuedMs is the wait assumed for each request in an engine's queue.
 	queuedMs = 25
 )
@@ -33,6 +31,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*record
+	paces     paces
 	updating  map[string]bool
 	reports   uint64
 }
@@ -110,6 +109,11 @@
 	d.report(r)
 }
 
+// ObservePace takes the time to the first token of a request to a service.
+func (d *Directory) ObservePace(service string, tokens, waitMs float64, first time.Duration) {
+	d.paces.observe(service, tokens, waitMs, first)
+}
+
 // Endpoints returns the endpoints of a service with the version of their weights.
 func (d *Directory) Endpoints(service string) map[string]catalog.Endpoint {
 	d.mu.Lock()
@@ -153,7 +157,7 @@
 		Weights: r.version,
 		Running: r.load.Running, Queued: r.load.Queued, Limit: limit,
 		Wait:             time.Duration(float64(r.load.Queued) * queuedMs * slow * float64(time.Millisecond)),
-		PrefillPerSecond: basePrefillPerSecond / slow,
+		PrefillPerSecond: d.paces.rate(r.Service) / slow,
 	}
 	d.tracker.Report(r.ID, route.Report{Key: d.reports, Load: l}, time.Now())
 }
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -20,8 +20,8 @@
 	DrainDelay      time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"time between failing readiness and closing the listener"`
 	LeaseTTL        time.Duration `arg:"--lease-ttl,env:CITRONTILLER_LEASE_TTL" default:"3s" help:"length of the lease of the process that gives engines orders"`
 	RolloutStrategy string        `arg:"--rollout-strategy,env:CITRONTILLER_ROLLOUT_STRATEGY" default:"keep" help:"what happens to running requests when weights change: finish, keep or cut"`
-	CrestUrgent     float64       `arg:"--crest-urgent,env:CITRONTILLER_CREST_URGENT" default:"1.6" help:"expected time to the first token from which requests of priority 0 are refused, in shares of their target"`
-	CrestOther      float64       `arg:"--crest-other,env:CITRONTILLER_CREST_OTHER" default:"1.1" help:"the same for all other requests"`
+	CrestUrgent     float64       `arg:"--crest-urgent,env:CITRONTILLER_CREST_URGENT" default:"2.5" help:"expected time to the first token from which requests of priority 0 are refused, in shares of their target"`
+	CrestOther      float64       `arg:"--crest-other,env:CITRONTILLER_CREST_OTHER" default:"1.5" help:"the same for all other requests"`
 	RolloutShare    int           `arg:"--rollout-share,env:CITRONTILLER_ROLLOUT_SHARE" default:"6" help:"one in this many engines of a model is updated at the same time"`
 }
 
