--- a/internal/gatewayd/follow.go
+++ b/internal/gatewayd/follow.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
@@ -72,6 +73,7 @@
 		p.log.Warn("plan not readable", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
+	p.gateway.Targets.Backdate(catalog.Target{Model: plan.Model, Version: plan.Version}, time.UnixMilli(plan.NamedMs))
 	p.gateway.Directory.ApplyPlan(plan)
 }
 
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -24,6 +24,10 @@
 	tick = 50 * time.Millisecond
 	// retryAfter is the time after which an engine whose update failed is tried again.
 	retryAfter = time.Second
+	// overlap is the time before the expected end of a load at which the next
+	// engine is prepared: an announcement, a reading of its state, and the delay
+	// after which the end shows.
+	overlap = 400 * time.Millisecond
 	// announceDelay is the time for an announcement to reach all processes.
 	announceDelay = 80 * time.Millisecond
 )
@@ -46,6 +50,8 @@
 	Version int64  `json:"version"`
 	// Updating are the engines that load now or are about to.
 	Updating []string `json:"updating"`
+	// NamedMs is when the version was named, in Unix milliseconds.
+	NamedMs int64 `json:"named_ms"`
 	// Current are the engines that have the version.
 	Current []string `json:"current"`
 }
@@ -113,6 +119,10 @@
 	done     map[string]int64
 	// failed is when the last update of an engine failed.
 	failed map[string]time.Time
+	// accepted is when an engine that is being updated took its order.
+	accepted map[string]time.Time
+	// loadTime is the time from an order to its end lately, 0 when unknown.
+	loadTime time.Duration
 	// published is the text of the last announcement.
 	published string
 	revision  int64
@@ -146,7 +156,7 @@
 	defer t.mu.Unlock()
 	p := t.models[want.Model]
 	if p == nil {
-		p = &progress{updating: map[string]bool{}, done: map[string]int64{}, failed: map[string]time.Time{}}
+		p = &progress{updating: map[string]bool{}, done: map[string]int64{}, failed: map[string]time.Time{}, accepted: map[string]time.Time{}}
 		t.models[want.Model] = p
 	}
 	p.version = want.Version
@@ -156,7 +166,7 @@
 		byID[e.ID] = e
 		version := max(e.Weights, p.done[e.ID])
 		states = append(states, order.Endpoint{ID: e.ID, State: stateOf(want.Model, min(version, want.Version)),
-			Loading: p.updating[e.ID], Reachable: e.Live && time.Since(p.failed[e.ID]) > retryAfter,
+			Loading: p.loading(e.ID), Reachable: e.Live && !p.updating[e.ID] && time.Since(p.failed[e.ID]) > retryAfter,
 			Behind: want.Version - version, Load: e.Running})
 	}
 	for id := range p.done {
@@ -174,6 +184,16 @@
 	return out
 }
 
+// loading reports whether an engine takes a slot. One that is about to end
+// does not, so that the next can get ready meanwhile.
+func (p *progress) loading(id string) bool {
+	if !p.updating[id] {
+		return false
+	}
+	accepted, ok := p.accepted[id]
+	return !ok || p.loadTime == 0 || time.Since(accepted) < p.loadTime-overlap
+}
+
 func stateOf(model string, version int64) order.State {
 	return order.State{Model: model, Version: strconv.FormatInt(version, 10)}
 }
@@ -182,7 +202,7 @@
 func (t *term) start(ctx context.Context, want catalog.Target, e Engine) {
 	t.wg.Go(func() {
 		pause(ctx, announceDelay)
-		u := &update{engines: t.Engines, remaining: t.held.Remaining, log: t.Log,
+		u := &update{engines: t.Engines, remaining: t.held.Remaining, log: t.Log, accepted: func() { t.accepted(want.Model, e.ID) },
 			order: Order{Endpoint: e.ID, Address: e.Address, Model: want.Model, Version: want.Version, Strategy: t.Strategy, Fence: t.held.Fence}}
 		began := time.Now()
 		err := u.run(ctx)
@@ -192,11 +212,23 @@
 	})
 }
 
+// accepted notes that an engine has taken its order.
+func (t *term) accepted(model, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.models[model].accepted[id] = time.Now()
+}
+
 func (t *term) ended(want catalog.Target, id string, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.models[want.Model]
 	delete(p.updating, id)
+	accepted, ok := p.accepted[id]
+	delete(p.accepted, id)
+	if err == nil && ok {
+		p.loadTime = time.Since(accepted)
+	}
 	if err == nil {
 		p.done[id] = max(p.done[id], want.Version)
 		delete(p.failed, id)
@@ -234,7 +266,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.models[want.Model]
-	out := Plan{Model: want.Model, Version: want.Version, Updating: []string{}, Current: []string{}}
+	out := Plan{Model: want.Model, Version: want.Version, Updating: []string{}, Current: []string{},
+		NamedMs: t.Targets.Named(want).UnixMilli()}
 	for id := range p.updating {
 		out.Updating = append(out.Updating, id)
 	}
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -59,6 +59,31 @@
 	return true
 }
 
+// Backdate takes from another source when a version was named, for a process
+// that has started since. A later time than the known one is ignored.
+func (t *Targets) Backdate(want catalog.Target, named time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.models[want.Model]
+	for i := range known {
+		if known[i].version == want.Version && named.Before(known[i].since) {
+			known[i].since = named
+		}
+	}
+}
+
+// Named returns when a version was named, as far as this process knows.
+func (t *Targets) Named(want catalog.Target) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, v := range t.models[want.Model] {
+		if v.version == want.Version {
+			return v.since
+		}
+	}
+	return time.Time{}
+}
+
 // All returns the wanted versions.
 func (t *Targets) All() []catalog.Target {
 	t.mu.Lock()
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -31,10 +31,11 @@
 type update struct {
 	engines  Engines
 	order    Order
-	strategy Strategy
 	// remaining is how long the lease is surely held.
 	remaining func() time.Duration
-	log       *zap.Logger
+	// accepted is told when the engine has taken the order.
+	accepted func()
+	log      *zap.Logger
 }
 
 // run sends the order, again if it was lost, until the engine has the version.
@@ -92,6 +93,9 @@
 	if reply == Stale {
 		return false, errStale
 	}
+	if reply == Accepted {
+		u.accepted()
+	}
 	return reply == Current, nil // an order without an answer shows in the state
 }
 
