--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -33,7 +33,9 @@
 	endpoints map[string]*record
 	paces     paces
 	updating  map[string]bool
-	reports   uint64
+	// expiry ends the announcement in updating.
+	expiry  *time.Timer
+	reports uint64
 }
 
 // record is an endpoint's list entry with what its answers have shown since.
@@ -78,11 +80,24 @@
 	d.publish()
 }
 
+// updatingTTL is how long an announcement that endpoints load weights holds. The
+// process that gives the orders repeats it; when it dies, they get requests again.
+const updatingTTL = 2 * time.Second
+
 // SetUpdating names the endpoints that are about to load weights or do so;
-// they get no new requests.
+// they get no new requests until the next call or updatingTTL has passed.
 func (d *Directory) SetUpdating(ids map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.expiry != nil {
+		d.expiry.Stop()
+	}
+	if len(ids) > 0 {
+		d.expiry = time.AfterFunc(updatingTTL, func() {
+			d.log.Info("announcement of loading endpoints has expired", zap.Int("endpoints", len(ids)))
+			d.SetUpdating(nil)
+		})
+	}
 	if !maps.Equal(ids, d.updating) {
 		d.updating = maps.Clone(ids)
 		d.publish()
--- a/internal/gatewayd/follow.go
+++ b/internal/gatewayd/follow.go
@@ -73,6 +73,11 @@
 		p.log.Warn("plan not readable", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
+	p.applyPlan(plan)
+}
+
+// applyPlan takes another process's plan.
+func (p *gatewayProcess) applyPlan(plan rollout.Plan) {
 	p.gateway.Targets.Backdate(catalog.Target{Model: plan.Model, Version: plan.Version}, time.UnixMilli(plan.NamedMs))
 	p.gateway.Directory.ApplyPlan(plan)
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -97,7 +97,7 @@
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
-	p.peers = peer.NewSet(p.record(), tracker, log)
+	p.peers = peer.NewSet(p.record(), tracker, p.applyPlan, log)
 	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
 	p.peerServer = peer.NewServer(p.mirror, log)
 	p.gateway.Dispatched = p.peerServer.Dispatched
@@ -180,10 +180,16 @@
 			Free: p.lockFree, Log: p.log},
 		Engines: &platform.Engines{Client: &http.Client{Transport: newTransport(keptIdle)}, Holder: p.host.Name},
 		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.revision,
-		Announced: p.gateway.Directory.ApplyPlan, Strategy: rollout.Strategy(p.set.RolloutStrategy), Share: p.set.RolloutShare, Log: p.log,
+		Announced: p.announcePlan, Strategy: rollout.Strategy(p.set.RolloutStrategy), Share: p.set.RolloutShare, Log: p.log,
 	}
 }
 
+// announcePlan applies this process's own plan and tells the others.
+func (p *gatewayProcess) announcePlan(plan rollout.Plan) {
+	p.gateway.Directory.ApplyPlan(plan)
+	p.peerServer.Announce(plan)
+}
+
 // lockFree reports whether nobody holds the lock and there is work for a holder.
 func (p *gatewayProcess) lockFree() bool {
 	_, held := p.mirror.Get(rollout.LockKey)
--- a/peer/client.go
+++ b/peer/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -56,6 +57,8 @@
 type Set struct {
 	self    Record
 	tracker *route.Tracker
+	// planned is told of the rollout plans of others.
+	planned func(p rollout.Plan)
 	log     *zap.Logger
 
 	mu    sync.Mutex
@@ -69,9 +72,10 @@
 	cancel context.CancelFunc
 }
 
-// NewSet returns a set without peers.
-func NewSet(self Record, tracker *route.Tracker, log *zap.Logger) *Set {
-	return &Set{self: self, tracker: tracker, log: log, peers: map[string]*link{}}
+// NewSet returns a set without peers. Dispatches of others go to tracker, their
+// rollout plans to planned.
+func NewSet(self Record, tracker *route.Tracker, planned func(p rollout.Plan), log *zap.Logger) *Set {
+	return &Set{self: self, tracker: tracker, planned: planned, log: log, peers: map[string]*link{}}
 }
 
 // Put adds a peer, or replaces it when its address has changed.
@@ -146,7 +150,7 @@
 		if err != nil {
 			return err
 		}
-		tell(s.tracker, b, time.Now())
+		s.tell(b, time.Now())
 	}
 }
 
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -42,6 +42,18 @@
 	}
 	b := &pb.Batch{Dispatches: o.waiting}
 	o.waiting = nil
+	o.deliver(b)
+}
+
+// send sends a batch at once.
+func (o *outbox) send(b *pb.Batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.deliver(b)
+}
+
+// deliver hands a batch to all followers; the caller holds mu.
+func (o *outbox) deliver(b *pb.Batch) {
 	for f := range o.followers {
 		select {
 		case f <- b:
--- a/peer/server.go
+++ b/peer/server.go
@@ -16,7 +16,7 @@
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/prefix"
-	"github.com/citrontiller/citrontiller/route"
+	"github.com/citrontiller/citrontiller/rollout"
 )
 
 const (
@@ -59,6 +59,11 @@
 	s.out.add(d)
 }
 
+// Announce tells the followers which engines load weights. It never blocks.
+func (s *Server) Announce(p rollout.Plan) {
+	s.out.send(&pb.Batch{Plan: &pb.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs}})
+}
+
 // Serve answers on l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	g := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
@@ -109,14 +114,17 @@
 	return reply, nil
 }
 
-// tell passes a batch to the tracker.
-func tell(t *route.Tracker, b *pb.Batch, now time.Time) {
+// tell passes a batch on.
+func (s *Set) tell(b *pb.Batch, now time.Time) {
+	if p := b.Plan; p != nil {
+		s.planned(rollout.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs})
+	}
 	for _, d := range b.Dispatches {
 		levels := make([]prefix.Level, 0, len(d.Levels))
 		for i, hash := range d.Levels[:min(len(d.Levels), len(d.Tokens))] {
 			levels = append(levels, prefix.Level{Hash: hash, Tokens: int64(d.Tokens[i])})
 		}
-		t.DispatchedElsewhere(d.Endpoint, levels, float64(d.CostUs)/1000, now)
+		s.tracker.DispatchedElsewhere(d.Endpoint, levels, float64(d.CostUs)/1000, now)
 	}
 }
 
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -24,6 +24,8 @@
 	tick = 50 * time.Millisecond
 	// retryAfter is the time after which an engine whose update failed is tried again.
 	retryAfter = time.Second
+	// announceInterval is the time after which a plan is announced again.
+	announceInterval = 500 * time.Millisecond
 	// overlap is the time before the expected end of a load at which the next
 	// engine is prepared: an announcement, a reading of its state, and the delay
 	// after which the end shows.
@@ -123,9 +125,12 @@
 	accepted map[string]time.Time
 	// loadTime is the time from an order to its end lately, 0 when unknown.
 	loadTime time.Duration
-	// published is the text of the last announcement.
-	published string
-	revision  int64
+	// announced is the text of the last announcement.
+	announced   string
+	announcedAt time.Time
+	// stored is the version of the plan in the store, and revision its key's.
+	stored   int64
+	revision int64
 }
 
 func (t *term) run(ctx context.Context) {
@@ -240,29 +245,42 @@
 	}
 }
 
-// announce publishes the plan if it has changed. Without an answer the orders
-// go out unannounced: endpoints refuse for the moment of their load.
+// announce tells the other processes of the plan, when it changes and from time
+// to time while engines load. The first plan of a version is kept in the store.
 func (t *term) announce(ctx context.Context, want catalog.Target) {
-	plan, text := t.plan(want)
+	plan := t.plan(want)
 	p := t.models[want.Model]
-	if text == p.published {
-		return
+	text := fmt.Sprint(plan)
+	if text != p.announced || len(plan.Updating) > 0 && time.Since(p.announcedAt) > announceInterval {
+		p.announced, p.announcedAt = text, time.Now()
+		t.Announced(plan)
+	}
+	if p.stored != want.Version {
+		t.store(ctx, plan, p)
+	}
+}
+
+// store writes a plan to the store, for processes that start later.
+func (t *term) store(ctx context.Context, plan Plan, p *progress) {
+	key := PlanPrefix + plan.Model
+	plan.Updating, plan.Current = nil, nil // only current while the holder announces them
+	text, err := json.Marshal(plan)
+	if err != nil {
+		panic(err) // strings and integers always encode
 	}
-	t.Announced(plan)
-	key := PlanPrefix + want.Model
 	expect := max(p.revision, t.PlanRevision(key))
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rev, err := t.KV.Swap(call, key, expect, []byte(text), 0)
+	rev, err := t.KV.Swap(call, key, expect, text, 0)
 	if err != nil {
-		t.Log.Warn("plan not announced", zap.String("model", want.Model), zap.Int64("version", want.Version), zap.Error(err))
+		t.Log.Warn("plan not stored", zap.String("model", plan.Model), zap.Int64("version", plan.Version), zap.Error(err))
 		return
 	}
-	p.revision, p.published = rev, text
+	p.revision, p.stored = rev, plan.Version
 }
 
-// plan returns the present plan and its text.
-func (t *term) plan(want catalog.Target) (Plan, string) {
+// plan returns the present plan.
+func (t *term) plan(want catalog.Target) Plan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.models[want.Model]
@@ -278,9 +296,5 @@
 	}
 	slices.SortFunc(out.Updating, cmp.Compare)
 	slices.SortFunc(out.Current, cmp.Compare)
-	text, err := json.Marshal(out)
-	if err != nil {
-		panic(err) // strings and integers always encode
-	}
-	return out, string(text)
+	return out
 }
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -29,8 +29,8 @@
 
 // update brings one engine to a version.
 type update struct {
-	engines  Engines
-	order    Order
+	engines Engines
+	order   Order
 	// remaining is how long the lease is surely held.
 	remaining func() time.Duration
 	// accepted is told when the engine has taken the order.
