route: name a source of cached parts for every prompt

Cause: an engine expected to hold a prefix may have dropped it, or may still be reading it for another request; then it read the prefix again with no source named. An engine fetches only what it lacks.

--- a/route/source.go
+++ b/route/source.go
@@ -19,7 +19,9 @@
 }
 
 // Source returns the endpoint from which chosen should fetch the part of the
-// prompt that it doesn't hold itself; ok is false when nothing is to be gained.
+// prompt that it doesn't hold itself; ok is false when none is expected to hold
+// any. It doesn't matter whether chosen is expected to hold as much: the
+// expectation may be wrong, and an endpoint fetches only what it lacks.
 // home says where a level of which the tracker knows nothing is expected. Only
 // endpoints with the same weights as chosen are considered.
 func (t *Tracker) Source(r *Request, endpoints []Endpoint, chosen *Endpoint, home func(l prefix.Level) string, now time.Time) (Source, bool) {
@@ -33,10 +35,7 @@
 	defer t.mu.Unlock()
 	for i := len(r.Levels) - 1; i >= 0; i-- {
 		l := r.Levels[i]
-		best, own := t.placement.newest(l, chosen.ID, byID, now)
-		if own {
-			return Source{}, false
-		}
+		best := t.placement.newest(l, byID, now)
 		if best != nil {
 			return Source{best.ID, best.Address, l.Tokens}, true
 		}
@@ -49,9 +48,8 @@
 	return Source{}, false
 }
 
-// newest returns the eligible endpoint that used a level last; own is true when
-// the chosen endpoint holds it.
-func (p placement) newest(l prefix.Level, chosen string, eligible map[string]*Endpoint, now time.Time) (best *Endpoint, own bool) {
+// newest returns the eligible endpoint that used a level last, nil without one.
+func (p placement) newest(l prefix.Level, eligible map[string]*Endpoint, now time.Time) (best *Endpoint) {
 	holders, _ := p.levels.Peek(l.Hash)
 	var at time.Time
 	for i := range holders {
@@ -59,12 +57,9 @@
 		if h.probability(now) < likelyHeld {
 			continue
 		}
-		if h.state.id == chosen {
-			return nil, true
-		}
 		if e := eligible[h.state.id]; e != nil && h.at.After(at) {
 			best, at = e, h.at
 		}
 	}
-	return best, false
+	return best
 }
