--- a/peer/client.go
+++ b/peer/client.go
@@ -57,6 +57,7 @@
 type Set struct {
 	self    Record
 	tracker *route.Tracker
+	targets *rollout.Targets
 	// planned is told of the rollout plans of others.
 	planned func(p rollout.Plan)
 	log     *zap.Logger
@@ -72,10 +73,10 @@
 	cancel context.CancelFunc
 }
 
-// NewSet returns a set without peers. Dispatches of others go to tracker, their
-// rollout plans to planned.
-func NewSet(self Record, tracker *route.Tracker, planned func(p rollout.Plan), log *zap.Logger) *Set {
-	return &Set{self: self, tracker: tracker, planned: planned, log: log, peers: map[string]*link{}}
+// NewSet returns a set without peers. Dispatches of others go to tracker, the
+// times at which versions were named to targets, and rollout plans to planned.
+func NewSet(self Record, tracker *route.Tracker, targets *rollout.Targets, planned func(p rollout.Plan), log *zap.Logger) *Set {
+	return &Set{self: self, tracker: tracker, targets: targets, planned: planned, log: log, peers: map[string]*link{}}
 }
 
 // Put adds a peer, or replaces it when its address has changed.
--- a/peer/server.go
+++ b/peer/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/prefix"
@@ -41,13 +42,17 @@
 // Server answers the other gateways.
 type Server struct {
 	pb.UnimplementedPeerServer
-	copy Copy
-	out  *outbox
-	log  *zap.Logger
+	copy    Copy
+	targets *rollout.Targets
+	out     *outbox
+	log     *zap.Logger
 }
 
-// NewServer returns a server that hands on a copy of the store.
-func NewServer(c Copy, log *zap.Logger) *Server { return &Server{copy: c, out: newOutbox(), log: log} }
+// NewServer returns a server that hands on a copy of the store and the times at
+// which versions of weights were named.
+func NewServer(c Copy, targets *rollout.Targets, log *zap.Logger) *Server {
+	return &Server{copy: c, targets: targets, out: newOutbox(), log: log}
+}
 
 // Dispatched tells the followers that a request goes to an endpoint. It never blocks.
 func (s *Server) Dispatched(endpoint string, levels []prefix.Level, costMs float64) {
@@ -91,6 +96,9 @@
 	defer leave()
 	s.log.Info("follower joined", zap.String("peer", r.Follower))
 	defer s.log.Info("follower left", zap.String("peer", r.Follower))
+	if err := stream.Send(s.greeting()); err != nil {
+		return err
+	}
 	for {
 		select {
 		case b := <-batches:
@@ -103,6 +111,15 @@
 	}
 }
 
+// greeting returns the first batch for a follower.
+func (s *Server) greeting() *pb.Batch {
+	b := &pb.Batch{}
+	s.targets.Each(func(want catalog.Target, named time.Time) {
+		b.Targets = append(b.Targets, &pb.Target{Model: want.Model, Version: want.Version, NamedMs: named.UnixMilli()})
+	})
+	return b
+}
+
 // Changes implements pb.PeerServer.
 func (s *Server) Changes(ctx context.Context, r *pb.ChangesRequest) (*pb.ChangesReply, error) {
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxChangesWait)
@@ -116,6 +133,9 @@
 
 // tell passes a batch on.
 func (s *Set) tell(b *pb.Batch, now time.Time) {
+	for _, t := range b.Targets {
+		s.targets.Backdate(catalog.Target{Model: t.Model, Version: t.Version}, time.UnixMilli(t.NamedMs))
+	}
 	if p := b.Plan; p != nil {
 		s.planned(rollout.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs})
 	}
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -84,6 +84,17 @@
 	return time.Time{}
 }
 
+// Each calls f for each known version with the time at which it was named.
+func (t *Targets) Each(f func(want catalog.Target, named time.Time)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for model, known := range t.models {
+		for _, v := range known {
+			f(catalog.Target{Model: model, Version: v.version}, v.since)
+		}
+	}
+}
+
 // All returns the wanted versions.
 func (t *Targets) All() []catalog.Target {
 	t.mu.Lock()
