--- a/lease/lease.go
+++ b/lease/lease.go
@@ -199,7 +199,10 @@
 func (l *Lock) keep(ctx context.Context, h *Held, hold func(ctx context.Context, h *Held)) {
 	held, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { hold(held, h) })
+	wg.Go(func() {
+		defer cancel() // a holder that steps down frees the key
+		hold(held, h)
+	})
 	for held.Err() == nil {
 		sleep(held, l.TTL/3)
 		if held.Err() != nil {
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -26,10 +26,11 @@
 	retryAfter = time.Second
 	// announceInterval is the time after which a plan is announced again.
 	announceInterval = 500 * time.Millisecond
-	// overlap is the time before the expected end of a load at which the next
-	// engine is prepared: an announcement, a reading of its state, and the delay
-	// after which the end shows.
-	overlap = 400 * time.Millisecond
+	// stateAge is the least age of what engines say of themselves.
+	stateAge = 200 * time.Millisecond
+	// overlap is the time before a load's end shows at which the next engine is
+	// prepared, so that its order arrives when the load has ended.
+	overlap = announceDelay + stateAge
 	// announceDelay is the time for an announcement to reach all processes.
 	announceDelay = 80 * time.Millisecond
 )
