--- a/internal/gatewayd/connections.go
+++ b/internal/gatewayd/connections.go
@@ -23,6 +23,10 @@
 	recentIdle = 500 * time.Millisecond
 	// keptIdle is how long other connections to endpoints are kept.
 	keptIdle = 4 * time.Second
+	// storeProbeInterval and storeProbes find a store that has gone silent within
+	// less than two seconds.
+	storeProbeInterval = 400 * time.Millisecond
+	storeProbes        = 2
 	// storeIdle is how long connections to the store are kept.
 	storeIdle = 20 * time.Second
 	// maxIdlePerHost bounds the idle connections to an endpoint.
@@ -37,6 +41,16 @@
 		MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0}
 }
 
+// storeTransport returns connections to the store. A poll waits without sending,
+// so that only probes tell a store that is away from one without changes.
+func storeTransport() *http.Transport {
+	t := newTransport(storeIdle)
+	d := net.Dialer{Timeout: dialTimeout, Control: unackedBound, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: storeProbeInterval, Count: storeProbes}}
+	t.DialContext = d.DialContext
+	return t
+}
+
 // unackedBound sets the bound on unacknowledged data of a connection.
 func unackedBound(_, _ string, c syscall.RawConn) error {
 	var err error
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -85,7 +85,7 @@
 
 func newProcess(set Settings, host platform.Settings, log *zap.Logger) *gatewayProcess {
 	members, tracker := member.NewTracker(), route.NewTracker()
-	p := &gatewayProcess{set: set, host: host, log: log, store: platform.NewStore(host.StoreAddress, newTransport(storeIdle))}
+	p := &gatewayProcess{set: set, host: host, log: log, store: platform.NewStore(host.StoreAddress, storeTransport())}
 	reg := prometheus.NewRegistry()
 	p.gateway = &gateway.Gateway{
 		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
@@ -98,7 +98,7 @@
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, p.applyPlan, log)
-	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
+	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Leader: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
 	p.peerServer = peer.NewServer(p.mirror, p.gateway.Targets, log)
 	p.gateway.Dispatched = p.peerServer.Dispatched
 	p.checks = http.NewServeMux()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,6 +19,9 @@
 	// minBackoff and maxBackoff bound the time between failed reads.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// gatherTime is the time in which changes gather after a poll that returned
+	// some, since each call is paid.
+	gatherTime = 150 * time.Millisecond
 	// outage is the time without an answer after which removals are deferred:
 	// leases may have lapsed while their owners could not renew them.
 	outage = 700 * time.Millisecond
@@ -46,6 +49,8 @@
 	// Deferred reports whether a key's removal right after an outage waits until
 	// its owner had time to write it again. Nil defers none.
 	Deferred func(key string) bool
+	// Leader is followed instead of the service while it is able; nil means none.
+	Leader Leader
 	// Fallback is asked while the service doesn't answer; nil means none.
 	Fallback Fallback
 	// Changed is called after each change, without a lock held.
@@ -60,6 +65,8 @@
 	mu       sync.RWMutex
 	items    map[string]infra.Pair
 	revision int64
+	// alone is until when the service is read although there is a leader.
+	alone    time.Time
 	answered time.Time
 	resumed  time.Time
 	lost     bool
@@ -112,6 +119,9 @@
 	backoff := minBackoff
 	listed := false
 	for ctx.Err() == nil {
+		if listed && m.follow(ctx) {
+			continue
+		}
 		var err error
 		if listed {
 			err = m.poll(ctx)
@@ -202,6 +212,9 @@
 	}
 	m.heard()
 	m.take(events, rev, false)
+	if len(events) > 0 {
+		pause(ctx, gatherTime)
+	}
 	return nil
 }
 
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/citrontiller/citrontiller/infra"
 )
 
@@ -55,6 +57,50 @@
 	return events, m.revision, false
 }
 
+// Leader is another process that reads the service for this one.
+type Leader interface {
+	// Reads reports whether this process reads the service itself.
+	Reads() bool
+	// Follow returns the changes after a revision as Since does. An error means
+	// that the leader can't be relied on.
+	Follow(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error)
+}
+
+const (
+	// followWait bounds one call to the leader, and with it the time in which a
+	// leader that has stopped shows.
+	followWait = time.Second
+	// aloneTime is how long the service is read after the leader failed.
+	aloneTime = 5 * time.Second
+)
+
+// follow takes changes from the leader. It returns false when this process
+// reads the service itself.
+func (m *Mirror) follow(ctx context.Context) bool {
+	if m.Leader == nil || m.Leader.Reads() || time.Now().Before(m.alone) {
+		return false
+	}
+	m.mu.RLock()
+	after := m.revision
+	m.mu.RUnlock()
+	events, rev, complete, err := m.Leader.Follow(ctx, after, followWait)
+	if err != nil {
+		m.alone = time.Now().Add(aloneTime)
+		m.Log.Info("leader lost, reading the store", zap.Int64("revision", after), zap.Error(err))
+		return false
+	}
+	m.heard()
+	m.take(events, rev, complete)
+	return true
+}
+
+// Lost reports whether the service doesn't answer now.
+func (m *Mirror) Lost() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.lost
+}
+
 // Fallback hands on another process's copy while the service doesn't answer.
 type Fallback interface {
 	// Changes returns the changes after a revision as Since does.
--- a/peer/client.go
+++ b/peer/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -186,10 +187,19 @@
 			err = fmt.Errorf("%w: %w", ErrNoPeer, cerr)
 			continue
 		}
-		for _, ch := range reply.Changes {
-			events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: ch.Revision}, Deleted: ch.Deleted})
-		}
-		return events, reply.Revision, reply.Complete, nil
+		return changes(reply), reply.Revision, reply.Complete, nil
 	}
 	return nil, 0, false, err
 }
+
+// changes returns the changes in a reply.
+func changes(reply *pb.ChangesReply) []infra.Event {
+	events := make([]infra.Event, 0, len(reply.Changes))
+	for _, ch := range reply.Changes {
+		events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: ch.Revision}, Deleted: ch.Deleted})
+	}
+	return events
+}
+
+// hash spreads names.
+func hash(name string) uint64 { return xxhash.Sum64String(name) }
--- /dev/null
+++ b/peer/readers.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/peer/pb"
+)
+
+// readersPerRegion is the number of gateways of a region that read the store;
+// the others follow one of these, so that the store's load doesn't grow with
+// the fleet.
+const readersPerRegion = 2
+
+// errReaderLost means that the reader itself gets no answers from the store.
+var errReaderLost = errors.New("the peer gets no answers from the store")
+
+// Reads reports whether this process reads the store itself.
+func (s *Set) Reads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.readers(), s.self.Name)
+}
+
+// readers returns the names of the region's readers; the caller holds mu.
+func (s *Set) readers() []string {
+	names := []string{s.self.Name}
+	for name, l := range s.peers {
+		if l.record.Region == s.self.Region {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, cmp.Compare)
+	return names[:min(len(names), readersPerRegion)]
+}
+
+// Follow returns the changes of a reader's copy as Changes does. It returns an
+// error when the reader doesn't answer or has lost the store.
+func (s *Set) Follow(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error) {
+	client := s.reader()
+	if client == nil {
+		return nil, 0, false, ErrNoPeer
+	}
+	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	reply, err := client.Changes(call, &pb.ChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return nil, 0, false, err
+	}
+	if reply.Lost {
+		return nil, 0, false, errReaderLost
+	}
+	return changes(reply), reply.Revision, reply.Complete, nil
+}
+
+// reader returns the reader that this process follows, nil when it is one
+// itself. Followers spread over the readers.
+func (s *Set) reader() pb.PeerClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	readers := s.readers()
+	if slices.Contains(readers, s.self.Name) {
+		return nil
+	}
+	l := s.peers[readers[int(hash(s.self.Name)%uint64(len(readers)))]]
+	if l == nil {
+		return nil
+	}
+	return pb.NewPeerClient(l.conn)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -24,7 +24,7 @@
 	// minInterval is the time between two batches, and perFollower what each
 	// follower adds to it, so that a large fleet sends fewer messages.
 	minInterval = 30 * time.Millisecond
-	perFollower = 5 * time.Millisecond
+	perFollower = 2 * time.Millisecond
 	// pingInterval and pingTimeout find connections that have gone silent.
 	pingInterval = 2 * time.Second
 	pingTimeout  = time.Second
@@ -37,6 +37,8 @@
 	// Since returns the changes after a revision, waiting for the first one up to
 	// wait. complete is true when events holds every key.
 	Since(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool)
+	// Lost reports whether the store doesn't answer now.
+	Lost() bool
 }
 
 // Server answers the other gateways.
@@ -124,7 +126,7 @@
 func (s *Server) Changes(ctx context.Context, r *pb.ChangesRequest) (*pb.ChangesReply, error) {
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxChangesWait)
 	events, revision, complete := s.copy.Since(ctx, r.After, wait)
-	reply := &pb.ChangesReply{Revision: revision, Complete: complete}
+	reply := &pb.ChangesReply{Revision: revision, Complete: complete, Lost: s.copy.Lost()}
 	for _, ev := range events {
 		reply.Changes = append(reply.Changes, &pb.Change{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Deleted: ev.Deleted})
 	}
