gateway: deliver an endpoint's own failure when no further send is allowed

Cause: a failed idempotent answer was given up before the retry budget was asked; without budget the caller got the gateway's 502 in place of the endpoint's 500 (found in the logs of incident inc-fad3). The budget is asked first now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,8 @@
 	failure  failure
 	endpoint string
 	err      error
+	// granted is true when another send has been allowed already.
+	granted bool
 }
 
 func (e *attemptError) Error() string {
@@ -88,7 +90,7 @@
 			f = notSent
 		}
 		c.attempt.Failed(time.Now())
-		return nil, x.failed(&attemptError{f, c.endpoint.ID, err})
+		return nil, x.failed(&attemptError{failure: f, endpoint: c.endpoint.ID, err: err})
 	}
 	p := &reply{choice: c, resp: resp, cancel: cancel, start: start}
 	if err := x.check(p); err != nil {
@@ -119,19 +121,19 @@
 	switch {
 	case a.RequestID != "" && a.RequestID != x.call.ID:
 		p.attempt.Failed(time.Now())
-		return &attemptError{unknown, id, errOtherRequest}
+		return &attemptError{failure: unknown, endpoint: id, err: errOtherRequest}
 	case a.NotRun:
 		p.attempt.Refused()
-		return &attemptError{notRun, id, fmt.Errorf("status %d", p.resp.StatusCode)}
+		return &attemptError{failure: notRun, endpoint: id, err: fmt.Errorf("status %d", p.resp.StatusCode)}
 	case promises(p.resp.StatusCode):
 		p.attempt.Failed(time.Now())
-		return &attemptError{unknown, id, errNotPromised}
+		return &attemptError{failure: unknown, endpoint: id, err: errNotPromised}
 	case ok && !a.Stamped:
 		p.attempt.Failed(time.Now())
-		return &attemptError{unknown, id, errNoStamp}
+		return &attemptError{failure: unknown, endpoint: id, err: errNoStamp}
 	case ok && p.resp.Header.Get("Content-Encoding") != "":
 		p.attempt.Failed(time.Now())
-		return &attemptError{unknown, id, errEncoded}
+		return &attemptError{failure: unknown, endpoint: id, err: errEncoded}
 	}
 	return nil
 }
@@ -215,7 +217,7 @@
 			return
 		}
 		var failed *attemptError
-		if !errors.As(err, &failed) || !x.repeat(failed.failure) {
+		if !errors.As(err, &failed) || !failed.granted && !x.repeat(failed.failure) {
 			x.refuse(x.unserved(err))
 			return
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -232,6 +232,24 @@
 	}
 }
 
+// Guards against replacing an endpoint's own failure by the gateway's when the
+// budget allows no further send.
+func TestEndpointFailureIsDelivered(t *testing.T) {
+	is := is.New(t)
+	failing := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Stamp", "s")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	f := newFleet(t, []answer{failing}, []answer{failing})
+	f.gateway.Budget = admit.NewBudget(0)
+	resp, _, err := f.call(t, http.MethodGet, "/read/1", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 500)
+	is.Equal(resp.Header.Get("Stamp"), "s")
+	is.Equal(f.sends(), 1)
+}
+
 // Guards against the transport sending a GET again by itself on a broken
 // connection: each send has to be accounted for.
 func TestBrokenConnectionIsCounted(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,9 +40,11 @@
 	if err != nil {
 		return x.broken(p, err)
 	}
-	if p.resp.StatusCode >= 500 && x.retryFailure(p) {
+	if p.resp.StatusCode >= 500 && x.repeat(unknown) {
+		// Without another send the caller gets the endpoint's own answer.
 		p.attempt.Failed(time.Now())
-		return x.failed(&attemptError{unknown, p.endpoint.ID, errors.New("status " + strconv.Itoa(p.resp.StatusCode))})
+		return x.failed(&attemptError{failure: unknown, endpoint: p.endpoint.ID, granted: true,
+			err: errors.New("status " + strconv.Itoa(p.resp.StatusCode))})
 	}
 	x.answered(p)
 	h := x.head(p)
@@ -62,11 +64,6 @@
 	return nil
 }
 
-// retryFailure reports whether a failed run is repeated elsewhere.
-func (x *exchange) retryFailure(p *reply) bool {
-	return x.route.Repeatable() && x.sends < x.route.MaxAttempts && x.ctx.Err() == nil
-}
-
 // answered records the answer's first byte.
 func (x *exchange) answered(p *reply) {
 	now := time.Now()
@@ -90,7 +87,7 @@
 	if x.r.Context().Err() == nil {
 		p.attempt.Failed(time.Now())
 	}
-	return x.failed(&attemptError{unknown, p.endpoint.ID, err})
+	return x.failed(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err})
 }
 
 // head copies the endpoint's headers to the answer.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,7 +63,7 @@
 		return nil
 	}
 	p.attempt.Failed(time.Now())
-	_ = x.failed(&attemptError{unknown, p.endpoint.ID, cause}) // logged there
+	_ = x.failed(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: cause}) // logged there
 	s.drop()
 	for x.repeat(unknown) {
 		c, ok := x.choose()
