--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -79,11 +80,11 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(float64(host.MemoryBytes) * memoryShare))
-	p := newProcess(set, host, log)
+	p := newProcess(set, host, log, out.Dropped)
 	return p.run(ctx)
 }
 
-func newProcess(set Settings, host platform.Settings, log *zap.Logger) *gatewayProcess {
+func newProcess(set Settings, host platform.Settings, log *zap.Logger, droppedLines func() int64) *gatewayProcess {
 	members, tracker := member.NewTracker(), route.NewTracker()
 	p := &gatewayProcess{set: set, host: host, log: log, store: platform.NewStore(host.StoreAddress, storeTransport())}
 	reg := prometheus.NewRegistry()
@@ -94,6 +95,8 @@
 		Crest:  admit.Crest{Urgent: set.CrestUrgent, Other: set.CrestOther},
 		Budget: admit.NewBudget(host.RetryPercent / 2), Log: log,
 	}
+	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "citrontiller_log_lines_dropped_total", Help: "Log lines that found the queue full."},
+		func() float64 { return float64(droppedLines()) }))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
@@ -115,7 +118,7 @@
 }
 
 func (p *gatewayProcess) run(ctx context.Context) error {
-	ignoreHangup(p.log)
+	p.followHangup()
 	p.log.Info("start", zap.String("host", p.host.Name), zap.String("region", p.host.Region), zap.String("version", process.Version("citrontiller")))
 	callers, err := net.Listen("tcp", p.host.CallerAddress)
 	if err != nil {
@@ -201,13 +204,19 @@
 	return pair.Revision
 }
 
-// ignoreHangup keeps SIGHUP from ending the process.
-func ignoreHangup(log *zap.Logger) {
+// followHangup reads the settings file again at SIGHUP. Addresses and limits are
+// fixed for the life of a process; a change is logged and in force at the next start.
+func (p *gatewayProcess) followHangup() {
 	ch := make(chan os.Signal, 1)
 	signal.Notify(ch, syscall.SIGHUP)
 	go func() {
 		for range ch {
-			log.Info("SIGHUP")
+			host, err := platform.LoadSettings(p.set.File)
+			if err != nil {
+				p.log.Error("settings not readable, the present ones hold", zap.Error(err))
+				continue
+			}
+			p.log.Info("settings read again", zap.Bool("changed", !reflect.DeepEqual(host, p.host)))
 		}
 	}()
 }
