--- a/admit/crest.go
+++ b/admit/crest.go
@@ -13,6 +13,16 @@
 	Urgent, Other float64
 }
 
+// unseenShare is what each other gateway adds to an expected time: its latest
+// sends are not known yet when the expectation is made.
+const unseenShare = 1.0 / 64
+
+// Unseen returns an expected time corrected for the work that a number of other
+// gateways may have sent meanwhile.
+func Unseen(expected time.Duration, others int) time.Duration {
+	return time.Duration(float64(expected) * (1 + unseenShare*float64(others)))
+}
+
 // Takes reports whether a request with a priority (0 is the most urgent) is
 // taken when its first token is expected after a time.
 func (c Crest) Takes(priority int, expected, target time.Duration) bool {
--- a/admit/crest_test.go
+++ b/admit/crest_test.go
@@ -52,6 +52,16 @@
 	is.True(urgent > allUrgent)                   // and more of the urgent ones
 }
 
+// Guards against a large fleet in which each gateway fills the same endpoint,
+// since none sees the latest sends of the others.
+func TestUnseenWorkGrowsWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	c := Crest{Urgent: 2.5, Other: 1.5}
+	expected := 500 * time.Millisecond
+	is.True(c.Takes(1, Unseen(expected, 2), crestTarget))
+	is.True(!c.Takes(1, Unseen(expected, 26), crestTarget))
+}
+
 // Guards against refusing urgent requests while less urgent ones are taken.
 func TestCrestRefusesUrgentLast(t *testing.T) {
 	is := is.New(t)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/prefix"
@@ -71,7 +72,7 @@
 		return false
 	}
 	x.overload = time.Duration(d.Score * float64(time.Millisecond))
-	if x.g.Crest.Takes(x.route.Priority, x.overload, x.route.Target) {
+	if x.g.Crest.Takes(x.route.Priority, admit.Unseen(x.overload, x.g.Others()), x.route.Target) {
 		x.overload = 0
 		return false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 	Recent, Kept http.RoundTripper
 	// Region is this host's.
 	Region string
+	// Others returns the number of other gateways.
+	Others func() int
 	// Dispatched tells the other processes where a request goes; it never blocks.
 	Dispatched func(endpoint string, levels []prefix.Level, costMs float64)
 	Budget     *admit.Budget
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -102,7 +102,7 @@
 	t.Cleanup(transport.CloseIdleConnections)
 	f := &fleet{gateway: &Gateway{Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: NewDirectory(members, tracker, log),
 		Scheduler: NewScheduler(log), Targets: &rollout.Targets{}, Codec: testCodec{}, Recent: transport, Kept: transport,
-		Region: "r", Dispatched: func(string, []prefix.Level, float64) {}, Budget: admit.NewBudget(100),
+		Region: "r", Others: func() int { return 0 }, Dispatched: func(string, []prefix.Level, float64) {}, Budget: admit.NewBudget(100),
 		Crest: admit.Crest{Urgent: 1e6, Other: 1e6}, Log: log}}
 	f.gateway.Metrics = NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 })
 	c := testConfig
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -103,6 +103,7 @@
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, p.applyPlan, log)
 	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Leader: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
 	p.peerServer = peer.NewServer(p.mirror, p.gateway.Targets, log)
+	p.gateway.Others = p.peers.Size
 	p.gateway.Dispatched = p.peerServer.Dispatched
 	p.checks = http.NewServeMux()
 	p.checks.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
