--- a/agent/follow.go
+++ b/agent/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/citrontiller/citrontiller/blocks"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 // Times of the loops that follow an engine.
@@ -48,7 +49,7 @@
 		} else {
 			pause = interval
 		}
-		sleep(ctx, s.jitter(pause))
+		wait.Sleep(ctx, s.jitter(pause))
 	}
 }
 
@@ -78,7 +79,7 @@
 		s.log.Debug("event stream ended", zap.String("endpoint", ep.ID), zap.Error(err))
 		// A crash breaks the stream before the next regular report is due.
 		_ = s.pollLoad(ctx, ep)
-		sleep(ctx, s.jitter(pause))
+		wait.Sleep(ctx, s.jitter(pause))
 		pause = min(2*pause, maxBackoff)
 	}
 }
@@ -104,12 +105,3 @@
 func (s *Server) jitter(d time.Duration) time.Duration {
 	return d + time.Duration((s.opts.Random()-0.5)*0.2*float64(d))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/config/follow.go
+++ b/config/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 const (
@@ -54,13 +55,13 @@
 // generation.
 func (s *Store) Follow(ctx context.Context, t *Table, interval time.Duration) {
 	f := &follower{Store: s, table: t, interval: interval, seen: map[string]*stored{}}
-	pause(ctx, f.jitter(startSpread))
+	wait.Sleep(ctx, f.jitter(startSpread))
 	failures := 0
 	for ctx.Err() == nil {
 		revision, err := f.poll(ctx)
 		if err != nil {
 			s.logger().Warn("store not read", zap.Error(err))
-			pause(ctx, min(f.backoff(err, failures), interval))
+			wait.Sleep(ctx, min(f.backoff(err, failures), interval))
 			failures++
 			continue
 		}
--- a/config/store.go
+++ b/config/store.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 const (
@@ -217,7 +218,7 @@
 				return stored, nil
 			}
 		}
-		if !pause(ctx, s.backoff(err, try)) {
+		if !wait.Sleep(ctx, s.backoff(err, try)) {
 			break
 		}
 	}
@@ -240,7 +241,7 @@
 		if _, err = s.KV.Swap(ctx, key, 0, value, 0); err == nil || errors.Is(err, infra.ErrConflict) {
 			return nil
 		}
-		if !pause(ctx, s.backoff(err, try)) {
+		if !wait.Sleep(ctx, s.backoff(err, try)) {
 			break
 		}
 	}
@@ -273,18 +274,6 @@
 	return d*3/4 + time.Duration(random()%uint64(d/2+1))
 }
 
-// pause waits and reports whether ctx is still running.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // successor returns the record of the next generation.
 func (r *Record) successor(document json.RawMessage, changeID, author string) *Record {
 	next := &Record{Generation: r.Generation + 1, ChangeID: changeID, Author: author, Time: time.Now().UTC(), Document: document}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/citrontiller/citrontiller/entry"
+	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/standin/engine"
 	"github.com/citrontiller/citrontiller/standin/fleet"
@@ -261,24 +262,15 @@
 		s.mu.Lock()
 		s.slow = append(s.slow, span{at, at + long})
 		s.mu.Unlock()
-		if !pause(ctx, time.Until(begin.Add(at))) {
+		if !wait.Sleep(ctx, time.Until(begin.Add(at))) {
 			return
 		}
 		f := normal()
 		f.Slowdown = s.workload.StraggleFactor
 		e.SetFaults(f)
-		if !pause(ctx, long) {
+		if !wait.Sleep(ctx, long) {
 			return
 		}
 		e.SetFaults(normal())
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gatewayd/register.go
+++ b/internal/gatewayd/register.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer"
 )
 
@@ -34,7 +35,7 @@
 		lease, err := p.announce(ctx)
 		if err != nil {
 			p.log.Info("not registered", zap.Error(err))
-			sleep(ctx, peerRetry)
+			wait.Sleep(ctx, peerRetry)
 			continue
 		}
 		p.log.Info("registered", zap.Int64("lease", lease))
@@ -64,7 +65,7 @@
 // renew renews a lease until it has ended.
 func (p *gatewayProcess) renew(ctx context.Context, lease int64) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerTTL/3)
+		wait.Sleep(ctx, peerTTL/3)
 		_, err := p.store.KeepAlive(ctx, lease)
 		if errors.Is(err, infra.ErrNotFound) {
 			p.log.Info("registration lapsed", zap.Int64("lease", lease))
@@ -78,12 +79,3 @@
 		p.log.Error("peer server ended", zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 // Error reports a lock that could not be taken or kept.
@@ -176,7 +177,7 @@
 		if !errors.Is(err, ErrHeld) {
 			l.Log.Warn("lock not acquired", zap.String("key", l.Key), zap.Error(err))
 		}
-		sleep(ctx, l.retry())
+		wait.Sleep(ctx, l.retry())
 	}
 }
 
@@ -204,7 +205,7 @@
 		hold(held, h)
 	})
 	for held.Err() == nil {
-		sleep(held, l.TTL/3)
+		wait.Sleep(held, l.TTL/3)
 		if held.Err() != nil {
 			break
 		}
@@ -221,12 +222,3 @@
 		l.Log.Warn("lock not released", zap.String("key", l.Key), zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 const (
@@ -141,7 +142,7 @@
 			continue
 		}
 		m.failed(err)
-		pause(ctx, backoff/2+rand.N(backoff))
+		wait.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -213,7 +214,7 @@
 	m.heard()
 	m.take(events, rev, false)
 	if len(events) > 0 {
-		pause(ctx, gatherTime)
+		wait.Sleep(ctx, gatherTime)
 	}
 	return nil
 }
@@ -278,12 +279,3 @@
 		}
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 // fakeStore is a key-value service with a history, which can be lost or away.
@@ -72,14 +73,14 @@
 	return out, s.rev, nil
 }
 
-func (s *fakeStore) Poll(ctx context.Context, _ string, after int64, wait time.Duration) ([]infra.Event, int64, error) {
-	until := time.Now().Add(wait)
+func (s *fakeStore) Poll(ctx context.Context, _ string, after int64, longest time.Duration) ([]infra.Event, int64, error) {
+	until := time.Now().Add(longest)
 	for {
 		events, rev, err := s.changes(after)
 		if len(events) > 0 || err != nil || !time.Now().Before(until) {
 			return events, rev, err
 		}
-		pause(ctx, 5*time.Millisecond)
+		wait.Sleep(ctx, 5*time.Millisecond)
 		if ctx.Err() != nil {
 			return nil, 0, ctx.Err()
 		}
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 // maxRemoved bounds the removals that are remembered for others.
@@ -117,12 +118,12 @@
 		lost, after := m.lost, m.revision
 		m.mu.RUnlock()
 		if !lost {
-			pause(ctx, minBackoff)
+			wait.Sleep(ctx, minBackoff)
 			continue
 		}
 		events, rev, complete, err := m.Fallback.Changes(ctx, after, fallbackWait)
 		if err != nil || rev < after {
-			pause(ctx, maxBackoff/2) // peers may be lost too; the service is still asked
+			wait.Sleep(ctx, maxBackoff/2) // peers may be lost too; the service is still asked
 			continue
 		}
 		m.take(events, rev, complete)
--- a/peer/client.go
+++ b/peer/client.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
@@ -138,7 +139,7 @@
 		if ctx.Err() == nil {
 			s.log.Info("peer lost", zap.String("peer", r.Name), zap.Error(err))
 		}
-		pause(ctx, retryInterval)
+		wait.Sleep(ctx, retryInterval)
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -87,7 +88,7 @@
 // flush sends batches until ctx ends.
 func (s *Server) flush(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, minInterval+time.Duration(s.out.size())*perFollower)
+		wait.Sleep(ctx, minInterval+time.Duration(s.out.size())*perFollower)
 		s.out.flush()
 	}
 }
@@ -149,12 +150,3 @@
 		s.tracker.DispatchedElsewhere(d.Endpoint, levels, float64(d.CostUs)/1000, now)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -15,6 +15,7 @@
 
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/lease"
 	"github.com/citrontiller/citrontiller/order"
 )
@@ -139,7 +140,7 @@
 		for _, want := range t.Targets.All() {
 			t.step(ctx, want)
 		}
-		pause(ctx, tick)
+		wait.Sleep(ctx, tick)
 	}
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		t.Log.Warn("holder steps down", zap.Int64("fence", t.held.Fence), zap.Error(cause))
@@ -207,7 +208,7 @@
 // start updates an engine in the background, once the announcement has spread.
 func (t *term) start(ctx context.Context, want catalog.Target, e Engine) {
 	t.wg.Go(func() {
-		pause(ctx, announceDelay)
+		wait.Sleep(ctx, announceDelay)
 		u := &update{engines: t.Engines, remaining: t.held.Remaining, log: t.Log, accepted: func() { t.accepted(want.Model, e.ID) },
 			order: Order{Endpoint: e.ID, Address: e.Address, Model: want.Model, Version: want.Version, Strategy: t.Strategy, Fence: t.held.Fence}}
 		began := time.Now()
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 const (
@@ -51,13 +53,13 @@
 			return nil
 		}
 		if st.Busy {
-			pause(ctx, pollInterval)
+			wait.Sleep(ctx, pollInterval)
 			continue
 		}
 		if done, err := u.send(ctx, st.Accepted); done || err != nil {
 			return err
 		}
-		pause(ctx, reportLag)
+		wait.Sleep(ctx, reportLag)
 	}
 }
 
@@ -74,7 +76,7 @@
 		if try == maxReads || ctx.Err() != nil {
 			return State{}, err
 		}
-		pause(ctx, pollInterval)
+		wait.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -98,12 +100,3 @@
 	}
 	return reply == Current, nil // an order without an answer shows in the state
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
