Mend what the gateway's change left behind: twins, dead code, a header name outside platform/

- Endpoint selection was assembled twice, in entry and gateway: internal/selection serves both.
- The gateway knew the platform's name of the request id header: the codec echoes it.
- mirror read its revision without the lock in one log line while the fallback may advance it.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -79,17 +79,6 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Service is a group of equal endpoints.
-type Service struct {
-	Name string
-	// HealthPath is the path of the endpoints' health check.
-	HealthPath string
-	// MaxConnections is what an endpoint accepts from all callers together.
-	MaxConnections int
-	// Models names the models of an engine; empty for a plain service.
-	Models []string
-}
-
 // Account is a client account.
 type Account struct {
 	Name string
@@ -102,17 +91,13 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Config is one version of the configuration. It is not changed after Index.
 type Config struct {
-	Version  int64
-	Routes   []Route
-	Services map[string]Service
+	Version int64
+	Routes  []Route
 	// Accounts maps a credential to its client account.
 	Accounts map[string]*Account
 	// AccountsRequired is true when requests need a credential.
--- a/entry/candidates.go
+++ b/entry/candidates.go
@@ -1,46 +1,19 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/infra"
-	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/plugins/lowest"
-	"github.com/citrontiller/citrontiller/plugins/prefixcache"
-	"github.com/citrontiller/citrontiller/plugins/queue"
-	"github.com/citrontiller/citrontiller/plugins/ready"
-	"github.com/citrontiller/citrontiller/plugins/region"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/wire"
 	"github.com/citrontiller/citrontiller/wire/pb"
 )
 
-// newScheduler loads the plug-ins of endpoint selection. They are linked in
-// and need no settings, so a failure is a programming error.
-func newScheduler(log *zap.Logger) *route.Scheduler {
-	set := kernel.Settings{Log: log}
-	return &route.Scheduler{
-		Filters: []route.Filter{load[route.Filter](ready.ID, set)},
-		Scorers: []route.Scorer{load[route.Scorer](queue.ID, set), load[route.Scorer](prefixcache.ID, set), load[route.Scorer](region.ID, set)},
-		Prices:  []route.Scorer{load[route.Scorer](region.PriceID, set)},
-		Picker:  load[route.Picker](lowest.ID, set),
-	}
-}
-
-func load[T any](id string, set kernel.Settings) T {
-	p, err := kernel.Load[T](context.Background(), id, set)
-	if err != nil {
-		panic(err)
-	}
-	return p
-}
-
 func (s *Server) routeRequest(r *Request) *route.Request {
 	return &route.Request{ID: r.ID, Service: r.Service, Account: r.Account, Model: r.Model, Version: s.rollouts.required(r.Service, r.Document.Version, time.Now()),
 		Region: s.opts.Region, Idempotent: r.Idempotent, Stream: r.Stream, Levels: prefix.ChainOf(r.Scope(), r.Segments, r.Document.Engine.PrefixPieceTokens),
--- a/entry/server.go
+++ b/entry/server.go
@@ -20,6 +20,7 @@
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/selection"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
 	"github.com/citrontiller/citrontiller/wire"
@@ -128,7 +129,7 @@
 		opts.Random = rand.Uint64
 	}
 	if opts.Scheduler == nil {
-		opts.Scheduler = newScheduler(opts.Log)
+		opts.Scheduler = selection.New(opts.Log)
 	}
 	opts.Wire.EntryID = opts.ID
 	opts.Wire.Log = opts.Log
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -112,28 +112,35 @@
 	return err
 }
 
-// check decides whether an answer is the endpoint's to this request.
+// check decides whether an answer is the endpoint's to this request, and tells
+// the tracker if it is not.
 func (x *exchange) check(p *reply) *attemptError {
 	a := x.g.Codec.Answer(p.resp.StatusCode, p.resp.Header)
-	id := p.endpoint.ID
-	x.g.Directory.Observe(id, a)
-	ok := p.resp.StatusCode/100 == 2
-	switch {
-	case a.RequestID != "" && a.RequestID != x.call.ID:
-		p.attempt.Failed(time.Now())
-		return &attemptError{failure: unknown, endpoint: id, err: errOtherRequest}
-	case a.NotRun:
+	x.g.Directory.Observe(p.endpoint.ID, a)
+	foreign := a.RequestID != "" && a.RequestID != x.call.ID
+	if a.NotRun && !foreign {
 		p.attempt.Refused()
-		return &attemptError{failure: notRun, endpoint: id, err: fmt.Errorf("status %d", p.resp.StatusCode)}
-	case promises(p.resp.StatusCode):
+		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
+	}
+	if err := spoiled(p.resp, a, foreign); err != nil {
 		p.attempt.Failed(time.Now())
-		return &attemptError{failure: unknown, endpoint: id, err: errNotPromised}
+		return &attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err}
+	}
+	return nil
+}
+
+// spoiled returns why an answer can't be delivered, nil when it can.
+func spoiled(resp *http.Response, a Answer, foreign bool) error {
+	ok := resp.StatusCode/100 == 2
+	switch {
+	case foreign:
+		return errOtherRequest
+	case promises(resp.StatusCode):
+		return errNotPromised
 	case ok && !a.Stamped:
-		p.attempt.Failed(time.Now())
-		return &attemptError{failure: unknown, endpoint: id, err: errNoStamp}
-	case ok && p.resp.Header.Get("Content-Encoding") != "":
-		p.attempt.Failed(time.Now())
-		return &attemptError{failure: unknown, endpoint: id, err: errEncoded}
+		return errNoStamp
+	case ok && resp.Header.Get("Content-Encoding") != "":
+		return errEncoded
 	}
 	return nil
 }
@@ -265,25 +272,3 @@
 	}
 	return &Refusal{Status: http.StatusBadGateway, Outcome: "failed", Err: err}
 }
-
-// hopHeaders concern one connection only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
-	"Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
-
-// forwarded returns the headers without those of the connection.
-func forwarded(h http.Header) http.Header {
-	out := h.Clone()
-	for _, v := range h.Values("Connection") {
-		for _, name := range splitList(v) {
-			out.Del(name)
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
-	out.Del("Content-Length")
-	if _, ok := out["User-Agent"]; !ok {
-		out["User-Agent"] = []string{""} // else the transport adds its own
-	}
-	return out
-}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -81,6 +81,8 @@
 	Decode(h http.Header) (Call, error)
 	// Encode adds what an endpoint must know.
 	Encode(h http.Header, s Send)
+	// Echo sets the id of the request that an answer to a caller belongs to.
+	Echo(h http.Header, id string)
 	// Answer reads the head of an endpoint's answer.
 	Answer(status int, h http.Header) Answer
 }
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -15,10 +15,8 @@
 	"github.com/citrontiller/citrontiller/route"
 )
 
-const (
-	// queuedMs is the wait assumed for each request in an engine's queue.
-	queuedMs = 25
-)
+// queuedMs is the wait assumed for each request in an engine's queue, in milliseconds.
+const queuedMs = 25
 
 // Directory keeps what is known of the endpoints and passes it to the member
 // and route trackers. It is safe for concurrent use.
@@ -129,19 +127,6 @@
 	d.paces.observe(service, tokens, waitMs, first)
 }
 
-// Endpoints returns the endpoints of a service with the version of their weights.
-func (d *Directory) Endpoints(service string) map[string]catalog.Endpoint {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := map[string]catalog.Endpoint{}
-	for id, r := range d.endpoints {
-		if r.Service == service {
-			out[id] = r.Endpoint
-		}
-	}
-	return out
-}
-
 // publish passes the list to the member tracker; the caller holds mu.
 func (d *Directory) publish() {
 	hosts := make([]infra.Host, 0, len(d.endpoints))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/selection"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -44,6 +45,8 @@
 	}
 }
 
+func (testCodec) Echo(h http.Header, id string) { h.Set("Id", id) }
+
 func (testCodec) Answer(status int, h http.Header) Answer {
 	return Answer{RequestID: h.Get("Id"), Stamped: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "" || status == 421}
 }
@@ -101,7 +104,7 @@
 	transport := &http.Transport{DisableCompression: true}
 	t.Cleanup(transport.CloseIdleConnections)
 	f := &fleet{gateway: &Gateway{Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: NewDirectory(members, tracker, log),
-		Scheduler: NewScheduler(log), Targets: &rollout.Targets{}, Codec: testCodec{}, Recent: transport, Kept: transport,
+		Scheduler: selection.New(log), Targets: &rollout.Targets{}, Codec: testCodec{}, Recent: transport, Kept: transport,
 		Region: "r", Others: func() int { return 0 }, Dispatched: func(string, []prefix.Level, float64) {}, Budget: admit.NewBudget(100),
 		Crest: admit.Crest{Urgent: 1e6, Other: 1e6}, Log: log}}
 	f.gateway.Metrics = NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 })
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,9 +13,6 @@
 	"github.com/citrontiller/citrontiller/catalog"
 )
 
-// requestIDHeader echoes the caller's id.
-const requestIDHeader = "Citrontiller-Request-Id"
-
 const (
 	// maxWhole is the size up to which an answer is read before it is returned,
 	// so that one that breaks off can be replaced.
@@ -106,7 +102,7 @@
 	if _, ok := p.resp.Header["Content-Type"]; !ok {
 		h["Content-Type"] = nil // else the server guesses one
 	}
-	h.Set(requestIDHeader, x.call.ID)
+	x.g.Codec.Echo(h, x.call.ID)
 	return h
 }
 
@@ -131,11 +127,3 @@
 		zap.String("outcome", x.outcome), zap.Duration("left", time.Until(x.until)), zap.Error(err))
 	panic(http.ErrAbortHandler)
 }
-
-func splitList(v string) []string {
-	var out []string
-	for name := range strings.SplitSeq(v, ",") {
-		out = append(out, strings.TrimSpace(name))
-	}
-	return out
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,11 +46,8 @@
 			if next == nil {
 				x.abort(current, err)
 			}
-			if current != p {
-				current.close()
-			}
-			current = next
 			defer next.close()
+			current = next
 		}
 		chunk, err = s.next(current.resp.Body)
 	}
--- a/internal/gatewayd/connections.go
+++ b/internal/gatewayd/connections.go
@@ -35,20 +35,22 @@
 
 // newTransport returns connections that are given up when their peer falls silent.
 func newTransport(idle time.Duration) *http.Transport {
-	d := net.Dialer{Timeout: dialTimeout, Control: unackedBound, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
-	return &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: idle,
-		MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0}
+	return probedTransport(idle, keepAliveInterval, keepAliveCount)
 }
 
 // storeTransport returns connections to the store. A poll waits without sending,
 // so that only probes tell a store that is away from one without changes.
 func storeTransport() *http.Transport {
-	t := newTransport(storeIdle)
+	return probedTransport(storeIdle, storeProbeInterval, storeProbes)
+}
+
+// probedTransport returns connections that are given up after a number of probes
+// without an answer.
+func probedTransport(idle, interval time.Duration, probes int) *http.Transport {
 	d := net.Dialer{Timeout: dialTimeout, Control: unackedBound, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: storeProbeInterval, Count: storeProbes}}
-	t.DialContext = d.DialContext
-	return t
+		Enable: true, Idle: keepAliveIdle, Interval: interval, Count: probes}}
+	return &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: idle,
+		MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0}
 }
 
 // unackedBound sets the bound on unacknowledged data of a connection.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -22,6 +22,7 @@
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/gateway"
 	"github.com/citrontiller/citrontiller/internal/process"
+	"github.com/citrontiller/citrontiller/internal/selection"
 	"github.com/citrontiller/citrontiller/lease"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/mirror"
@@ -90,7 +91,7 @@
 	reg := prometheus.NewRegistry()
 	p.gateway = &gateway.Gateway{
 		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
-		Scheduler: gateway.NewScheduler(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
+		Scheduler: selection.New(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
 		Recent: newTransport(recentIdle), Kept: newTransport(keptIdle), Region: host.Region,
 		Crest:  admit.Crest{Urgent: set.CrestUrgent, Other: set.CrestOther},
 		Budget: admit.NewBudget(host.RetryPercent / 2), Log: log,
--- a/gateway/scheduler.go
+++ b/internal/selection/selection.go
@@ -1,4 +1,6 @@
-package gateway
+// Package selection assembles endpoint selection from its plug-ins, for the
+// entry and the gateway alike.
+package selection
 
 import (
 	"context"
@@ -15,9 +17,9 @@
 	"github.com/citrontiller/citrontiller/route"
 )
 
-// NewScheduler loads the plug-ins of endpoint selection. They are linked in and
-// need no settings, so a failure is a programming error.
-func NewScheduler(log *zap.Logger) *route.Scheduler {
+// New loads the plug-ins of endpoint selection. They are linked in and need no
+// settings, so a failure is a programming error.
+func New(log *zap.Logger) *route.Scheduler {
 	set := kernel.Settings{Log: log}
 	return &route.Scheduler{
 		Filters: []route.Filter{load[route.Filter](ready.ID, set)},
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -92,24 +92,11 @@
 	return p, ok
 }
 
-// Each calls f for each pair, in no order, with a lock held.
-func (m *Mirror) Each(f func(p infra.Pair)) {
+// position returns the revision from which changes are wanted.
+func (m *Mirror) position() int64 {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	for _, p := range m.items {
-		f(p)
-	}
-}
-
-// State returns the copy's revision and the time since the service last
-// answered; a negative age means that it never has.
-func (m *Mirror) State() (revision int64, age time.Duration) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	if m.answered.IsZero() {
-		return 0, -1
-	}
-	return m.revision, time.Since(m.answered)
+	return m.revision
 }
 
 // Run follows the service until ctx ends.
@@ -137,7 +124,7 @@
 			return
 		}
 		if errors.Is(err, infra.ErrCompacted) {
-			m.Log.Info("store history is gone, reading anew", zap.String("prefix", m.Prefix), zap.Int64("revision", m.revision))
+			m.Log.Info("store history is gone, reading anew", zap.String("prefix", m.Prefix), zap.Int64("revision", m.position()))
 			listed = false
 			continue
 		}
@@ -204,10 +191,7 @@
 }
 
 func (m *Mirror) poll(ctx context.Context) error {
-	m.mu.RLock()
-	after := m.revision
-	m.mu.RUnlock()
-	events, rev, err := m.Source.Poll(ctx, m.Prefix, after, m.Wait)
+	events, rev, err := m.Source.Poll(ctx, m.Prefix, m.position(), m.Wait)
 	if err != nil {
 		return err
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -24,7 +24,6 @@
 	// floor is the revision up to which history is gone.
 	floor int64
 	err   error
-	lists int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{items: map[string]infra.Pair{}} }
@@ -65,7 +64,6 @@
 	if s.err != nil {
 		return nil, 0, s.err
 	}
-	s.lists++
 	var out []infra.Pair
 	for _, p := range s.items {
 		out = append(out, p)
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -81,9 +81,7 @@
 	if m.Leader == nil || m.Leader.Reads() || time.Now().Before(m.alone) {
 		return false
 	}
-	m.mu.RLock()
-	after := m.revision
-	m.mu.RUnlock()
+	after := m.position()
 	events, rev, complete, err := m.Leader.Follow(ctx, after, followWait)
 	if err != nil {
 		m.alone = time.Now().Add(aloneTime)
@@ -114,13 +112,11 @@
 // borrow takes changes from the fallback while the service is lost, until ctx ends.
 func (m *Mirror) borrow(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.mu.RLock()
-		lost, after := m.lost, m.revision
-		m.mu.RUnlock()
-		if !lost {
+		if !m.Lost() {
 			wait.Sleep(ctx, minBackoff)
 			continue
 		}
+		after := m.position()
 		events, rev, complete, err := m.Fallback.Changes(ctx, after, fallbackWait)
 		if err != nil || rev < after {
 			wait.Sleep(ctx, maxBackoff/2) // peers may be lost too; the service is still asked
--- a/peer/client.go
+++ b/peer/client.go
@@ -181,9 +181,7 @@
 func (s *Set) Changes(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error) {
 	err = ErrNoPeer
 	for _, c := range s.clients() {
-		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		reply, cerr := c.Changes(call, &pb.ChangesRequest{After: after, WaitMs: wait.Milliseconds()})
-		cancel()
+		reply, cerr := ask(ctx, c, after, wait)
 		if cerr != nil {
 			err = fmt.Errorf("%w: %w", ErrNoPeer, cerr)
 			continue
@@ -193,6 +191,13 @@
 	return nil, 0, false, err
 }
 
+// ask asks a peer for changes, bounded in time.
+func ask(ctx context.Context, c pb.PeerClient, after int64, wait time.Duration) (*pb.ChangesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return c.Changes(ctx, &pb.ChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+}
+
 // changes returns the changes in a reply.
 func changes(reply *pb.ChangesReply) []infra.Event {
 	events := make([]infra.Event, 0, len(reply.Changes))
--- a/peer/readers.go
+++ b/peer/readers.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -34,7 +33,7 @@
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, cmp.Compare)
+	slices.Sort(names)
 	return names[:min(len(names), readersPerRegion)]
 }
 
@@ -45,9 +44,7 @@
 	if client == nil {
 		return nil, 0, false, ErrNoPeer
 	}
-	call, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	reply, err := client.Changes(call, &pb.ChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+	reply, err := ask(ctx, client, after, wait)
 	if err != nil {
 		return nil, 0, false, err
 	}
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -118,7 +117,6 @@
 
 // progress is the state of a model's rollout.
 type progress struct {
-	version  int64
 	updating map[string]bool
 	done     map[string]int64
 	// failed is when the last update of an engine failed.
@@ -166,7 +164,6 @@
 		p = &progress{updating: map[string]bool{}, done: map[string]int64{}, failed: map[string]time.Time{}, accepted: map[string]time.Time{}}
 		t.models[want.Model] = p
 	}
-	p.version = want.Version
 	byID := make(map[string]Engine, len(engines))
 	var states []order.Endpoint
 	for _, e := range engines {
@@ -296,7 +293,7 @@
 			out.Current = append(out.Current, id)
 		}
 	}
-	slices.SortFunc(out.Updating, cmp.Compare)
-	slices.SortFunc(out.Current, cmp.Compare)
+	slices.Sort(out.Updating)
+	slices.Sort(out.Current)
 	return out
 }
