mirror: a copy that is behind its peers' asks them, even while a poll waits

The store left the polls of some hosts without an answer; one was a reader of its region. Until its poll timed out (5.5 s) it and its three followers neither saw changes nor knew that they were lost, and served version 8 for 5.1 s after 16 was acknowledged. Ruled out: the followers' call (it answered in time, with nothing new). Gateways now tell each other the revision of their copy with their batches; one that stays behind for 600 ms without progress asks a peer that is ahead. TestSilentPollShowsByPeers failed without the hint.

--- a/internal/gatewayd/follow.go
+++ b/internal/gatewayd/follow.go
@@ -82,6 +82,9 @@
 	p.gateway.Directory.ApplyPlan(plan)
 }
 
+// hint takes the revision of another process's copy of the store.
+func (p *gatewayProcess) hint(revision int64) { p.mirror.Hint(revision) }
+
 func (p *gatewayProcess) takePeer(ev infra.Event) {
 	if ev.Deleted {
 		p.peers.Remove(strings.TrimPrefix(ev.Key, peerPrefix))
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -101,7 +101,7 @@
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
-	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, p.applyPlan, log)
+	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, p.applyPlan, p.hint, log)
 	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Leader: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
 	p.peerServer = peer.NewServer(p.mirror, p.gateway.Targets, log)
 	p.gateway.Others = p.peers.Size
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -77,6 +77,10 @@
 	floor   int64
 	// changed is closed and replaced when the copy changes.
 	changed chan struct{}
+	// hinted is the newest revision that another process has told of, and
+	// progressed is when the copy last caught up with it or came nearer.
+	hinted     int64
+	progressed time.Time
 }
 
 // New returns an empty mirror.
@@ -212,7 +216,7 @@
 	if m.revision == 0 {
 		m.floor = rev // what was removed before is not known
 	}
-	m.revision = rev
+	m.revision, m.progressed = rev, time.Now()
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -185,6 +185,68 @@
 	})
 }
 
+// silentStore lists its pairs, and leaves polls without an answer.
+type silentStore struct{ *fakeStore }
+
+func (silentStore) Poll(ctx context.Context, _ string, _ int64, longest time.Duration) ([]infra.Event, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, longest+1500*time.Millisecond)
+	defer cancel()
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// otherCopy is another process's mirror as a fallback.
+type otherCopy struct{ *Mirror }
+
+func (c otherCopy) Changes(ctx context.Context, after int64, wait time.Duration) ([]infra.Event, int64, bool, error) {
+	events, rev, complete := c.Since(ctx, after, wait)
+	return events, rev, complete, nil
+}
+
+// Guards against a process that serves an old configuration for the length of a
+// poll that the store leaves without an answer, while its peers know better.
+func TestSilentPollShowsByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("a", "1")
+		other, stopOther := start(s, Options{})
+		m := New(Options{Source: silentStore{s}, Wait: 4 * time.Second, Fallback: otherCopy{other}, Changed: func(infra.Event) {}, Log: zap.NewNop()})
+		ctx, stop := context.WithCancel(context.Background())
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		s.put("a", "2")
+		time.Sleep(100 * time.Millisecond)
+		m.Hint(other.Revision())
+		time.Sleep(behindTime + 2*minBackoff)
+		is.Equal(value(m, "a"), "2")
+		stop()
+		stopOther()
+		synctest.Wait()
+	})
+}
+
+// Guards against asking peers for changes that are on their way from the store.
+func TestShortLagAsksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := New(Options{Log: zap.NewNop(), Changed: func(infra.Event) {}})
+		m.Hint(5)
+		time.Sleep(behindTime / 2)
+		is.True(!m.behind())
+		m.advance(4) // progress, though not all
+		time.Sleep(behindTime * 3 / 4)
+		is.True(!m.behind())
+		m.advance(5)
+		time.Sleep(2 * behindTime)
+		is.True(!m.behind())
+		m.Hint(6)
+		is.True(!m.behind())
+		time.Sleep(2 * behindTime)
+		is.True(m.behind())
+	})
+}
+
 // Guards against keeping a removed endpoint when the store was there all along.
 func TestRemovalInCalmIsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -100,19 +100,58 @@
 	return m.lost
 }
 
-// Fallback hands on another process's copy while the service doesn't answer.
+// Revision returns the revision of the copy.
+func (m *Mirror) Revision() int64 { return m.position() }
+
+// Fallback hands on another process's copy while the service doesn't answer, or
+// answers without the newest changes.
 type Fallback interface {
 	// Changes returns the changes after a revision as Since does.
 	Changes(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error)
 }
 
-// fallbackWait bounds one call to the fallback.
-const fallbackWait = time.Second
+const (
+	// fallbackWait bounds one call to the fallback.
+	fallbackWait = time.Second
+	// behindTime is how long the copy may be older than another process's without
+	// progress. Changes gather for gatherTime and then pass a leader, so that a
+	// shorter time would ask peers for what is on its way.
+	behindTime = 600 * time.Millisecond
+)
+
+// Hint takes the revision of another process's copy. A poll that the service
+// leaves without an answer shows by it long before the poll ends.
+func (m *Mirror) Hint(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.hinted {
+		return
+	}
+	if m.hinted <= m.revision {
+		m.progressed = time.Now()
+	}
+	m.hinted = revision
+}
+
+// behind reports whether the copy has been older than another process's for
+// behindTime without progress.
+func (m *Mirror) behind() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.hinted > m.revision && time.Since(m.progressed) > behindTime
+}
 
-// borrow takes changes from the fallback while the service is lost, until ctx ends.
+// borrow takes changes from the fallback while the service is lost or the copy
+// is behind, until ctx ends.
 func (m *Mirror) borrow(ctx context.Context) {
+	late := false
 	for ctx.Err() == nil {
-		if !m.Lost() {
+		behind := m.behind()
+		if behind && !late {
+			m.Log.Warn("copy is behind, asking peers", zap.String("prefix", m.Prefix), zap.Int64("revision", m.position()))
+		}
+		late = behind
+		if !behind && !m.Lost() {
 			wait.Sleep(ctx, minBackoff)
 			continue
 		}
--- a/peer/client.go
+++ b/peer/client.go
@@ -1,12 +1,16 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +66,9 @@
 	targets *rollout.Targets
 	// planned is told of the rollout plans of others.
 	planned func(p rollout.Plan)
-	log     *zap.Logger
+	// copied is told of the revisions of others' copies of the store.
+	copied func(revision int64)
+	log    *zap.Logger
 
 	mu    sync.Mutex
 	peers map[string]*link
@@ -73,12 +79,15 @@
 	record Record
 	conn   *grpc.ClientConn
 	cancel context.CancelFunc
+	// revision is that of the peer's copy of the store, as last told.
+	revision atomic.Int64
 }
 
 // NewSet returns a set without peers. Dispatches of others go to tracker, the
-// times at which versions were named to targets, and rollout plans to planned.
-func NewSet(self Record, tracker *route.Tracker, targets *rollout.Targets, planned func(p rollout.Plan), log *zap.Logger) *Set {
-	return &Set{self: self, tracker: tracker, targets: targets, planned: planned, log: log, peers: map[string]*link{}}
+// times at which versions were named to targets, rollout plans to planned, and
+// the revisions of their copies of the store to copied.
+func NewSet(self Record, tracker *route.Tracker, targets *rollout.Targets, planned func(p rollout.Plan), copied func(revision int64), log *zap.Logger) *Set {
+	return &Set{self: self, tracker: tracker, targets: targets, planned: planned, copied: copied, log: log, peers: map[string]*link{}}
 }
 
 // Put adds a peer, or replaces it when its address has changed.
@@ -104,9 +113,10 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s.peers[r.Name] = &link{record: r, conn: conn, cancel: cancel}
+	l := &link{record: r, conn: conn, cancel: cancel}
+	s.peers[r.Name] = l
 	s.log.Info("peer", zap.String("peer", r.Name), zap.String("address", r.Address), zap.String("region", r.Region))
-	go s.follow(ctx, r, pb.NewPeerClient(conn))
+	go s.follow(ctx, l)
 }
 
 // Remove forgets a peer.
@@ -133,18 +143,18 @@
 }
 
 // follow takes a peer's batches until ctx ends.
-func (s *Set) follow(ctx context.Context, r Record, client pb.PeerClient) {
+func (s *Set) follow(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
-		err := s.receive(ctx, client)
+		err := s.receive(ctx, l)
 		if ctx.Err() == nil {
-			s.log.Info("peer lost", zap.String("peer", r.Name), zap.Error(err))
+			s.log.Info("peer lost", zap.String("peer", l.record.Name), zap.Error(err))
 		}
 		wait.Sleep(ctx, retryInterval)
 	}
 }
 
-func (s *Set) receive(ctx context.Context, client pb.PeerClient) error {
-	stream, err := client.Follow(ctx, &pb.FollowRequest{Follower: s.self.Name}, grpc.WaitForReady(true))
+func (s *Set) receive(ctx context.Context, l *link) error {
+	stream, err := pb.NewPeerClient(l.conn).Follow(ctx, &pb.FollowRequest{Follower: s.self.Name}, grpc.WaitForReady(true))
 	if err != nil {
 		return err
 	}
@@ -153,34 +163,44 @@
 		if err != nil {
 			return err
 		}
+		l.revision.Store(max(b.Revision, l.revision.Load()))
 		s.tell(b, time.Now())
 	}
 }
 
-// clients returns the peers in random order, those of the own region first:
-// traffic between regions is paid.
-func (s *Set) clients() []pb.PeerClient {
+// clients returns the peers in random order: first those whose copy of the store
+// is newer than a revision, and of these and of the others first those of the own
+// region, since traffic between regions is paid.
+func (s *Set) clients(after int64) []pb.PeerClient {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var near, far []pb.PeerClient
-	for _, l := range s.peers {
-		if l.record.Region == s.self.Region {
-			near = append(near, pb.NewPeerClient(l.conn))
-		} else {
-			far = append(far, pb.NewPeerClient(l.conn))
-		}
+	links := slices.Collect(maps.Values(s.peers))
+	rand.Shuffle(len(links), func(i, j int) { links[i], links[j] = links[j], links[i] })
+	slices.SortStableFunc(links, func(a, b *link) int { return cmp.Compare(s.distance(a, after), s.distance(b, after)) })
+	out := make([]pb.PeerClient, 0, len(links))
+	for _, l := range links {
+		out = append(out, pb.NewPeerClient(l.conn))
+	}
+	return out
+}
+
+// distance ranks a peer as a source of changes after a revision; 0 is the best.
+func (s *Set) distance(l *link, after int64) int {
+	d := 0
+	if l.revision.Load() <= after {
+		d += 2
 	}
-	for _, list := range [][]pb.PeerClient{near, far} {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if l.record.Region != s.self.Region {
+		d++
 	}
-	return append(near, far...)
+	return d
 }
 
 // Changes asks peers for the changes of the store after a revision. It returns
 // ErrNoPeer when none answers.
 func (s *Set) Changes(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error) {
 	err = ErrNoPeer
-	for _, c := range s.clients() {
+	for _, c := range s.clients(after) {
 		reply, cerr := ask(ctx, c, after, wait)
 		if cerr != nil {
 			err = fmt.Errorf("%w: %w", ErrNoPeer, cerr)
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -12,8 +12,10 @@
 
 // outbox collects dispatches and hands each batch to all followers.
 type outbox struct {
-	mu        sync.Mutex
-	waiting   []*pb.Dispatch
+	mu      sync.Mutex
+	waiting []*pb.Dispatch
+	// revision is the one that the followers have been told.
+	revision  int64
 	followers map[chan *pb.Batch]bool
 	dropped   int64
 }
@@ -33,15 +35,16 @@
 	}
 }
 
-// flush sends the queued dispatches. A follower that is behind misses them.
-func (o *outbox) flush() {
+// flush sends the queued dispatches and the revision of the copy of the store.
+// A follower that is behind misses them.
+func (o *outbox) flush(revision int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.waiting) == 0 {
+	if len(o.waiting) == 0 && revision <= o.revision {
 		return
 	}
-	b := &pb.Batch{Dispatches: o.waiting}
-	o.waiting = nil
+	b := &pb.Batch{Dispatches: o.waiting, Revision: revision}
+	o.waiting, o.revision = nil, revision
 	o.deliver(b)
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -40,6 +40,8 @@
 	Since(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool)
 	// Lost reports whether the store doesn't answer now.
 	Lost() bool
+	// Revision returns the revision of the copy.
+	Revision() int64
 }
 
 // Server answers the other gateways.
@@ -89,7 +91,7 @@
 func (s *Server) flush(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, minInterval+time.Duration(s.out.size())*perFollower)
-		s.out.flush()
+		s.out.flush(s.copy.Revision())
 	}
 }
 
@@ -116,7 +118,7 @@
 
 // greeting returns the first batch for a follower.
 func (s *Server) greeting() *pb.Batch {
-	b := &pb.Batch{}
+	b := &pb.Batch{Revision: s.copy.Revision()}
 	s.targets.Each(func(want catalog.Target, named time.Time) {
 		b.Targets = append(b.Targets, &pb.Target{Model: want.Model, Version: want.Version, NamedMs: named.UnixMilli()})
 	})
@@ -142,6 +144,9 @@
 	if p := b.Plan; p != nil {
 		s.planned(rollout.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs})
 	}
+	if b.Revision > 0 {
+		s.copied(b.Revision)
+	}
 	for _, d := range b.Dispatches {
 		levels := make([]prefix.Level, 0, len(d.Levels))
 		for i, hash := range d.Levels[:min(len(d.Levels), len(d.Tokens))] {
