route: endpoints' backlog and memory as all gateways know them; admission by a standing queue

Four reasons, each seen in the logs: waiting work was the sum of the last 400 ms less the time since its oldest; the ends of others' work were not known; others' dispatches came after 70 ms; urgent requests, which the engines take first, counted like all. Engines run out of memory before slots (30 of 128 running, 13 waiting).

A backlog is now kept for each endpoint, corrected by each first token, in order of rank and arrival. Gateways tell each other dispatches, starts and ends, those of a region within 5 ms. Pace is learned from busy time only. What running requests hold of an engine's memory is priced.

--- a/admit/crest.go
+++ b/admit/crest.go
@@ -1,34 +1,72 @@
 package admit
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Crest decides which requests are taken at the crest of a swing, when more
 // arrives than the endpoints can start in time. A request whose answer would
 // come too late to be of use is refused at once, so that those behind it are in
 // time; the most urgent ones are refused last.
 type Crest struct {
-	// Urgent and Other are the expected times to the first token from which
-	// requests are refused, in shares of their target: of the most urgent
-	// priority, and of all others.
-	Urgent, Other float64
+	// Usual and Overload are the limits without and with a standing queue.
+	Usual, Overload Limits
 }
 
-// unseenShare is what each other gateway adds to an expected time: its latest
-// sends are not known yet when the expectation is made.
-const unseenShare = 1.0 / 64
-
-// Unseen returns an expected time corrected for the work that a number of other
-// gateways may have sent meanwhile.
-func Unseen(expected time.Duration, others int) time.Duration {
-	return time.Duration(float64(expected) * (1 + unseenShare*float64(others)))
-}
+// Limits are expected waits from which requests are refused, in shares of their
+// target latency: of the most urgent priority, and of all others.
+type Limits struct{ Urgent, Other float64 }
 
 // Takes reports whether a request with a priority (0 is the most urgent) is
-// taken when its first token is expected after a time.
-func (c Crest) Takes(priority int, expected, target time.Duration) bool {
-	share := c.Other
+// taken when it has to wait for a time. standing is true while the endpoints
+// have a standing queue.
+func (c Crest) Takes(priority int, wait, target time.Duration, standing bool) bool {
+	limits := c.Usual
+	if standing {
+		limits = c.Overload
+	}
+	share := limits.Other
 	if priority == 0 {
-		share = c.Urgent
+		share = limits.Urgent
+	}
+	return target <= 0 || float64(wait) <= share*float64(target)
+}
+
+const (
+	// standingWindow is the time in which not a single request found a usual wait
+	// of less than standingWait when there is a standing queue. A burst that the
+	// endpoints can absorb leaves gaps.
+	standingWindow = 300 * time.Millisecond
+	standingWait   = 80 * time.Millisecond
+	// standingSamples is the least number of requests that tell.
+	standingSamples = 4
+)
+
+// Standing finds out whether endpoints have a standing queue: one that does not
+// drain between bursts, because more arrives than they can do. It is safe for
+// concurrent use.
+type Standing struct {
+	mu      sync.Mutex
+	begun   time.Time
+	least   time.Duration
+	samples int
+	present bool
+}
+
+// Observe takes the usual wait at the endpoints when a request came, and reports
+// whether there is a standing queue.
+func (s *Standing) Observe(wait time.Duration, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.samples > 0 && now.Sub(s.begun) > standingWindow {
+		s.present = s.samples >= standingSamples && s.least > standingWait
+		s.samples = 0
+	}
+	if s.samples == 0 {
+		s.begun, s.least = now, wait
 	}
-	return target <= 0 || float64(expected) <= share*float64(target)
+	s.samples++
+	s.least = min(s.least, wait)
+	return s.present && s.least > standingWait
 }
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -102,7 +102,10 @@
 	Accounts map[string]*Account
 	// AccountsRequired is true when requests need a credential.
 	AccountsRequired bool
-	Limits           Limits
+	// EngineMemory is the size of the engines' memory for prompts and answers in
+	// tokens, by service.
+	EngineMemory map[string]int64
+	Limits       Limits
 
 	hosts map[string][]*Route
 }
--- a/entry/feedback.go
+++ b/entry/feedback.go
@@ -33,7 +33,7 @@
 	case m.Accepted != nil:
 		f.attempt.Accepted(m.Accepted.CachedTokens, now)
 	case m.Refused != nil && (m.Refused.Code == pb.RefusalCode_REFUSAL_OVERLOADED || m.Refused.Run == pb.Run_RUN_NOT_RUN):
-		f.attempt.Refused()
+		f.attempt.Refused(time.Now())
 	case m.Refused != nil:
 		f.attempt.Close(time.Now())
 	case m.Err != nil:
@@ -69,7 +69,7 @@
 	if ok {
 		f.attempt.Cached(u.Details.Cached, now)
 	}
-	f.attempt.End(u.Completion, f.bytes)
+	f.attempt.End(u.Completion, f.bytes, time.Now())
 }
 
 // failed records a failure, unless the caller has cancelled the request.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,7 +119,7 @@
 	x.g.Directory.Observe(p.endpoint.ID, a)
 	foreign := a.RequestID != "" && a.RequestID != x.call.ID
 	if a.NotRun && !foreign {
-		p.attempt.Refused()
+		p.attempt.Refused(time.Now())
 		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
 	}
 	if err := spoiled(p.resp, a, foreign); err != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/prefix"
@@ -46,11 +46,11 @@
 		x.g.Log.Info("route", zap.String("request", x.call.ID), zap.String("service", x.service), zap.String("chosen", d.Chosen),
 			zap.String("reason", d.Reason), zap.Int("total", d.Total), zap.Stringer("candidates", d))
 	}
-	if x.late(d) {
-		return choice{}, false
-	}
 	for i := range candidates {
 		if candidates[i].ID == d.Chosen {
+			if x.late(d, &candidates[i], candidates) {
+				return choice{}, false
+			}
 			x.endpoint = d.Chosen
 			c := choice{endpoint: candidates[i]}
 			if len(r.Levels) > 0 {
@@ -58,7 +58,6 @@
 				c.source, _ = x.g.Tracker.Source(r, candidates, &candidates[i], home, now)
 			}
 			c.attempt = x.g.Tracker.Dispatch(r, &candidates[i], d, now)
-			x.g.Dispatched(d.Chosen, r.Levels[:max(0, len(r.Levels)-1)], c.attempt.CostMs())
 			return c, true
 		}
 	}
@@ -66,25 +65,49 @@
 }
 
 // late reports whether the request is refused because its answer would come
-// too late; one that has been sent already goes on.
-func (x *exchange) late(d route.Decision) bool {
-	if d.Chosen == "" || x.call.Model == "" || x.sends > 0 {
+// too late; one that has been sent already goes on. The time to compute its own
+// prompt doesn't count: else the longest prompts would be refused always.
+func (x *exchange) late(d route.Decision, e *route.Endpoint, candidates []route.Endpoint) bool {
+	if x.call.Model == "" || x.sends > 0 {
 		return false
 	}
-	x.overload = time.Duration(d.Score * float64(time.Millisecond))
-	if x.g.Crest.Takes(x.route.Priority, admit.Unseen(x.overload, x.g.Others()), x.route.Target) {
+	own := e.PrefillMs(max(0, float64(x.call.PromptTokens)-e.CachedTokens)) * max(1, e.Residual)
+	x.overload = time.Duration(max(0, d.Score-own) * float64(time.Millisecond))
+	standing := x.g.Standing.Observe(usualWait(candidates), time.Now())
+	if x.g.Crest.Takes(x.route.Priority, x.overload, x.route.Target, standing) {
 		x.overload = 0
 		return false
 	}
 	return true
 }
 
+// maxWaits bounds the endpoints that tell the usual wait.
+const maxWaits = 64
+
+// usualWait returns the wait, for a request of any rank, that half of the
+// endpoints exceed.
+func usualWait(candidates []route.Endpoint) time.Duration {
+	var waits [maxWaits]float64
+	n, step := 0, 1+len(candidates)/maxWaits
+	for i := 0; i < len(candidates); i += step {
+		if e := &candidates[i]; e.State == member.Ready && !e.Ejected {
+			waits[n] = e.BacklogMs
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	slices.Sort(waits[:n])
+	return time.Duration(waits[n/2] * float64(time.Millisecond))
+}
+
 // unreported stands for endpoints that have not been reported.
 func unreported(member.Endpoint) route.Report { return route.Report{} }
 
 func (x *exchange) routeRequest(now time.Time) *route.Request {
 	r := &route.Request{ID: x.call.ID, Service: x.service, Account: x.accountName(), Model: x.call.Model, Region: x.g.Region,
-		Idempotent: x.route.Repeatable(), Stream: x.call.Model != "", Levels: x.levels(), Tokens: x.call.PromptTokens,
+		Idempotent: x.route.Repeatable(), Stream: x.call.Model != "", Rank: x.priority(), Levels: x.levels(), Tokens: x.call.PromptTokens,
 		Bytes: int64(len(x.body)), Seed: xxhash.Sum64String(x.call.ID), Exclude: x.excluded,
 		Policy: route.Policy{PriceMsPerMiB: regionPriceMsPerMiB, EjectAfter: ejectAfter, ProbeInterval: probeInterval, BlockLifetime: blockLifetime}}
 	r.MinWeights, r.PreferredWeights = x.g.Targets.Version(x.call.Model, now)
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -29,8 +29,9 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*record
-	paces     paces
-	updating  map[string]bool
+	// memory is the size of the engines' memory in tokens, by service.
+	memory   map[string]int64
+	updating map[string]bool
 	// expiry ends the announcement in updating.
 	expiry  *time.Timer
 	reports uint64
@@ -66,6 +67,16 @@
 	d.report(r)
 }
 
+// SetMemory names the size of the engines' memory in tokens, by service.
+func (d *Directory) SetMemory(tokens map[string]int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.memory = tokens
+	for _, r := range d.endpoints {
+		d.report(r)
+	}
+}
+
 // Remove forgets an endpoint that has left the list.
 func (d *Directory) Remove(id string, revision int64) {
 	d.mu.Lock()
@@ -122,11 +133,6 @@
 	d.report(r)
 }
 
-// ObservePace takes the time to the first token of a request to a service.
-func (d *Directory) ObservePace(service string, tokens, waitMs float64, first time.Duration) {
-	d.paces.observe(service, tokens, waitMs, first)
-}
-
 // publish passes the list to the member tracker; the caller holds mu.
 func (d *Directory) publish() {
 	hosts := make([]infra.Host, 0, len(d.endpoints))
@@ -156,8 +162,8 @@
 		BootID:  r.Boot + "/" + strconv.FormatInt(r.version, 10),
 		Weights: r.version,
 		Running: r.load.Running, Queued: r.load.Queued, Limit: limit,
-		Wait:             time.Duration(float64(r.load.Queued) * queuedMs * slow * float64(time.Millisecond)),
-		PrefillPerSecond: d.paces.rate(r.Service) / slow,
+		Wait:     time.Duration(float64(r.load.Queued) * queuedMs * slow * float64(time.Millisecond)),
+		Slowdown: slow, MemoryTokens: d.memory[r.Service],
 	}
 	d.tracker.Report(r.ID, route.Report{Key: d.reports, Load: l}, time.Now())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/member"
-	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -31,15 +30,13 @@
 	Recent, Kept http.RoundTripper
 	// Region is this host's.
 	Region string
-	// Others returns the number of other gateways.
-	Others func() int
-	// Dispatched tells the other processes where a request goes; it never blocks.
-	Dispatched func(endpoint string, levels []prefix.Level, costMs float64)
-	Budget     *admit.Budget
+	Budget *admit.Budget
 	// Crest decides which requests are taken when endpoints are overloaded.
-	Crest   admit.Crest
-	Metrics *Metrics
-	Log     *zap.Logger
+	Crest admit.Crest
+	// Standing finds out whether they are.
+	Standing admit.Standing
+	Metrics  *Metrics
+	Log      *zap.Logger
 
 	draining atomic.Bool
 	// closing is when the process ends; nil while that is not known.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,7 +56,7 @@
 	if int64(len(body)) == maxWhole {
 		x.copyRest(p)
 	}
-	p.attempt.End(0, int64(len(body)))
+	p.attempt.End(0, int64(len(body)), time.Now())
 	return nil
 }
 
@@ -65,10 +65,6 @@
 	now := time.Now()
 	x.first = now.Sub(x.arrived)
 	p.attempt.FirstToken(now)
-	if x.call.Model != "" && p.endpoint.Region == x.g.Region && x.sends == 1 {
-		missing := float64(x.call.PromptTokens) - max(p.endpoint.CachedTokens, float64(p.source.Tokens))
-		x.g.Directory.ObservePace(x.service, missing, p.endpoint.WaitMs, now.Sub(p.start))
-	}
 }
 
 // copyRest passes on the rest of a long answer.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,7 +38,7 @@
 		}
 		if err == io.EOF {
 			x.outcome = "answered"
-			current.attempt.End(int64(s.events), s.bytes)
+			current.attempt.End(int64(s.events), s.bytes, time.Now())
 			return nil
 		}
 		if err != nil {
--- a/internal/gatewayd/follow.go
+++ b/internal/gatewayd/follow.go
@@ -36,6 +36,7 @@
 		return
 	}
 	if p.gateway.Book.Offer(c) {
+		p.gateway.Directory.SetMemory(c.EngineMemory)
 		p.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
 			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)))
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -93,7 +93,8 @@
 		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
 		Scheduler: selection.New(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
 		Recent: newTransport(recentIdle), Kept: newTransport(keptIdle), Region: host.Region,
-		Crest:  admit.Crest{Urgent: set.CrestUrgent, Other: set.CrestOther},
+		Crest: admit.Crest{Usual: admit.Limits{Urgent: set.UsualUrgent, Other: set.UsualOther},
+			Overload: admit.Limits{Urgent: set.OverloadUrgent, Other: set.OverloadOther}},
 		Budget: admit.NewBudget(host.RetryPercent / 2), Log: log,
 	}
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "citrontiller_log_lines_dropped_total", Help: "Log lines that found the queue full."},
@@ -103,9 +104,8 @@
 		ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, p.applyPlan, p.hint, log)
 	p.mirror = mirror.New(mirror.Options{Source: p.store, Wait: set.PollWait, Fallback: p.peers, Leader: p.peers, Deferred: deferred, Changed: p.changed, Log: log})
-	p.peerServer = peer.NewServer(p.mirror, p.gateway.Targets, log)
-	p.gateway.Others = p.peers.Size
-	p.gateway.Dispatched = p.peerServer.Dispatched
+	p.peerServer = peer.NewServer(host.Region, p.mirror, p.gateway.Targets, log)
+	tracker.Notify(p.peerServer.Tell)
 	p.checks = http.NewServeMux()
 	p.checks.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
 	p.checks.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -20,8 +20,10 @@
 	DrainDelay      time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"time between failing readiness and closing the listener"`
 	LeaseTTL        time.Duration `arg:"--lease-ttl,env:CITRONTILLER_LEASE_TTL" default:"3s" help:"length of the lease of the process that gives engines orders"`
 	RolloutStrategy string        `arg:"--rollout-strategy,env:CITRONTILLER_ROLLOUT_STRATEGY" default:"keep" help:"what happens to running requests when weights change: finish, keep or cut"`
-	CrestUrgent     float64       `arg:"--crest-urgent,env:CITRONTILLER_CREST_URGENT" default:"2.5" help:"expected time to the first token from which requests of priority 0 are refused, in shares of their target"`
-	CrestOther      float64       `arg:"--crest-other,env:CITRONTILLER_CREST_OTHER" default:"1.5" help:"the same for all other requests"`
+	UsualUrgent     float64       `arg:"--usual-urgent,env:CITRONTILLER_USUAL_URGENT" default:"1.5" help:"expected wait from which requests of priority 0 are refused, in shares of their target latency"`
+	UsualOther      float64       `arg:"--usual-other,env:CITRONTILLER_USUAL_OTHER" default:"0.8" help:"the same for all other requests"`
+	OverloadUrgent  float64       `arg:"--overload-urgent,env:CITRONTILLER_OVERLOAD_URGENT" default:"1" help:"as --usual-urgent, while endpoints have a standing queue"`
+	OverloadOther   float64       `arg:"--overload-other,env:CITRONTILLER_OVERLOAD_OTHER" default:"0.3" help:"as --usual-other, while endpoints have a standing queue"`
 	RolloutShare    int           `arg:"--rollout-share,env:CITRONTILLER_ROLLOUT_SHARE" default:"6" help:"one in this many engines of a model is updated at the same time"`
 }
 
@@ -32,8 +34,10 @@
 		process.CheckGiven("--settings", s.File, "the path of the platform's settings file"),
 		process.CheckRange("--poll-wait", s.PollWait, 100*time.Millisecond, 30*time.Second),
 		process.CheckRange("--drain-delay", s.DrainDelay, 0, 10*time.Minute),
-		process.CheckRange("--crest-urgent", s.CrestUrgent, 0.1, 1e6),
-		process.CheckRange("--crest-other", s.CrestOther, 0.1, 1e6),
+		process.CheckRange("--usual-urgent", s.UsualUrgent, 0.1, 1e6),
+		process.CheckRange("--usual-other", s.UsualOther, 0.1, 1e6),
+		process.CheckRange("--overload-urgent", s.OverloadUrgent, 0.1, 1e6),
+		process.CheckRange("--overload-other", s.OverloadOther, 0.1, 1e6),
 		process.CheckRange("--rollout-share", s.RolloutShare, 1, 1000),
 		process.CheckRange("--lease-ttl", s.LeaseTTL, time.Second, 5*time.Minute),
 	}
--- a/internal/routesim/sim.go
+++ b/internal/routesim/sim.go
@@ -224,7 +224,7 @@
 		s.reply(r, func() {
 			r.entry.inFlight[r.engine] = max(0, r.entry.inFlight[r.engine]-1)
 			if r.attempt != nil {
-				r.attempt.End(r.job.output, r.job.output*responseBytes)
+				r.attempt.End(r.job.output, r.job.output*responseBytes, clock(s.now))
 			}
 		})
 		s.start(e)
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -9,6 +9,7 @@
 
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/plugins/lowest"
+	"github.com/citrontiller/citrontiller/plugins/memory"
 	"github.com/citrontiller/citrontiller/plugins/outdated"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/plugins/queue"
@@ -24,7 +25,7 @@
 	return &route.Scheduler{
 		Filters: []route.Filter{load[route.Filter](ready.ID, set)},
 		Scorers: []route.Scorer{load[route.Scorer](queue.ID, set), load[route.Scorer](prefixcache.ID, set), load[route.Scorer](region.ID, set)},
-		Prices:  []route.Scorer{load[route.Scorer](region.PriceID, set), load[route.Scorer](outdated.ID, set)},
+		Prices:  []route.Scorer{load[route.Scorer](region.PriceID, set), load[route.Scorer](outdated.ID, set), load[route.Scorer](memory.ID, set)},
 		Picker:  load[route.Picker](lowest.ID, set),
 	}
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -130,13 +130,6 @@
 	}
 }
 
-// Size returns the number of known peers.
-func (s *Set) Size() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.peers)
-}
-
 func (l *link) close() {
 	l.cancel()
 	_ = l.conn.Close() // fails only when it is closed already
@@ -146,6 +139,7 @@
 func (s *Set) follow(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
 		err := s.receive(ctx, l)
+		s.tracker.Forget(l.record.Name, time.Now())
 		if ctx.Err() == nil {
 			s.log.Info("peer lost", zap.String("peer", l.record.Name), zap.Error(err))
 		}
@@ -154,7 +148,7 @@
 }
 
 func (s *Set) receive(ctx context.Context, l *link) error {
-	stream, err := pb.NewPeerClient(l.conn).Follow(ctx, &pb.FollowRequest{Follower: s.self.Name}, grpc.WaitForReady(true))
+	stream, err := pb.NewPeerClient(l.conn).Follow(ctx, &pb.FollowRequest{Follower: s.self.Name, Region: s.self.Region}, grpc.WaitForReady(true))
 	if err != nil {
 		return err
 	}
@@ -164,7 +158,7 @@
 			return err
 		}
 		l.revision.Store(max(b.Revision, l.revision.Load()))
-		s.tell(b, time.Now())
+		s.tell(l, b, time.Now())
 	}
 }
 
--- /dev/null
+++ b/peer/events.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+// size returns the number of events in a batch.
+func size(b *pb.Batch) int { return len(b.Dispatches) + len(b.Starts) + len(b.Ends) }
+
+// encode adds an event to a batch.
+func encode(b *pb.Batch, e route.Event) {
+	switch e.Kind {
+	case route.Dispatched:
+		d := &pb.Dispatch{Endpoint: e.Endpoint, Seq: e.Seq, Rank: int32(e.Rank), TravelMs: uint32(e.Travel.Milliseconds()), Prompt: uint32(e.Prompt), Missing: uint32(max(0, e.Tokens))}
+		for _, l := range e.Levels {
+			d.Levels = append(d.Levels, l.Hash)
+			d.Tokens = append(d.Tokens, uint32(l.Tokens))
+		}
+		b.Dispatches = append(b.Dispatches, d)
+	case route.Started:
+		b.Starts = append(b.Starts, &pb.Start{Endpoint: e.Endpoint, Seq: e.Seq, SlowdownPercent: uint32(e.Slowdown * 100)})
+	case route.Ended:
+		b.Ends = append(b.Ends, &pb.End{Endpoint: e.Endpoint, Seq: e.Seq})
+	}
+}
+
+// decode calls f for each event of a batch. Dispatches come first: a batch may
+// hold the start of one of its own.
+func decode(b *pb.Batch, f func(e route.Event)) {
+	for _, d := range b.Dispatches {
+		e := route.Event{Kind: route.Dispatched, Endpoint: d.Endpoint, Seq: d.Seq, Rank: int(d.Rank), Prompt: int64(d.Prompt),
+			Travel: time.Duration(d.TravelMs) * time.Millisecond, Tokens: float64(d.Missing)}
+		for i, hash := range d.Levels[:min(len(d.Levels), len(d.Tokens))] {
+			e.Levels = append(e.Levels, prefix.Level{Hash: hash, Tokens: int64(d.Tokens[i])})
+		}
+		f(e)
+	}
+	for _, s := range b.Starts {
+		f(route.Event{Kind: route.Started, Endpoint: s.Endpoint, Seq: s.Seq, Slowdown: float64(s.SlowdownPercent) / 100})
+	}
+	for _, d := range b.Ends {
+		f(route.Event{Kind: route.Ended, Endpoint: d.Endpoint, Seq: d.Seq})
+	}
+}
--- /dev/null
+++ b/peer/events_test.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+// Guards against events that lose a field on their way, and against a start that
+// is read before the dispatch in the same batch.
+func TestEventsSurviveABatch(t *testing.T) {
+	is := is.New(t)
+	dispatch := route.Event{Kind: route.Dispatched, Endpoint: "e", Seq: 7, Levels: []prefix.Level{{Hash: 1, Tokens: 500}, {Hash: 2, Tokens: 4000}},
+		Prompt: 9000, Rank: 1, Travel: 40 * time.Millisecond, Tokens: 5000}
+	start := route.Event{Kind: route.Started, Endpoint: "e", Seq: 7, Slowdown: 2.5}
+	end := route.Event{Kind: route.Ended, Endpoint: "e", Seq: 6}
+	b := &pb.Batch{}
+	for _, e := range []route.Event{end, start, dispatch} {
+		encode(b, e)
+	}
+	is.Equal(size(b), 3)
+	var got []route.Event
+	decode(b, func(e route.Event) { got = append(got, e) })
+	is.Equal(got, []route.Event{dispatch, start, end})
+}
+
+// Guards against batches that wait although events are there, an outbox that
+// grows without bound, and a newer copy of the store that is not told.
+func TestOutboxIsPromptAndBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOutbox(pace{base: 2 * time.Millisecond})
+		batches, leave := o.join()
+		ctx, cancel := context.WithCancel(context.Background())
+		revision := int64(3)
+		go o.run(ctx, func() int64 { return revision })
+		began := time.Now()
+		for range maxWaiting + 5 {
+			o.add(route.Event{Kind: route.Ended, Endpoint: "e"})
+		}
+		b := <-batches
+		is.Equal(time.Since(began), 2*time.Millisecond)
+		is.Equal(len(b.Ends), maxWaiting)
+		is.Equal(o.dropped, int64(5))
+		is.Equal(b.Revision, int64(3))
+		time.Sleep(3 * revisionInterval)
+		is.Equal(len(batches), 0) // the same revision is not told again
+		revision = 4
+		is.Equal((<-batches).Revision, int64(4))
+		cancel()
+		leave()
+		synctest.Wait()
+	})
+}
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -1,50 +1,97 @@
 package peer
 
 import (
+	"context"
 	"sync"
+	"time"
 
+	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/route"
 )
 
-// maxWaiting bounds the dispatches that wait for the next batch. More are
-// dropped: peers then only know less.
-const maxWaiting = 4096
+const (
+	// maxWaiting bounds the events that wait for the next batch. More are dropped:
+	// peers then only know less.
+	maxWaiting = 4096
+	// followerBatches bounds the batches that wait for a slow follower.
+	followerBatches = 64
+	// revisionInterval is the time between two looks for a newer copy of the store.
+	revisionInterval = 100 * time.Millisecond
+)
+
+// pace is the time between two batches: a base, and a part for each follower, so
+// that a large fleet sends fewer messages.
+type pace struct{ base, perFollower time.Duration }
 
-// outbox collects dispatches and hands each batch to all followers.
+// outbox collects events and hands each batch to all followers.
 type outbox struct {
-	mu      sync.Mutex
-	waiting []*pb.Dispatch
-	// revision is the one that the followers have been told.
-	revision  int64
+	pace pace
+	// wake is filled when events wait.
+	wake chan struct{}
+
+	mu        sync.Mutex
+	waiting   *pb.Batch
 	followers map[chan *pb.Batch]bool
-	dropped   int64
+	// revision is the one that the followers have been told.
+	revision int64
+	dropped  int64
 }
 
-func newOutbox() *outbox { return &outbox{followers: map[chan *pb.Batch]bool{}} }
+func newOutbox(p pace) *outbox {
+	return &outbox{pace: p, wake: make(chan struct{}, 1), waiting: &pb.Batch{}, followers: map[chan *pb.Batch]bool{}}
+}
 
-// add queues a dispatch; without followers it is dropped.
-func (o *outbox) add(d *pb.Dispatch) {
+// add queues an event; without followers it is dropped. It never blocks.
+func (o *outbox) add(e route.Event) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
 	case len(o.followers) == 0:
-	case len(o.waiting) >= maxWaiting:
+	case size(o.waiting) >= maxWaiting:
 		o.dropped++
 	default:
-		o.waiting = append(o.waiting, d)
+		encode(o.waiting, e)
+		select {
+		case o.wake <- struct{}{}:
+		default: // the run knows already
+		}
+	}
+}
+
+// run sends batches until ctx ends. revision returns that of the copy of the store.
+func (o *outbox) run(ctx context.Context, revision func() int64) {
+	t := time.NewTicker(revisionInterval)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-o.wake:
+			wait.Sleep(ctx, o.interval())
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		o.flush(revision())
 	}
 }
 
-// flush sends the queued dispatches and the revision of the copy of the store.
-// A follower that is behind misses them.
+// interval returns the time in which events gather.
+func (o *outbox) interval() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pace.base + time.Duration(len(o.followers))*o.pace.perFollower
+}
+
+// flush sends the queued events and the revision of the copy of the store. A
+// follower that is behind misses them.
 func (o *outbox) flush(revision int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.waiting) == 0 && revision <= o.revision {
+	if size(o.waiting) == 0 && revision <= o.revision {
 		return
 	}
-	b := &pb.Batch{Dispatches: o.waiting, Revision: revision}
-	o.waiting, o.revision = nil, revision
+	b := o.waiting
+	b.Revision = revision
+	o.waiting, o.revision = &pb.Batch{}, revision
 	o.deliver(b)
 }
 
@@ -61,14 +108,11 @@
 		select {
 		case f <- b:
 		default:
-			o.dropped += int64(len(b.Dispatches))
+			o.dropped += int64(size(b))
 		}
 	}
 }
 
-// followerBatches bounds the batches that wait for a slow follower.
-const followerBatches = 8
-
 // join adds a follower; leave removes it.
 func (o *outbox) join() (batches chan *pb.Batch, leave func()) {
 	f := make(chan *pb.Batch, followerBatches)
@@ -81,10 +125,3 @@
 		delete(o.followers, f)
 	}
 }
-
-// size returns the number of followers.
-func (o *outbox) size() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.followers)
-}
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,17 +15,20 @@
 
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
-	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
-	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/rollout"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+// Times between two batches. Gateways of a region share its endpoints and have to
+// know of each other's requests within milliseconds; others know of them in time
+// for the parts of prompts that the endpoints hold.
+var (
+	nearPace = pace{2 * time.Millisecond, 500 * time.Microsecond}
+	farPace  = pace{30 * time.Millisecond, 2 * time.Millisecond}
 )
 
 const (
-	// minInterval is the time between two batches, and perFollower what each
-	// follower adds to it, so that a large fleet sends fewer messages.
-	minInterval = 30 * time.Millisecond
-	perFollower = 2 * time.Millisecond
 	// pingInterval and pingTimeout find connections that have gone silent.
 	pingInterval = 2 * time.Second
 	pingTimeout  = time.Second
@@ -49,29 +52,29 @@
 	pb.UnimplementedPeerServer
 	copy    Copy
 	targets *rollout.Targets
-	out     *outbox
-	log     *zap.Logger
+	region  string
+	// near and far serve the followers of the own region and of others.
+	near, far *outbox
+	log       *zap.Logger
 }
 
-// NewServer returns a server that hands on a copy of the store and the times at
-// which versions of weights were named.
-func NewServer(c Copy, targets *rollout.Targets, log *zap.Logger) *Server {
-	return &Server{copy: c, targets: targets, out: newOutbox(), log: log}
+// NewServer returns a server of a region's gateway that hands on a copy of the
+// store and the times at which versions of weights were named.
+func NewServer(region string, c Copy, targets *rollout.Targets, log *zap.Logger) *Server {
+	return &Server{copy: c, targets: targets, region: region, near: newOutbox(nearPace), far: newOutbox(farPace), log: log}
 }
 
-// Dispatched tells the followers that a request goes to an endpoint. It never blocks.
-func (s *Server) Dispatched(endpoint string, levels []prefix.Level, costMs float64) {
-	d := &pb.Dispatch{Endpoint: endpoint, CostUs: uint32(max(0, costMs) * 1000)}
-	for _, l := range levels {
-		d.Levels = append(d.Levels, l.Hash)
-		d.Tokens = append(d.Tokens, uint32(l.Tokens))
-	}
-	s.out.add(d)
+// Tell tells the followers of an event. It never blocks.
+func (s *Server) Tell(e route.Event) {
+	s.near.add(e)
+	s.far.add(e)
 }
 
 // Announce tells the followers which engines load weights. It never blocks.
 func (s *Server) Announce(p rollout.Plan) {
-	s.out.send(&pb.Batch{Plan: &pb.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs}})
+	b := &pb.Batch{Plan: &pb.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs}}
+	s.near.send(b)
+	s.far.send(b)
 }
 
 // Serve answers on l until ctx ends.
@@ -79,7 +82,8 @@
 	g := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}))
 	pb.RegisterPeerServer(g, s)
-	go s.flush(ctx)
+	go s.near.run(ctx, s.copy.Revision)
+	go s.far.run(ctx, s.copy.Revision)
 	go func() {
 		<-ctx.Done()
 		g.Stop()
@@ -87,17 +91,13 @@
 	return g.Serve(l)
 }
 
-// flush sends batches until ctx ends.
-func (s *Server) flush(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait.Sleep(ctx, minInterval+time.Duration(s.out.size())*perFollower)
-		s.out.flush(s.copy.Revision())
-	}
-}
-
 // Follow implements pb.PeerServer.
 func (s *Server) Follow(r *pb.FollowRequest, stream grpc.ServerStreamingServer[pb.Batch]) error {
-	batches, leave := s.out.join()
+	out := s.far
+	if r.Region == s.region {
+		out = s.near
+	}
+	batches, leave := out.join()
 	defer leave()
 	s.log.Info("follower joined", zap.String("peer", r.Follower))
 	defer s.log.Info("follower left", zap.String("peer", r.Follower))
@@ -137,7 +137,7 @@
 }
 
 // tell passes a batch on.
-func (s *Set) tell(b *pb.Batch, now time.Time) {
+func (s *Set) tell(l *link, b *pb.Batch, now time.Time) {
 	for _, t := range b.Targets {
 		s.targets.Backdate(catalog.Target{Model: t.Model, Version: t.Version}, time.UnixMilli(t.NamedMs))
 	}
@@ -147,11 +147,11 @@
 	if b.Revision > 0 {
 		s.copied(b.Revision)
 	}
-	for _, d := range b.Dispatches {
-		levels := make([]prefix.Level, 0, len(d.Levels))
-		for i, hash := range d.Levels[:min(len(d.Levels), len(d.Tokens))] {
-			levels = append(levels, prefix.Level{Hash: hash, Tokens: int64(d.Tokens[i])})
+	near := l.record.Region == s.self.Region
+	decode(b, func(e route.Event) {
+		if !near {
+			e.Travel = 0 // word of the request took as long
 		}
-		s.tracker.DispatchedElsewhere(d.Endpoint, levels, float64(d.CostUs)/1000, now)
-	}
+		s.tracker.Elsewhere(l.record.Name, e, now)
+	})
 }
--- a/route/route.go
+++ b/route/route.go
@@ -33,6 +33,8 @@
 	Tokens int64
 	// Bytes is the size of the request body.
 	Bytes int64
+	// Rank is the priority at the endpoint; 0 goes first.
+	Rank int
 	// OutputTokens is the length expected from earlier answers, 0 when unknown.
 	OutputTokens float64
 	// Seed is the randomness of the choice; it breaks ties.
@@ -45,6 +47,9 @@
 	Policy Policy
 }
 
+// shared returns the prompt's levels that other requests may share.
+func (r *Request) shared() []prefix.Level { return r.Levels[:max(0, len(r.Levels)-1)] }
+
 // Policy are the settings of a service that endpoint selection obeys. A field
 // of 0 means the default, except for the price.
 type Policy struct {
@@ -69,9 +74,13 @@
 	Running int64
 	Queued  int64
 	Limit   int64
+	// MemoryTokens is the size of an engine's memory for prompts and answers.
+	MemoryTokens int64
 	// Wait is the wait that the agent predicted when it made the report.
 	Wait             time.Duration
 	PrefillPerSecond float64
+	// Slowdown is how much longer work takes now than usual; 0 when unknown.
+	Slowdown float64
 	// BlockLifetime is the time within which an unused block is evicted.
 	BlockLifetime time.Duration
 }
@@ -84,6 +93,8 @@
 	InFlight int64
 	// WaitMs is the expected wait before prefill starts, in milliseconds.
 	WaitMs float64
+	// BacklogMs is the expected wait of a request that goes last, in milliseconds.
+	BacklogMs float64
 	// CachedTokens is the expected length of the cached prefix, from the placement table.
 	CachedTokens float64
 	// PredictedMs is the predicted time to first token without the residual; the
@@ -95,6 +106,11 @@
 	Ejected bool
 	// Probe is true when an ejected endpoint's next probe is due.
 	Probe bool
+	// HeldTokens is what running requests hold of its memory, in tokens.
+	HeldTokens float64
+	// TokenMs is the expected time to compute a prompt token now, in milliseconds;
+	// 0 when unknown.
+	TokenMs float64
 	// RTT is the round-trip time to the endpoint's agent, 0 when unknown.
 	RTT time.Duration
 }
@@ -105,11 +121,13 @@
 
 // PrefillMs returns the time to compute tokens at the endpoint, in milliseconds.
 func (e *Endpoint) PrefillMs(tokens float64) float64 {
-	rate := e.Load.PrefillPerSecond
-	if rate <= 0 {
-		rate = DefaultPrefillPerSecond
+	switch {
+	case e.Load.PrefillPerSecond > 0:
+		return tokens / e.Load.PrefillPerSecond * 1000 * max(1, e.Load.Slowdown)
+	case e.TokenMs > 0:
+		return tokens * e.TokenMs
 	}
-	return tokens / rate * 1000
+	return tokens / DefaultPrefillPerSecond * 1000
 }
 
 // Candidate is an endpoint's result in a decision.
