route: an unbiased time to first token, so that requests stay in their region

The prediction lacked the first token's own 30 ms and half of what another region costs (idle engines: 45 ms near, 96 ms far at the tenth percentile of small prompts), so that the residual of engines in use was 2 on average and decayed to 1 on those of other regions. A standing queue is now 50 ms for 200 ms.

--- a/admit/crest.go
+++ b/admit/crest.go
@@ -37,8 +37,8 @@
 	// standingWindow is the time in which not a single request found a usual wait
 	// of less than standingWait when there is a standing queue. A burst that the
 	// endpoints can absorb leaves gaps.
-	standingWindow = 300 * time.Millisecond
-	standingWait   = 80 * time.Millisecond
+	standingWindow = 200 * time.Millisecond
+	standingWait   = 50 * time.Millisecond
 	// standingSamples is the least number of requests that tell.
 	standingSamples = 4
 )
--- a/plugins/region/region.go
+++ b/plugins/region/region.go
@@ -6,8 +6,8 @@
 
 const (
 	// defaultRTTMs is assumed for another region before the first measurement:
-	// regions are about 20 ms apart.
-	defaultRTTMs = 40
+	// regions are about 20 ms apart, and a connection often has to be made first.
+	defaultRTTMs = 80
 	// streamBytesPerToken is the size of a streamed token with its event frame.
 	streamBytesPerToken = 200
 )
--- a/route/scheduler.go
+++ b/route/scheduler.go
@@ -32,8 +32,9 @@
 
 const (
 	// baseMs is the time to first token of an idle endpoint with the whole
-	// prompt cached. It keeps the residual effective when all scores are zero.
-	baseMs = 5
+	// prompt cached. Without it endpoints in use would look like stragglers beside
+	// those that are seldom used, whose residual has decayed.
+	baseMs = 30
 	// maxRecorded bounds a decision record; 4,096 records of 2,000 candidates
 	// would exceed the 32 MB of a daemon.
 	maxRecorded = 16
