rollout: keep the time of naming when the plan is read before the version

All hosts had lost power 5.7 s after the naming. A starting process reads the keys of the store in order; the plan with the time of naming comes before the version, and a time of a version not yet known was dropped, so that each process took its own start for the time. Ruled out: clocks, the holder (it had written the plan), lost orders. TestNamingTimeBeforeTheVersion failed before.

--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -293,3 +293,25 @@
 	required, _ = targets.Version(model, now.Add(12*time.Second))
 	is.Equal(required, int64(3))
 }
+
+// Guards against a process that takes its own start for the time at which a
+// version was named, because it read the plan before the version.
+func TestNamingTimeBeforeTheVersion(t *testing.T) {
+	is := is.New(t)
+	named := time.Unix(100, 0)
+	want := catalog.Target{Model: "m", Version: 4}
+	for _, planFirst := range []bool{true, false} {
+		targets := &Targets{Deadline: 12 * time.Second}
+		start := named.Add(8 * time.Second)
+		if planFirst {
+			targets.Backdate(want, named)
+		}
+		is.True(targets.Offer(want, start))
+		if !planFirst {
+			targets.Backdate(want, named)
+		}
+		is.Equal(targets.Named(want), named)
+		required, _ := targets.Version("m", start.Add(4*time.Second))
+		is.Equal(required, int64(4))
+	}
+}
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -28,6 +28,9 @@
 
 	mu     sync.Mutex
 	models map[string][]target
+	// early are the times at which versions were named that have not been offered
+	// yet: a starting process reads the store's keys in any order.
+	early map[catalog.Target]time.Time
 }
 
 // target is a version with the time at which it was named; a model's targets
@@ -55,6 +58,12 @@
 	if len(known) >= maxTargets {
 		known = known[1:]
 	}
+	if named, ok := t.early[want]; ok {
+		delete(t.early, want)
+		if named.Before(now) {
+			now = named
+		}
+	}
 	t.models[want.Model] = append(known, target{want.Version, now})
 	return true
 }
@@ -66,10 +75,28 @@
 	defer t.mu.Unlock()
 	known := t.models[want.Model]
 	for i := range known {
-		if known[i].version == want.Version && named.Before(known[i].since) {
-			known[i].since = named
+		if known[i].version == want.Version {
+			if named.Before(known[i].since) {
+				known[i].since = named
+			}
+			return
 		}
 	}
+	if len(known) > 0 && known[len(known)-1].version > want.Version {
+		return // an older version that was never wanted here
+	}
+	t.remember(want, named)
+}
+
+// remember keeps the time of a version that has not been offered yet; the caller
+// holds mu.
+func (t *Targets) remember(want catalog.Target, named time.Time) {
+	if t.early == nil || len(t.early) >= maxTargets {
+		t.early = map[catalog.Target]time.Time{}
+	}
+	if old, ok := t.early[want]; !ok || named.Before(old) {
+		t.early[want] = named
+	}
 }
 
 // Named returns when a version was named, as far as this process knows.
