--- a/admit/crest.go
+++ b/admit/crest.go
@@ -40,33 +40,56 @@
 	standingWindow = 200 * time.Millisecond
 	standingWait   = 50 * time.Millisecond
 	// standingSamples is the least number of requests that tell.
-	standingSamples = 4
+	standingSamples = 2
 )
 
-// Standing finds out whether endpoints have a standing queue: one that does not
-// drain between bursts, because more arrives than they can do. It is safe for
-// concurrent use.
+// Standing finds out which services have a standing queue: one that does not
+// drain between bursts, because more arrives than the endpoints can do. It is
+// safe for concurrent use; the zero value is ready.
 type Standing struct {
-	mu      sync.Mutex
+	mu     sync.Mutex
+	queues map[string]*queueWindow
+}
+
+// queueWindow is what requests to a service have found lately.
+type queueWindow struct {
 	begun   time.Time
 	least   time.Duration
 	samples int
+	// filled is true when the last whole window found a queue throughout.
+	filled bool
+	// present is what was last reported.
 	present bool
 }
 
-// Observe takes the usual wait at the endpoints when a request came, and reports
-// whether there is a standing queue.
-func (s *Standing) Observe(wait time.Duration, now time.Time) bool {
+// Observe takes the usual wait at a service's endpoints when a request came. It
+// reports whether there is a standing queue, and whether that has changed.
+func (s *Standing) Observe(service string, wait time.Duration, now time.Time) (present, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.samples > 0 && now.Sub(s.begun) > standingWindow {
-		s.present = s.samples >= standingSamples && s.least > standingWait
-		s.samples = 0
+	if s.queues == nil {
+		s.queues = map[string]*queueWindow{}
+	}
+	q := s.queues[service]
+	if q == nil {
+		q = &queueWindow{}
+		s.queues[service] = q
+	}
+	present = q.observe(wait, now)
+	changed = present != q.present
+	q.present = present
+	return present, changed
+}
+
+func (q *queueWindow) observe(wait time.Duration, now time.Time) bool {
+	if q.samples > 0 && now.Sub(q.begun) > standingWindow {
+		q.filled = q.samples >= standingSamples && q.least > standingWait
+		q.samples = 0
 	}
-	if s.samples == 0 {
-		s.begun, s.least = now, wait
+	if q.samples == 0 {
+		q.begun, q.least = now, wait
 	}
-	s.samples++
-	s.least = min(s.least, wait)
-	return s.present && s.least > standingWait
+	q.samples++
+	q.least = min(q.least, wait)
+	return q.filled && q.least > standingWait
 }
--- a/admit/crest_test.go
+++ b/admit/crest_test.go
@@ -81,9 +81,12 @@
 			}
 			now += crestGap
 			free = max(free, now) + crestWork
-			if s.Observe(free-now-crestWork, time.Unix(0, 0).Add(now)) {
+			if present, _ := s.Observe("llm", free-now-crestWork, time.Unix(0, 0).Add(now)); present {
 				standing++
 			}
+			if present, _ := s.Observe("idle", 0, time.Unix(0, 0).Add(now)); present {
+				t.Fatal("a service without a queue has one")
+			}
 		}
 		is.Equal(standing > 50, c.want)
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -73,14 +73,28 @@
 	}
 	own := e.PrefillMs(max(0, float64(x.call.PromptTokens)-e.CachedTokens)) * max(1, e.Residual)
 	x.overload = time.Duration(max(0, d.Score-own) * float64(time.Millisecond))
-	standing := x.g.Standing.Observe(usualWait(candidates), time.Now())
+	usual := usualWait(candidates)
+	standing := x.g.observeQueue(x.service, usual)
 	if x.g.Crest.Takes(x.route.Priority, x.overload, x.route.Target, standing) {
 		x.overload = 0
 		return false
 	}
+	x.g.Log.Info("overload", zap.String("request", x.call.ID), zap.String("endpoint", e.ID), zap.Duration("wait", x.overload),
+		zap.Duration("usual_wait", usual), zap.Bool("standing_queue", standing), zap.Duration("target", x.route.Target),
+		zap.Int("priority", x.route.Priority), zap.Float64("held_tokens", e.HeldTokens), zap.Int64("memory_tokens", e.Load.MemoryTokens))
 	return true
 }
 
+// observeQueue takes the usual wait at a service's endpoints, and reports whether
+// they have a standing queue.
+func (g *Gateway) observeQueue(service string, usual time.Duration) bool {
+	present, changed := g.Standing.Observe(service, usual, time.Now())
+	if changed {
+		g.Log.Info("standing queue", zap.String("service", service), zap.Bool("present", present), zap.Duration("usual_wait", usual))
+	}
+	return present
+}
+
 // maxWaits bounds the endpoints that tell the usual wait.
 const maxWaits = 64
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,7 @@
 	Budget *admit.Budget
 	// Crest decides which requests are taken when endpoints are overloaded.
 	Crest admit.Crest
-	// Standing finds out whether they are.
+	// Standing finds out which services are.
 	Standing admit.Standing
 	Metrics  *Metrics
 	Log      *zap.Logger
