--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -37,6 +37,9 @@
 	memoryShare = 0.7
 	// shutdownMargin is the time left before SIGKILL when the last requests are cut.
 	shutdownMargin = 700 * time.Millisecond
+	// engineBaseMs is an idle engine's time to first token, in milliseconds, as a
+	// gateway without agents sees it.
+	engineBaseMs = 30
 	// drainStep is the time between two looks for open requests.
 	drainStep = 20 * time.Millisecond
 	// headerTimeout bounds how long a caller may take to send its headers.
@@ -87,11 +90,13 @@
 
 func newProcess(set Settings, host platform.Settings, log *zap.Logger, droppedLines func() int64) *gatewayProcess {
 	members, tracker := member.NewTracker(), route.NewTracker()
+	scheduler := selection.New(log)
+	scheduler.BaseMs = engineBaseMs
 	p := &gatewayProcess{set: set, host: host, log: log, store: platform.NewStore(host.StoreAddress, storeTransport())}
 	reg := prometheus.NewRegistry()
 	p.gateway = &gateway.Gateway{
 		Book: &catalog.Book{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
-		Scheduler: selection.New(log), Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
+		Scheduler: scheduler, Targets: &rollout.Targets{Deadline: host.WeightsDeadline}, Codec: platform.Codec{},
 		Recent: newTransport(recentIdle), Kept: newTransport(keptIdle), Region: host.Region,
 		Crest: admit.Crest{Usual: admit.Limits{Urgent: set.UsualUrgent, Other: set.UsualOther},
 			Overload: admit.Limits{Urgent: set.OverloadUrgent, Other: set.OverloadOther}},
--- a/peer/events_test.go
+++ b/peer/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,8 +40,9 @@
 		o := newOutbox(pace{base: 2 * time.Millisecond})
 		batches, leave := o.join()
 		ctx, cancel := context.WithCancel(context.Background())
-		revision := int64(3)
-		go o.run(ctx, func() int64 { return revision })
+		var revision atomic.Int64
+		revision.Store(3)
+		go o.run(ctx, revision.Load)
 		began := time.Now()
 		for range maxWaiting + 5 {
 			o.add(route.Event{Kind: route.Ended, Endpoint: "e"})
@@ -52,7 +54,7 @@
 		is.Equal(b.Revision, int64(3))
 		time.Sleep(3 * revisionInterval)
 		is.Equal(len(batches), 0) // the same revision is not told again
-		revision = 4
+		revision.Store(4)
 		is.Equal((<-batches).Revision, int64(4))
 		cancel()
 		leave()
--- a/route/backlog.go
+++ b/route/backlog.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -56,7 +55,7 @@
 	works []work
 	// asOf is the time of what is expected to be left.
 	asOf time.Time
-	// tokenMs is the time for a token at the endpoint's usual speed; 0 when unknown.
+	// tokenMs is the time for a token at the endpoint's usual speed.
 	tokenMs float64
 	// startedAt is the time of the last first token if work was left then.
 	startedAt time.Time
@@ -131,7 +130,7 @@
 
 // rate returns the time for a token now, in milliseconds.
 func (b *backlog) rate() float64 {
-	return cmp.Or(b.tokenMs, initialTokenMs) * max(1, b.slowdown)
+	return b.tokenMs * max(1, b.slowdown)
 }
 
 // drop forgets work that ended without a first token.
--- a/route/pace.go
+++ b/route/pace.go
@@ -3,10 +3,10 @@
 import "math"
 
 const (
-	// initialTokenMs is the time for a prompt token assumed before any is known.
-	initialTokenMs = 1.0 / 60
+	// assumedTokenMs is the time for a prompt token where no pace is known.
+	assumedTokenMs = 1000.0 / DefaultPrefillPerSecond
 	// paceWindowMs is the length of busy time, in milliseconds, over which a
-	// service's pace is averaged, and priorPaceMs what the initial one counts for.
+	// service's pace is averaged, and priorPaceMs what the assumed one counts for.
 	paceWindowMs, priorPaceMs = 20_000, 100
 	// maxPaceFactor bounds how far an observation may be from the pace believed.
 	maxPaceFactor = 8
@@ -27,7 +27,7 @@
 
 // tokenMs returns the time for a token.
 func (p *pace) tokenMs() float64 {
-	return (p.elapsedMs + priorPaceMs) / (p.tokens + priorPaceMs/initialTokenMs)
+	return (p.elapsedMs + priorPaceMs) / (p.tokens + priorPaceMs/assumedTokenMs)
 }
 
 // paceOf returns the time for a prompt token at a service's endpoints, in
@@ -36,7 +36,7 @@
 	if p := t.paces[service]; p != nil {
 		return p.tokenMs()
 	}
-	return initialTokenMs
+	return assumedTokenMs
 }
 
 // learn takes what an endpoint has done between two first tokens while it was
--- a/route/route.go
+++ b/route/route.go
@@ -117,7 +117,7 @@
 
 // DefaultPrefillPerSecond is assumed for endpoints that report no prefill
 // speed. A wrong value is absorbed by the residual.
-const DefaultPrefillPerSecond = 10_000
+const DefaultPrefillPerSecond = 60_000
 
 // PrefillMs returns the time to compute tokens at the endpoint, in milliseconds.
 func (e *Endpoint) PrefillMs(tokens float64) float64 {
--- a/route/scheduler.go
+++ b/route/scheduler.go
@@ -1,6 +1,9 @@
 package route
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Filter drops endpoints that must not get a request.
 type Filter interface {
@@ -28,13 +31,17 @@
 	Scorers []Scorer
 	Prices  []Scorer
 	Picker  Picker
+	// BaseMs is the time to first token of an idle endpoint with the whole prompt
+	// cached, in milliseconds; 0 means the default. When it is too short, endpoints
+	// in use look like stragglers beside those that are seldom used, whose residual
+	// has decayed.
+	BaseMs float64
 }
 
 const (
-	// baseMs is the time to first token of an idle endpoint with the whole
-	// prompt cached. Without it endpoints in use would look like stragglers beside
-	// those that are seldom used, whose residual has decayed.
-	baseMs = 30
+	// defaultBaseMs is the time to first token of an idle endpoint with the whole
+	// prompt cached. It keeps the residual effective when all scores are zero.
+	defaultBaseMs = 5
 	// maxRecorded bounds a decision record; 4,096 records of 2,000 candidates
 	// would exceed the 32 MB of a daemon.
 	maxRecorded = 16
@@ -57,7 +64,7 @@
 	}
 	scores := make([]float64, len(kept))
 	for i := range scores {
-		scores[i] = baseMs
+		scores[i] = cmp.Or(s.BaseMs, defaultBaseMs)
 	}
 	for _, sc := range s.Scorers {
 		sc.Score(r, kept, scores)
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -207,7 +207,7 @@
 func (t *Tracker) state(id string) *endpointState {
 	s, ok := t.endpoints[id]
 	if !ok {
-		s = &endpointState{id: id, residual: 1}
+		s = &endpointState{id: id, residual: 1, backlog: backlog{tokenMs: assumedTokenMs}}
 		t.endpoints[id] = s
 	}
 	return s
