--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -189,7 +189,7 @@
 	for _, p := range pairs {
 		events = append(events, infra.Event{Pair: p})
 	}
-	m.applyChanges(events, rev, true)
+	m.applyChanges(reply{source: fromList, events: events, revision: rev, complete: true})
 	return nil
 }
 
@@ -213,7 +213,7 @@
 		return err
 	}
 	m.noteResponse()
-	m.applyChanges(events, rev, false)
+	m.applyChanges(reply{source: fromPoll, events: events, revision: rev})
 	if len(events) > 0 {
 		wait.Sleep(ctx, batchDelay)
 	}
@@ -236,19 +236,19 @@
 }
 
 // apply applies a change unless the copy holds the same or a newer revision of the
-// key.
-func (m *Mirror) apply(ev infra.Event) {
+// key. It reports whether the copy has changed.
+func (m *Mirror) apply(ev infra.Event) bool {
 	m.mu.Lock()
 	old, ok := m.items[ev.Key]
 	switch {
 	case ok && old.Revision >= ev.Revision, !ok && ev.Deleted:
 		m.mu.Unlock()
-		return
+		return false
 	case ev.Deleted && m.removalDeferred(ev.Key):
 		m.mu.Unlock()
 		m.Log.Info("removal deferred after an outage", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision))
 		m.removeLater(ev)
-		return
+		return false
 	case ev.Deleted:
 		m.deleteKey(ev)
 	default:
@@ -257,6 +257,7 @@
 	}
 	m.mu.Unlock()
 	m.OnChange(ev)
+	return true
 }
 
 // removalDeferred reports whether a removal is delayed; the caller holds mu.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -308,7 +308,7 @@
 	m := New(Options{OnChange: func(infra.Event) {}, Log: zap.NewNop()})
 	_, _, complete := m.Since(context.Background(), 0, 0)
 	is.True(!complete) // its own copy is still empty
-	m.applyChanges([]infra.Event{{Pair: infra.Pair{Key: "a", Value: []byte("1"), Revision: 3}}}, 9, true)
+	m.applyChanges(reply{events: []infra.Event{{Pair: infra.Pair{Key: "a", Value: []byte("1"), Revision: 3}}}, revision: 9, complete: true})
 	events, rev, complete := m.Since(context.Background(), 0, 0)
 	is.Equal(len(events), 1)
 	is.Equal(rev, int64(9))
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -91,7 +91,7 @@
 		return false
 	}
 	m.noteResponse()
-	m.applyChanges(events, rev, complete)
+	m.applyChanges(reply{source: fromLeader, events: events, revision: rev, complete: complete})
 	return true
 }
 
@@ -164,22 +164,6 @@
 			wait.Sleep(ctx, maxBackoff/2) // peers may fail too; Run still polls the service
 			continue
 		}
-		m.applyChanges(events, rev, complete)
+		m.applyChanges(reply{source: fromPeer, events: events, revision: rev, complete: complete})
 	}
 }
-
-// applyChanges applies changes and advances the copy to revision rev. If complete
-// is true, it removes the keys that events lacks.
-func (m *Mirror) applyChanges(events []infra.Event, rev int64, complete bool) {
-	present := make(map[string]bool, len(events))
-	for _, ev := range events {
-		present[ev.Key] = true
-		m.apply(ev)
-	}
-	if complete {
-		for _, key := range m.missing(present, rev) {
-			m.apply(infra.Event{Pair: infra.Pair{Key: key, Revision: rev}, Deleted: true})
-		}
-	}
-	m.advance(rev)
-}
