mirror: a removal that a copy delays is told to the copies that follow it

Cause: after an outage of the store, removals of endpoints wait 2.5 s for their owners. The copy's revision advances meanwhile. A gateway that follows this copy, or asks it as a peer, takes the revision without the removal; when the removal happens it has an older revision than the one the follower asks from, so it is never sent. Only deployments with three gateways or more in a region have followers, others meet it only while they ask peers.

Class: a copy reports a position that is ahead of the state it shows.

Fix: a reply to another copy lists delayed removals with the time left, and the receiver delays them for that time. Telling them as plain removals was ruled out: a gateway that the store still refuses would drop all endpoints whose leases lapsed, at the moment at which its first peer is back. A lower revision in the reply was ruled out, since the follower's next call would return at once, again and again.

--- a/infra/infra.go
+++ b/infra/infra.go
@@ -83,6 +83,9 @@
 type Event struct {
 	Pair
 	Deleted bool
+	// RemoveIn is the time after which a removal takes effect, 0 for at once. Its sender
+	// waits for the key's owner to write the key again.
+	RemoveIn time.Duration
 }
 
 // KV is the key-value service. Values are at most 1 MB. Every call counts against the
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -84,6 +84,8 @@
 	// miss removals up to removedFloor.
 	removed      map[string]int64
 	removedFloor int64
+	// deferred maps the keys whose removal is delayed to that removal.
+	deferred map[string]deferredRemoval
 	// updated is closed and replaced when the revision advances.
 	updated chan struct{}
 	// peerRevision is the newest revision reported by another process. progressedAt
@@ -95,7 +97,7 @@
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{Options: o, items: map[string]infra.Pair{}, removed: map[string]int64{}, updated: make(chan struct{})}
+	return &Mirror{Options: o, items: map[string]infra.Pair{}, removed: map[string]int64{}, deferred: map[string]deferredRemoval{}, updated: make(chan struct{})}
 }
 
 // Get returns a key's pair, and whether the copy holds the key.
@@ -244,43 +246,21 @@
 	case ok && old.Revision >= ev.Revision, !ok && ev.Deleted:
 		m.mu.Unlock()
 		return false
-	case ev.Deleted && m.removalDeferred(ev.Key):
+	case ev.Deleted && m.removalDelay(ev) > 0:
+		delay := m.removalDelay(ev)
+		m.deferred[ev.Key] = deferredRemoval{revision: ev.Revision, at: time.Now().Add(delay)}
 		m.mu.Unlock()
-		m.Log.Info("removal deferred after an outage", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision))
-		m.removeLater(ev)
+		m.Log.Info("removal deferred after an outage", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision), zap.Duration("delay", delay))
+		m.removeLater(ev, delay)
 		return false
 	case ev.Deleted:
 		m.deleteKey(ev)
 	default:
 		m.items[ev.Key] = ev.Pair
 		delete(m.removed, ev.Key)
+		delete(m.deferred, ev.Key)
 	}
 	m.mu.Unlock()
 	m.OnChange(ev)
 	return true
 }
-
-// removalDeferred reports whether a removal is delayed; the caller holds mu.
-func (m *Mirror) removalDeferred(key string) bool {
-	return m.DeferRemoval != nil && m.DeferRemoval(key) && !m.resumedAt.IsZero() && time.Since(m.resumedAt) < rejoinGrace
-}
-
-// removeLater removes a key when rejoinGrace has passed, unless it was written
-// again.
-func (m *Mirror) removeLater(ev infra.Event) {
-	m.mu.RLock()
-	delay := time.Until(m.resumedAt.Add(rejoinGrace))
-	m.mu.RUnlock()
-	time.AfterFunc(delay, func() {
-		m.mu.Lock()
-		p, ok := m.items[ev.Key]
-		gone := ok && p.Revision < ev.Revision
-		if gone {
-			m.deleteKey(ev)
-		}
-		m.mu.Unlock()
-		if gone {
-			m.OnChange(ev)
-		}
-	})
-}
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -16,6 +16,7 @@
 // deleteKey removes a key and records the removal; the caller holds mu.
 func (m *Mirror) deleteKey(ev infra.Event) {
 	delete(m.items, ev.Key)
+	delete(m.deferred, ev.Key)
 	if len(m.removed) >= maxRemoved {
 		clear(m.removed)
 		m.removedFloor = m.revision
@@ -24,7 +25,8 @@
 }
 
 // Since returns the changes after a revision, waiting up to wait for the first
-// one, and the copy's revision. complete is true when events holds every key of
+// one, and the copy's revision. Removals that this copy delays are among the changes:
+// a caller that continues from the revision would never learn of them. complete is true when events holds every key of
 // the copy, because the removals since that revision are not all known. It is
 // false before the copy has been filled.
 func (m *Mirror) Since(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool) {
@@ -49,14 +51,14 @@
 		}
 	}
 	if complete {
-		return events, m.revision, m.revision > 0
+		return m.appendDeferred(events, 0), m.revision, m.revision > 0
 	}
 	for key, rev := range m.removed {
 		if rev > after {
 			events = append(events, infra.Event{Pair: infra.Pair{Key: key, Revision: rev}, Deleted: true})
 		}
 	}
-	return events, m.revision, false
+	return m.appendDeferred(events, after), m.revision, false
 }
 
 // Leader gives access to the process that polls the service on behalf of this one,
--- a/peer/client.go
+++ b/peer/client.go
@@ -287,7 +287,8 @@
 func changes(reply *pb.ChangesReply) []infra.Event {
 	events := make([]infra.Event, 0, len(reply.Changes))
 	for _, ch := range reply.Changes {
-		events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: ch.Revision}, Deleted: ch.Deleted})
+		events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: ch.Revision}, Deleted: ch.Deleted,
+			RemoveIn: time.Duration(ch.RemoveInMs) * time.Millisecond})
 	}
 	return events
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -169,7 +169,7 @@
 	events, revision, complete := s.replica.Since(ctx, r.After, wait)
 	reply := &pb.ChangesReply{Revision: revision, Complete: complete, Lost: s.replica.Lost()}
 	for _, ev := range events {
-		reply.Changes = append(reply.Changes, &pb.Change{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Deleted: ev.Deleted})
+		reply.Changes = append(reply.Changes, &pb.Change{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Deleted: ev.Deleted, RemoveInMs: ev.RemoveIn.Milliseconds()})
 	}
 	return reply, nil
 }
