mirror: changes reach the gateway in the order in which the copy took them

A gateway could go on sending requests to an endpoint that its own copy of the store already had as leaving or gone (DRAIN), until the next change of that entry.

Cause: OnChange was called after the lock of the copy was released, by three goroutines (the poll, the calls to peers, the timer of delayed removals). The call for an older revision could arrive after that for a newer one, and the directory, the peers and the targets take whatever comes last. The configuration was safe by its version.

Class: state is decided under a lock and published outside of it.

Evidence: TestChangesAreReportedInOrder failed before ([2 1], want [1 2]).

Fix: one lock is held from the decision to the end of OnChange. Giving each receiver a check of revisions was ruled out: four receivers, and a removal has no entry left to compare with.

--- a/mirror/deferred.go
+++ b/mirror/deferred.go
@@ -30,6 +30,8 @@
 // removeLater removes a key after a delay, unless it was written again.
 func (m *Mirror) removeLater(ev infra.Event, delay time.Duration) {
 	time.AfterFunc(delay, func() {
+		m.changeMu.Lock()
+		defer m.changeMu.Unlock()
 		m.mu.Lock()
 		p, ok := m.items[ev.Key]
 		gone := ok && p.Revision < ev.Revision
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -58,7 +58,8 @@
 	// Fallback supplies changes while the service doesn't respond or the copy is
 	// behind; nil means none.
 	Fallback Fallback
-	// OnChange is called after each change, without a lock held. It must not be nil.
+	// OnChange is called after each change, in the order in which the changes were
+	// applied. It may read the mirror. It must not be nil.
 	OnChange func(ev infra.Event)
 	Log      *zap.Logger
 }
@@ -67,6 +68,10 @@
 type Mirror struct {
 	Options
 
+	// changeMu keeps replies from overtaking each other between the copy and OnChange. It
+	// is locked before mu and held while OnChange is called.
+	changeMu sync.Mutex
+
 	mu    sync.RWMutex
 	items map[string]infra.Pair
 	// revision is the revision up to which the copy is complete.
@@ -238,7 +243,7 @@
 }
 
 // apply applies a change unless the copy holds the same or a newer revision of the
-// key. It reports whether the copy has changed.
+// key. It reports whether the copy has changed. The caller holds changeMu.
 func (m *Mirror) apply(ev infra.Event) bool {
 	m.mu.Lock()
 	old, ok := m.items[ev.Key]
--- a/mirror/reply.go
+++ b/mirror/reply.go
@@ -30,6 +30,8 @@
 // applyChanges applies a reply and advances the copy to its revision. It removes the
 // keys that a complete reply lacks.
 func (m *Mirror) applyChanges(r reply) {
+	m.changeMu.Lock()
+	defer m.changeMu.Unlock()
 	before, applied := m.position(), 0
 	present := make(map[string]bool, len(r.events))
 	for _, ev := range r.events {
