mirror: a late answer doesn't restore a removed key

An endpoint that had left, or a record of a gateway that was gone, could be in use again (DRAIN), for as long as the process lived.

Cause: a change was compared with the held key only. After a removal at revision 10, the answer of a peer that was asked earlier and whose copy stood at 8 put revision 7 of the key back. Nothing removed it later, since the next poll asks for changes after 10. The poll and the calls to peers run side by side, so such answers arrive whenever a copy is behind.

Class: a deletion leaves no trace to compare a late write with.

Evidence: TestRemovedKeyIsNotRestored failed before ("value != none").

Fix: a copy knows all changes up to its own revision, so older ones are dropped; removals beyond it are recorded also for keys that it doesn't hold.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -242,13 +242,17 @@
 	m.updated = make(chan struct{})
 }
 
-// apply applies a change unless the copy holds the same or a newer revision of the
+// apply applies a change unless the copy knows the same or a newer revision of the
 // key. It reports whether the copy has changed. The caller holds changeMu.
 func (m *Mirror) apply(ev infra.Event) bool {
 	m.mu.Lock()
-	old, ok := m.items[ev.Key]
+	_, ok := m.items[ev.Key]
 	switch {
-	case ok && old.Revision >= ev.Revision, !ok && ev.Deleted:
+	case m.outdated(ev):
+		m.mu.Unlock()
+		return false
+	case !ok && ev.Deleted:
+		m.recordRemoval(ev) // an older revision may still arrive
 		m.mu.Unlock()
 		return false
 	case ev.Deleted && m.removalDelay(ev) > 0:
@@ -269,3 +273,9 @@
 	m.OnChange(ev)
 	return true
 }
+
+// outdated reports whether the copy already knows the same or a newer state of the
+// change's key. The copy knows all changes up to its own revision. The caller holds mu.
+func (m *Mirror) outdated(ev infra.Event) bool {
+	return ev.Revision <= max(m.revision, m.items[ev.Key].Revision, m.removed[ev.Key])
+}
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -17,6 +17,11 @@
 func (m *Mirror) deleteKey(ev infra.Event) {
 	delete(m.items, ev.Key)
 	delete(m.deferred, ev.Key)
+	m.recordRemoval(ev)
+}
+
+// recordRemoval records a removal for callers of Since; the caller holds mu.
+func (m *Mirror) recordRemoval(ev infra.Event) {
 	if len(m.removed) >= maxRemoved {
 		clear(m.removed)
 		m.removedFloor = m.revision
