mirror: a copy that was listed anew tells its followers everything

A follower could keep an endpoint for good that the store had removed (DRAIN).

Cause: when the store has forgotten its history, a reader lists all keys. A key that was written and removed since its last revision is then unknown to it. A follower that holds this key from another source, at a revision between the two, got an incremental reply from the reader, without the removal.

Class: as with delayed removals, a position ahead of what the reply holds.

Fix: the revision of a complete reply becomes the floor under which the copy answers with all keys.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -227,17 +227,17 @@
 	return nil
 }
 
-// advance raises the copy's revision and wakes the callers of Since.
-func (m *Mirror) advance(rev int64) {
+// advance raises the copy's revision to that of a reply and wakes the callers of Since.
+func (m *Mirror) advance(r reply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rev <= m.revision {
+	if r.revision <= m.revision {
 		return
 	}
-	if m.revision == 0 {
-		m.removedFloor = rev // earlier removals are unknown
+	if r.complete || m.revision == 0 {
+		m.removedFloor = r.revision // removals of keys that the copy never held are unknown
 	}
-	m.revision, m.progressedAt = rev, time.Now()
+	m.revision, m.progressedAt = r.revision, time.Now()
 	close(m.updated)
 	m.updated = make(chan struct{})
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -240,10 +240,10 @@
 		m.NotePeerRevision(5)
 		time.Sleep(behindThreshold / 2)
 		is.True(!m.behind())
-		m.advance(4) // progress, but not up to revision 5
+		m.advance(reply{revision: 4}) // progress, but not up to revision 5
 		time.Sleep(behindThreshold * 3 / 4)
 		is.True(!m.behind())
-		m.advance(5)
+		m.advance(reply{revision: 5})
 		time.Sleep(2 * behindThreshold)
 		is.True(!m.behind())
 		m.NotePeerRevision(6)
--- a/mirror/reply.go
+++ b/mirror/reply.go
@@ -47,7 +47,7 @@
 			}
 		}
 	}
-	m.advance(r.revision)
+	m.advance(r)
 	if len(r.events) > 0 {
 		m.Log.Info("changes of the store", zap.String("source", string(r.source)), zap.Int64("from", before), zap.Int64("revision", r.revision),
 			zap.Int("changes", len(r.events)), zap.Int("applied", applied), zap.Bool("complete", r.complete))
