mirror: a leader without a copy is not followed

A gateway could serve an old configuration (CONFIG) for as long as the reader that it follows takes to fill its copy after a restart.

Cause: a reader that has just started answers its followers without an error and without changes, at a revision below theirs. Followers took this for "nothing new". Only another gateway's newer revision ended it.

Class: silence of a component that has no state is read as absence of changes.

Evidence: TestLeaderWithoutCopyIsNotFollowed failed before ("1 != 2" 2.5 s after the change, the bound on a configuration) and passes now.

Fix: a leader whose copy has stayed older than the follower's for a whole call counts as lost; the follower reads the store itself for 5 s.

--- a/mirror/deferred_test.go
+++ b/mirror/leader_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 )
 
 // mirrorLeader is a Leader that reads another process's mirror, as package peer does.
@@ -49,3 +50,33 @@
 		is.Equal(value(follower, "e/1"), "none")
 	})
 }
+
+// listless is a store whose list gets no response, as while the store is slow.
+type listless struct{ *fakeStore }
+
+func (listless) List(ctx context.Context, _ string) ([]infra.Pair, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against an old configuration at a gateway whose leader was restarted and has no
+// copy yet: the leader answers without an error and without changes.
+func TestLeaderWithoutCopyIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const applyTime = 2500 * time.Millisecond
+		s := newFakeStore()
+		s.put("a", "1")
+		leader := New(Options{Source: listless{s}, PollWait: time.Second, OnChange: func(infra.Event) {}, Log: zap.NewNop()})
+		ctx, stopLeader := context.WithCancel(context.Background())
+		go leader.Run(ctx)
+		follower, stopFollower := start(s, Options{Leader: mirrorLeader{leader}})
+		defer synctest.Wait()
+		defer stopLeader()
+		defer stopFollower()
+		time.Sleep(100 * time.Millisecond)
+		s.put("a", "2")
+		time.Sleep(applyTime)
+		is.Equal(value(follower, "a"), "2")
+	})
+}
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,6 +77,10 @@
 	Follow(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool, err error)
 }
 
+// errLeaderBehind means that the leader's copy is older than this one and has not made
+// up for it while it was asked, for example because the leader has just started.
+var errLeaderBehind = errors.New("leader's copy is older than this one")
+
 const (
 	// followWait is how long one call to the leader waits for a change. It bounds
 	// the time to detect a leader that has stopped.
@@ -90,8 +95,11 @@
 	if m.Leader == nil || m.Leader.IsReader() || time.Now().Before(m.directUntil) {
 		return false
 	}
-	after := m.position()
+	after, asked := m.position(), time.Now()
 	events, rev, complete, err := m.Leader.Follow(ctx, after, followWait)
+	if err == nil && rev < after && time.Since(asked) >= followWait {
+		err = errLeaderBehind
+	}
 	if err != nil {
 		m.directUntil = time.Now().Add(directReadTime)
 		m.Log.Info("leader lost, reading the store", zap.Int64("revision", after), zap.Error(err))
