gateway: a change of an endpoint costs the same however many are listed

Callers got 404 for a route that had been added seconds before (CONFIG), after a restart of the gateways of a large fleet.

Cause: each change of an endpoint copied the list of all endpoints twice and compared the copies. The first list of a gateway that starts before 3,000 endpoints took 1.9 s of a whole core, 6 s of the 0.3 that a gateway has. The list is applied in the order of its keys: the configuration first, as the first page had it, then the endpoints; the gateway is ready and serves from the first moment, and polls the store again only after the last endpoint. So it served a configuration that was as old as the list.

Class: work that grows with the square of the fleet on the path that makes a copy current.

TestEndpointChangeCostsTheSameInLargeFleet failed before (1,118,021 bytes allocated a change) and passes (703).

Ruled out: a stale copy taken from a peer (a process has no peers before its own list has ended); a reader that keeps an old copy (the process was young).

Fix: the member list takes single entries, and the index that requests read is rebuilt once after changes, by the first request.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -75,7 +75,7 @@
 		d.log.Info("endpoint", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("state", string(e.State)),
 			zap.String("address", e.Address), zap.String("boot", e.BootID), zap.Int64("weights", r.weightsVersion), zap.Int64("revision", revision))
 	}
-	d.publish()
+	d.publish(r)
 	d.report(r)
 }
 
@@ -99,7 +99,8 @@
 	}
 	delete(d.endpoints, id)
 	d.log.Info("endpoint gone", zap.String("endpoint", id), zap.Int64("revision", revision))
-	d.publish()
+	d.members.RemoveHost(id)
+	d.prune()
 }
 
 // updatingTTL is how long endpoints stay marked as updating. The holder of the
@@ -120,9 +121,15 @@
 			d.SetUpdating(nil)
 		})
 	}
-	if !maps.Equal(ids, d.updating) {
-		d.updating = maps.Clone(ids)
-		d.publish()
+	if maps.Equal(ids, d.updating) {
+		return
+	}
+	before := d.updating
+	d.updating = maps.Clone(ids)
+	for id, r := range d.endpoints {
+		if before[id] != ids[id] {
+			d.publish(r)
+		}
 	}
 }
 
@@ -147,20 +154,22 @@
 	d.report(r)
 }
 
-// publish passes the list to the member tracker and prunes the route tracker; the
-// caller holds mu.
-func (d *Directory) publish() {
-	hosts := make([]infra.Host, 0, len(d.endpoints))
+// publish passes an endpoint's entry to the member tracker; the caller holds mu.
+func (d *Directory) publish(r *endpointRecord) {
+	h := r.Host
+	if h.State == infra.Live && d.updating[r.ID] {
+		h.State = infra.Updating
+	}
+	d.members.PutHost(h)
+}
+
+// prune removes endpoints that are no longer listed from the route tracker; the caller
+// holds mu.
+func (d *Directory) prune() {
 	listed := make(map[string]bool, len(d.endpoints))
-	for id, r := range d.endpoints {
-		h := r.Host
-		if h.State == infra.Live && d.updating[id] {
-			h.State = infra.Updating
-		}
-		hosts = append(hosts, h)
+	for id := range d.endpoints {
 		listed[id] = true
 	}
-	d.members.SetHosts(hosts)
 	d.tracker.Prune(listed)
 }
 
--- /dev/null
+++ b/gateway/directory_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+func listedEndpoint(i int) catalog.Endpoint {
+	return catalog.Endpoint{Host: infra.Host{ID: fmt.Sprint("i-", i), Service: "s", Kind: infra.Engine, Address: "192.0.2.1:80", Region: "r", State: infra.Live}, BootID: "1"}
+}
+
+// Guards against an old configuration after a restart of a large fleet: a gateway serves
+// with the configuration of its first list until all endpoints of the list are applied,
+// and took seconds for it, because each of 3,000 changes copied the whole list.
+func TestEndpointChangeCostsTheSameInLargeFleet(t *testing.T) {
+	is := is.New(t)
+	const fleet, maxBytesPerChange = 3000, 4096
+	d := NewDirectory(member.NewTracker(), route.NewTracker(), zap.NewNop())
+	for i := range fleet {
+		d.Put(listedEndpoint(i), int64(i))
+	}
+	result := testing.Benchmark(func(b *testing.B) {
+		for n := range b.N {
+			e := listedEndpoint(n % fleet)
+			e.BootID = fmt.Sprint(n)
+			d.Put(e, int64(n))
+		}
+	})
+	t.Logf("%d bytes allocated for a change in %d endpoints", result.AllocedBytesPerOp(), fleet)
+	is.True(result.AllocedBytesPerOp() < maxBytesPerChange)
+}
+
+// Guards against an endpoint that loads weights and receives requests, or that receives
+// none after it has loaded them.
+func TestUpdatingEndpointsAreMarked(t *testing.T) {
+	is := is.New(t)
+	members := member.NewTracker()
+	d := NewDirectory(members, route.NewTracker(), zap.NewNop())
+	d.Put(listedEndpoint(1), 1)
+	d.Put(listedEndpoint(2), 2)
+	states := func() []member.State {
+		var out []member.State
+		for _, e := range members.Service("s") {
+			out = append(out, e.State)
+		}
+		return out
+	}
+	d.SetUpdating(map[string]bool{"i-1": true})
+	is.Equal(states(), []member.State{member.Updating, member.Ready})
+	d.Put(listedEndpoint(1), 3) // a new list entry doesn't end the update
+	is.Equal(states(), []member.State{member.Updating, member.Ready})
+	d.SetUpdating(map[string]bool{"i-2": true})
+	is.Equal(states(), []member.State{member.Ready, member.Updating})
+	d.Remove("i-2", 4)
+	d.SetUpdating(nil)
+	is.Equal(states(), []member.State{member.Ready})
+}
--- a/member/member.go
+++ b/member/member.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// PutHost adds a host to the list or replaces its entry.
+func (t *Tracker) PutHost(h infra.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.hosts[h.ID]; !ok || old != h {
+		t.hosts[h.ID], t.services = h, nil
+	}
+}
+
+// RemoveHost removes a host from the list.
+func (t *Tracker) RemoveHost(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.hosts[id]; ok {
+		delete(t.hosts, id)
+		t.services = nil
+	}
+}
+
 // SetAgent records the state of the agent at an address: whether it can be reached
 // and whether it reports that it is leaving.
 func (t *Tracker) SetAgent(address string, up, leaving bool) {
