quarantine: requests that crash engines are tried one at a time, then blocked

Cause: failures were counted by endpoint only. Nothing remembered what the requests at a crashed engine had in common, and a resumable stream was sent to a second engine at once.

A crash is an address that refuses connections right after one broke. The parts of the requests that were there without a started response are suspects; one request at a time is a trial; a part whose trial crashes a second engine is blocked for ten minutes. Peers learn within milliseconds, later ones from the store.

Remains: each gateway has its own trial, so fleets see more crashes than two.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/internal/wait"
+	"github.com/citrontiller/citrontiller/quarantine"
 )
 
 // failure classifies an attempt without a usable response.
@@ -59,6 +60,26 @@
 	resp   *http.Response
 	cancel context.CancelFunc
 	start  time.Time
+	// firstByteAt is the arrival of the body's first byte, zero before it.
+	firstByteAt time.Time
+	// harmless is true once the quarantine knows that the endpoint has borne the request.
+	harmless bool
+}
+
+// checkHarmless tells the quarantine that the endpoint bears the request if it has lived
+// for startGrace after the first byte.
+func (p *response) checkHarmless() {
+	if !p.firstByteAt.IsZero() && time.Since(p.firstByteAt) > startGrace {
+		p.reportHarmless()
+	}
+}
+
+// reportHarmless tells the quarantine that the endpoint bears the request.
+func (p *response) reportHarmless() {
+	if p.pass != nil && !p.harmless {
+		p.pass.Started(time.Now())
+	}
+	p.harmless = true
 }
 
 // close ends the attempt and releases its connection.
@@ -66,6 +87,7 @@
 	p.cancel()
 	_ = p.resp.Body.Close() // the rest of the body is not needed
 	p.attempt.Close(time.Now())
+	p.pass.End()
 }
 
 // requestBody hides the reader's other methods, so that the transport can't
@@ -90,7 +112,10 @@
 		f := unknown
 		if !connected.Load() {
 			f = notSent
+		} else {
+			x.observeFailure(c)
 		}
+		c.pass.End()
 		c.attempt.Failed(time.Now())
 		return nil, x.recordFailure(&attemptError{failure: f, endpoint: c.endpoint.ID, err: err})
 	}
@@ -258,12 +283,16 @@
 // available, but not when the request is refused because of overload or the service
 // has no endpoints.
 func (x *exchange) waitForEndpoint() (choice, bool) {
-	until := time.Now().Add(x.route.TargetLatency / endpointWaitDivisor)
+	longest := x.route.TargetLatency / endpointWaitDivisor
+	if x.sends > 0 {
+		longest = max(longest, trialWait)
+	}
+	until := time.Now().Add(longest)
 	for {
-		if c, ok := x.choose(); ok {
+		if c, ok := x.chooseAllowed(); ok {
 			return c, true
 		}
-		if x.overloadWait > 0 || len(x.g.Members.Service(x.service)) == 0 || time.Now().After(until) {
+		if x.quarantine.Verdict == quarantine.Blocked || x.overloadWait > 0 || len(x.g.Members.Service(x.service)) == 0 || time.Now().After(until) {
 			return choice{}, false
 		}
 		if !wait.Sleep(x.ctx, endpointPollInterval) {
@@ -282,6 +311,9 @@
 		if x.mayHaveRun {
 			return &Refusal{Status: http.StatusBadGateway, Outcome: "failed", Err: err}
 		}
+		if err == nil && x.quarantine.Verdict != quarantine.Allowed {
+			return x.quarantined(x.quarantine)
+		}
 		if x.overloadWait > 0 {
 			return x.overloaded()
 		}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -12,6 +12,7 @@
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/prefix"
+	"github.com/citrontiller/citrontiller/quarantine"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -33,6 +34,22 @@
 	attempt  *route.Attempt
 	// source is the endpoint from which the chosen one may fetch cached parts of the prompt.
 	source route.Source
+	// pass reports the result to the quarantine; nil for prompts without shared parts.
+	pass *quarantine.Pass
+}
+
+// chooseAllowed is choose for a request that the quarantine allows.
+func (x *exchange) chooseAllowed() (choice, bool) {
+	x.quarantine = x.enterQuarantine()
+	if x.quarantine.Verdict != quarantine.Allowed {
+		return choice{}, false
+	}
+	c, ok := x.choose()
+	if !ok {
+		x.quarantine.Pass.End()
+	}
+	c.pass = x.quarantine.Pass
+	return c, ok
 }
 
 // choose selects an endpoint and records the dispatch. It returns false when no
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -237,6 +237,16 @@
 	return true
 }
 
+// BootID returns the boot id of an endpoint, "" if it is not listed.
+func (d *Directory) BootID(id string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.endpoints[id]; r != nil {
+		return r.BootID
+	}
+	return ""
+}
+
 // RegionEngines returns the ids of a region's engines.
 func (d *Directory) RegionEngines(region string) []string {
 	d.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/quarantine"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -39,10 +40,13 @@
 	Admission admit.LoadShedder
 	// StandingQueues detects which services are overloaded.
 	StandingQueues admit.StandingQueueDetector
-	Metrics        *Metrics
-	Log            *zap.Logger
+	// Quarantine keeps requests that crash endpoints from being sent; nil for none.
+	Quarantine *quarantine.Tracker
+	Metrics    *Metrics
+	Log        *zap.Logger
 
 	split    regionSplit
+	crashes  crashDetector
 	draining atomic.Bool
 	// closing is when the process ends; nil while no end is set.
 	closing atomic.Pointer[time.Time]
@@ -95,6 +99,8 @@
 	// overloadWait is the expected wait for which the request was shed, 0 when it
 	// was not.
 	overloadWait time.Duration
+	// quarantine is the last decision on the parts of the prompt.
+	quarantine quarantine.Decision
 	// endpoint is the id of the endpoint last chosen. reason and score are the reason
 	// and the score in milliseconds of the last decision; see route.Decision.
 	endpoint string
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,6 +34,9 @@
 func (testCodec) DecodeRequest(h http.Header) (RequestInfo, error) {
 	c := RequestInfo{ID: h.Get("Id"), Credential: h.Get("Key"), Model: h.Get("Model"), Timeout: 2 * time.Second}
 	c.PromptTokens, _ = strconv.ParseInt(h.Get("Tokens"), 10, 64) // 0 without the header
+	for _, id := range strings.Fields(h.Get("Parts")) {
+		c.PromptParts = append(c.PromptParts, PromptPart{ID: id, Tokens: 100})
+	}
 	h.Del("Key")
 	return c, nil
 }
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/quarantine"
+)
+
+// noObserver is a quarantine.Observer of a gateway without peers.
+type noObserver struct{}
+
+func (noObserver) CrashObserved(quarantine.Report) {}
+func (noObserver) PartCleared(quarantine.Part)     {}
+func (noObserver) PartBlocked(quarantine.Block)    {}
+
+// fragileEndpoint is an endpoint that crashes when it starts the response to a request
+// whose prompt has the part "deadly".
+type fragileEndpoint struct {
+	l net.Listener
+
+	mu      sync.Mutex
+	conns   []net.Conn
+	crashed bool
+}
+
+// addFragile adds an endpoint that may crash.
+func (f *fleet) addFragile(t *testing.T, id string) *fragileEndpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &fragileEndpoint{l: l}
+	t.Cleanup(e.crash)
+	go e.accept()
+	f.gateway.Directory.Put(catalog.Endpoint{Host: infra.Host{ID: id, Service: "s", Address: l.Addr().String(), Region: "r", State: infra.Live}, BootID: "1"}, 1)
+	return e
+}
+
+func (e *fragileEndpoint) accept() {
+	for {
+		c, err := e.l.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns = append(e.conns, c)
+		e.mu.Unlock()
+		go e.serve(c)
+	}
+}
+
+// serve answers the requests of a connection with a stream of one event.
+func (e *fragileEndpoint) serve(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if strings.Contains(req.Header.Get("Parts"), "deadly") {
+			e.crash()
+			return
+		}
+		const event = "id: 1\ndata: x\n\n"
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("Id"), len(event), event)
+	}
+}
+
+// crash closes the listener and resets all connections.
+func (e *fragileEndpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = true
+	_ = e.l.Close()
+	for _, c := range e.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// crashedCount returns the number of endpoints that have crashed.
+func crashedCount(endpoints []*fragileEndpoint) int {
+	n := 0
+	for _, e := range endpoints {
+		e.mu.Lock()
+		if e.crashed {
+			n++
+		}
+		e.mu.Unlock()
+	}
+	return n
+}
+
+// callParts sends a request whose prompt has the given parts.
+func (f *fleet) callParts(t *testing.T, path, id, parts string) (status int, retryAfter string) {
+	t.Helper()
+	req := f.request(t, http.MethodPost, path, id, "b")
+	req.Header.Set("Parts", parts)
+	resp, err := f.open(req)
+	if err != nil {
+		return 0, "" // the stream was cut
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// Guards against requests with one part in their prompts that crash one endpoint after
+// the other, also when each may be sent to several endpoints, and against refusing sound
+// requests that share their other parts.
+func TestRequestsThatCrashEndpointsAreBlocked(t *testing.T) {
+	for _, path := range []string{"/draft/1", "/tag/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.gateway.Quarantine = quarantine.New(noObserver{})
+			var endpoints []*fragileEndpoint
+			for i := range 8 {
+				endpoints = append(endpoints, f.addFragile(t, fmt.Sprint("i-", i)))
+			}
+			status := 0
+			for i := range 8 {
+				status, _ = f.callParts(t, path, fmt.Sprint("bad", i), fmt.Sprint("shop deadly own", i))
+				time.Sleep(250 * time.Millisecond) // a trial may start again
+				sound, _ := f.callParts(t, path, fmt.Sprint("good", i), fmt.Sprint("shop guide own", i))
+				is.Equal(sound, http.StatusOK)
+			}
+			is.Equal(crashedCount(endpoints), 2) // the first, and that of the trial
+			is.Equal(status, http.StatusServiceUnavailable)
+			_, retryAfter := f.callParts(t, path, "last", "shop deadly own")
+			is.True(len(retryAfter) > 0)
+		})
+	}
+}
+
+// Guards against taking an endpoint that breaks a connection, but lives, for one that has
+// crashed: after enough such failures the prompts of sound requests would be blocked.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, []responder{resetConnection})
+	f.gateway.Quarantine = quarantine.New(noObserver{})
+	for i := range 4 {
+		f.callParts(t, "/draft/1", fmt.Sprint("r", i), "shop guide own")
+	}
+	suspects, blocked := f.gateway.Quarantine.Counts()
+	is.Equal(suspects, 0)
+	is.Equal(blocked, 0)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -58,12 +58,14 @@
 		x.copyRest(p)
 	}
 	p.attempt.End(0, int64(len(body)), time.Now())
+	p.reportHarmless()
 	return nil
 }
 
 // recordFirstByte records the arrival of the response's first byte.
 func (x *exchange) recordFirstByte(p *response) {
 	now := time.Now()
+	p.firstByteAt = now
 	x.firstByte = now.Sub(x.arrived)
 	p.attempt.FirstToken(now)
 }
@@ -81,6 +83,7 @@
 	if x.r.Context().Err() == nil {
 		p.attempt.Failed(time.Now())
 	}
+	x.observeBreak(p)
 	return x.recordFailure(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err})
 }
 
@@ -122,6 +125,7 @@
 		x.outcome = "timeout"
 	default:
 		p.attempt.Failed(time.Now())
+		x.observeBreak(p)
 	}
 	x.g.Log.Info("response aborted", zap.String("request", x.info.ID), zap.String("endpoint", p.endpoint.ID),
 		zap.String("outcome", x.outcome), zap.Duration("left", time.Until(x.deadline)), zap.Error(err))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,7 @@
 		if err == io.EOF {
 			x.outcome = "answered"
 			current.attempt.End(int64(s.events), s.bytes, time.Now())
+			current.reportHarmless()
 			return nil
 		}
 		if err != nil {
@@ -57,7 +58,11 @@
 			defer next.close()
 			current = next
 		}
+		current.checkHarmless()
 		chunk, err = s.next(current.resp.Body)
+		if current.firstByteAt.IsZero() && len(chunk) > 0 {
+			current.firstByteAt = time.Now()
+		}
 	}
 }
 
@@ -68,10 +73,11 @@
 		return nil
 	}
 	p.attempt.Failed(time.Now())
+	x.observeBreak(p)
 	_ = x.recordFailure(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: cause}) // recordFailure logs it
 	s.discardPartial()
 	for x.allowRetry(unknown) {
-		c, ok := x.choose()
+		c, ok := x.waitForEndpoint()
 		if !ok {
 			return nil
 		}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"reflect"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,6 +29,7 @@
 	"github.com/citrontiller/citrontiller/mirror"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/quarantine"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -69,6 +71,9 @@
 	mirror     *mirror.Mirror
 	store      *platform.Store
 	lockTurn   lockTurn
+	quarantine *quarantine.Tracker
+	// blockedKeys maps the store's keys of blocked parts of prompts to the parts.
+	blockedKeys sync.Map
 }
 
 // Run runs a gateway until ctx ends and returns after the drain. The errors of
@@ -99,6 +104,7 @@
 	scheduler.BaseMs = engineBaseMs
 	p := &gatewayProcess{settings: settings, hostSettings: hostSettings, log: log, store: platform.NewStore(hostSettings.StoreAddress, newStoreTransport()),
 		lockTurn: lockTurn{startedAt: time.Now()}}
+	p.quarantine = quarantine.New(quarantineObserver{p})
 	reg := prometheus.NewRegistry()
 	p.gateway = &gateway.Gateway{
 		Config: &catalog.ActiveConfig{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
@@ -108,10 +114,12 @@
 			Overload: admit.Limits{Urgent: settings.OverloadUrgent, Other: settings.OverloadOther, MaxOther: settings.OverloadOtherMax}},
 		// The platform's retry ratio applies to all processes together. Each gateway
 		// retries at most half that share of its own requests.
-		Budget: admit.NewBudget(hostSettings.RetryPercent / 2), Log: log,
+		Budget: admit.NewBudget(hostSettings.RetryPercent / 2), Quarantine: p.quarantine, Log: log,
 	}
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "citrontiller_log_lines_dropped_total", Help: "Log lines that found the queue full."},
 		func() float64 { return float64(droppedLines()) }))
+	reg.MustRegister(partGauge("suspect", "Prompt parts that may crash endpoints.", func() int { n, _ := p.quarantine.Counts(); return n }),
+		partGauge("blocked", "Prompt parts that are not sent because they crash endpoints.", func() int { _, n := p.quarantine.Counts(); return n }))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
@@ -126,6 +134,11 @@
 	return p
 }
 
+// partGauge returns a gauge of the prompt parts in a state.
+func partGauge(state, help string, count func() int) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_" + state + "_prompt_parts", Help: help}, func() float64 { return float64(count()) })
+}
+
 // readiness handles the load balancer's readiness check.
 func (p *gatewayProcess) readiness(w http.ResponseWriter, _ *http.Request) {
 	if !p.gateway.Ready() {
--- /dev/null
+++ b/internal/gatewayd/quarantine.go
@@ -0,0 +1,158 @@
+package gatewayd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/wait"
+	"github.com/citrontiller/citrontiller/peer"
+	"github.com/citrontiller/citrontiller/quarantine"
+)
+
+const (
+	// blockPrefix is the prefix of the keys that hold blocked parts of prompts. A hash of
+	// the part follows it.
+	blockPrefix = "citrontiller/blocked/"
+	// blockRetryDelay is the delay before a failed write of a block is retried.
+	blockRetryDelay = time.Second
+)
+
+// blockRecord is the value of a blocked part's key. Operators may remove the key to end
+// the block.
+type blockRecord struct {
+	Service string `json:"service"`
+	Part    string `json:"part"`
+	// UntilMs is the end of the block in Unix milliseconds.
+	UntilMs int64 `json:"until_ms"`
+	// Crashes are the endpoints' crashes from which the block was decided.
+	Crashes []quarantine.Crash `json:"crashes"`
+}
+
+// blockKey returns the key of a blocked part. The ids of parts come from callers and may be
+// too long for a key.
+func blockKey(p quarantine.Part) string {
+	return fmt.Sprintf("%s%016x", blockPrefix, xxhash.Sum64String(p.Service+"/"+p.ID))
+}
+
+// quarantineObserver logs what this gateway observes, tells the others and writes blocks to
+// the store.
+type quarantineObserver struct{ *gatewayProcess }
+
+// CrashObserved implements quarantine.Observer.
+func (p quarantineObserver) CrashObserved(r quarantine.Report) {
+	for _, s := range r.Suspects {
+		p.log.Warn("prompt part suspected", zap.String("service", s.Service), zap.String("part", s.ID), zap.Bool("trial", s.Trial),
+			zap.String("endpoint", r.Crash.Endpoint), zap.String("boot", r.Crash.BootID))
+	}
+	p.peerServer.PublishSuspicion(peer.Suspicion{Reports: []quarantine.Report{r}})
+}
+
+// PartCleared implements quarantine.Observer.
+func (p quarantineObserver) PartCleared(part quarantine.Part) {
+	p.log.Info("prompt part cleared", zap.String("service", part.Service), zap.String("part", part.ID))
+	p.peerServer.PublishSuspicion(peer.Suspicion{Cleared: []quarantine.Part{part}})
+}
+
+// PartBlocked implements quarantine.Observer.
+func (p quarantineObserver) PartBlocked(b quarantine.Block) {
+	p.log.Error("prompt part blocked", zap.String("service", b.Service), zap.String("part", b.ID), zap.Any("crashes", b.Crashes),
+		zap.Time("until", b.Until), zap.String("key", blockKey(b.Part)))
+	p.peerServer.PublishSuspicion(peer.Suspicion{Blocks: []quarantine.Block{b}})
+	go p.storeBlock(b)
+}
+
+// storeBlock writes a block to the store, so that it outlives this process and reaches
+// gateways that start later. It retries until the block ends.
+func (p quarantineObserver) storeBlock(b quarantine.Block) {
+	ctx, cancel := context.WithDeadline(context.Background(), b.Until)
+	defer cancel()
+	value, err := json.Marshal(blockRecord{Service: b.Service, Part: b.ID, UntilMs: b.Until.UnixMilli(), Crashes: b.Crashes})
+	if err != nil {
+		p.log.Error("cannot encode block", zap.String("part", b.ID), zap.Error(err))
+		return
+	}
+	key := blockKey(b.Part)
+	for ctx.Err() == nil {
+		_, err := p.store.CompareAndSwap(ctx, key, p.keyRevision(key), value, 0)
+		if err == nil || errors.Is(err, infra.ErrConflict) {
+			return // in a conflict, another gateway has decided the same
+		}
+		p.log.Warn("block not stored", zap.String("part", b.ID), zap.Error(err))
+		wait.Sleep(ctx, blockRetryDelay)
+	}
+}
+
+// applyStoredBlock applies a change of a blocked part's key. The removal of a key ends the
+// block of the part that it held.
+func (p *gatewayProcess) applyStoredBlock(ev infra.Event) {
+	if ev.Deleted {
+		p.unblock(ev.Key)
+		return
+	}
+	var r blockRecord
+	if err := json.Unmarshal(ev.Value, &r); err != nil {
+		p.log.Warn("cannot decode block", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision), zap.Error(err))
+		return
+	}
+	b := quarantine.Block{Part: quarantine.Part{Service: r.Service, ID: r.Part}, Crashes: r.Crashes, Until: time.UnixMilli(r.UntilMs)}
+	p.blockedKeys.Store(ev.Key, b.Part)
+	if p.quarantine.ApplyBlock(b) {
+		p.log.Info("prompt part blocked by another gateway", zap.String("service", b.Service), zap.String("part", b.ID), zap.Time("until", b.Until))
+	}
+	time.AfterFunc(time.Until(b.Until), func() { p.removeExpiredBlock(ev.Pair) })
+}
+
+// unblock ends the block of the part that a key held.
+func (p *gatewayProcess) unblock(key string) {
+	part, ok := p.blockedKeys.LoadAndDelete(key)
+	if !ok {
+		return
+	}
+	blocked := part.(quarantine.Part)
+	p.quarantine.Unblock(blocked)
+	p.log.Info("prompt part no longer blocked", zap.String("service", blocked.Service), zap.String("part", blocked.ID))
+}
+
+// removeExpiredBlock removes the key of a block that has ended. The first gateway of each
+// region does so; the conditional write keeps a newer block.
+func (p *gatewayProcess) removeExpiredBlock(pair infra.Pair) {
+	if !p.peers.IsFirst() || p.keyRevision(pair.Key) != pair.Revision {
+		return
+	}
+	if err := p.store.Delete(context.Background(), pair.Key, pair.Revision); err != nil {
+		p.log.Info("expired block not removed", zap.String("key", pair.Key), zap.Error(err))
+	}
+}
+
+// SuspicionReceived implements peer.Receiver. Only what is new is passed on, since relays
+// hear what other relays pass on.
+func (p peerReceiver) SuspicionReceived(u peer.Suspicion, sameRegion bool) {
+	var fresh peer.Suspicion
+	now := time.Now()
+	for _, r := range u.Reports {
+		if p.quarantine.ApplyReport(r, now) {
+			fresh.Reports = append(fresh.Reports, r)
+		}
+	}
+	for _, part := range u.Cleared {
+		if p.quarantine.Clear(part) {
+			fresh.Cleared = append(fresh.Cleared, part)
+		}
+	}
+	for _, b := range u.Blocks {
+		if p.quarantine.ApplyBlock(b) {
+			p.log.Info("prompt part blocked by another gateway", zap.String("service", b.Service), zap.String("part", b.ID), zap.Time("until", b.Until))
+			fresh.Blocks = append(fresh.Blocks, b)
+		}
+	}
+	if !fresh.Empty() && p.peers.IsRelay() {
+		p.peerServer.RelaySuspicion(fresh, sameRegion)
+	}
+}
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -26,6 +26,8 @@
 		p.applyPeer(ev)
 	case strings.HasPrefix(ev.Key, rollout.PlanPrefix) && !ev.Deleted:
 		p.applyStoredPlan(ev.Pair)
+	case strings.HasPrefix(ev.Key, blockPrefix):
+		p.applyStoredBlock(ev)
 	}
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -79,6 +79,9 @@
 	RevisionReceived(revision int64)
 	// DigestReceived is called with what a relay tells of another region's engines.
 	DigestReceived(d Digest, sameRegion bool)
+	// SuspicionReceived is called with what a peer tells of parts of prompts that crash
+	// endpoints.
+	SuspicionReceived(s Suspicion, sameRegion bool)
 }
 
 // Set holds connections to all known peers and follows their streams. It is safe
@@ -222,6 +225,9 @@
 	if len(b.Summaries)+len(b.Holdings) > 0 {
 		s.receiver.DigestReceived(Digest{decodeSummaries(b.Summaries), decodeHoldings(b.Holdings)}, sameRegion)
 	}
+	if u := decodeSuspicion(b, now); !u.Empty() {
+		s.receiver.SuspicionReceived(u, sameRegion)
+	}
 	decode(b, func(e route.Event) {
 		if !sameRegion {
 			e.TransitTime = 0 // this event took as long to arrive as the request
--- /dev/null
+++ b/peer/suspicion.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/quarantine"
+)
+
+// Suspicion is what gateways tell each other of parts of prompts that crash endpoints.
+type Suspicion struct {
+	Reports []quarantine.Report
+	Cleared []quarantine.Part
+	Blocks  []quarantine.Block
+}
+
+// Empty reports whether there is nothing to tell.
+func (s Suspicion) Empty() bool { return len(s.Reports)+len(s.Cleared)+len(s.Blocks) == 0 }
+
+// PublishSuspicion sends what this process has observed to all followers. It never
+// blocks.
+func (s *Server) PublishSuspicion(u Suspicion) {
+	b := u.batch(time.Now())
+	s.sameRegion.send(b)
+	s.crossRegion.send(b)
+	s.control.send(b)
+}
+
+// RelaySuspicion passes on what another process has observed: one of the own region to
+// the relays of other regions, one of another region to the own region. It never blocks.
+func (s *Server) RelaySuspicion(u Suspicion, sameRegion bool) {
+	out := s.sameRegion
+	if sameRegion {
+		out = s.control
+	}
+	out.send(u.batch(time.Now()))
+}
+
+func (s Suspicion) batch(now time.Time) *pb.Batch {
+	b := &pb.Batch{}
+	for _, r := range s.Reports {
+		b.Crashes = append(b.Crashes, encodeReport(r))
+	}
+	for _, p := range s.Cleared {
+		b.Cleared = append(b.Cleared, encodePart(p))
+	}
+	for _, block := range s.Blocks {
+		out := &pb.BlockedPart{Part: encodePart(block.Part), RemainingMs: block.Until.Sub(now).Milliseconds()}
+		for _, c := range block.Crashes {
+			out.Crashes = append(out.Crashes, encodeReport(quarantine.Report{Crash: c}))
+		}
+		b.Blocked = append(b.Blocked, out)
+	}
+	return b
+}
+
+// decodeSuspicion returns what a batch tells.
+func decodeSuspicion(b *pb.Batch, now time.Time) Suspicion {
+	var s Suspicion
+	for _, r := range b.Crashes {
+		s.Reports = append(s.Reports, decodeReport(r))
+	}
+	for _, p := range b.Cleared {
+		s.Cleared = append(s.Cleared, decodePart(p))
+	}
+	for _, block := range b.Blocked {
+		out := quarantine.Block{Part: decodePart(block.Part), Until: now.Add(time.Duration(block.RemainingMs) * time.Millisecond)}
+		for _, c := range block.Crashes {
+			out.Crashes = append(out.Crashes, decodeReport(c).Crash)
+		}
+		s.Blocks = append(s.Blocks, out)
+	}
+	return s
+}
+
+func encodePart(p quarantine.Part) *pb.PromptPart {
+	return &pb.PromptPart{Service: p.Service, Id: p.ID}
+}
+
+// decodePart accepts a missing part, whose fields are then empty.
+func decodePart(p *pb.PromptPart) quarantine.Part {
+	return quarantine.Part{Service: p.GetService(), ID: p.GetId()}
+}
+
+func encodeReport(r quarantine.Report) *pb.CrashReport {
+	out := &pb.CrashReport{Endpoint: r.Crash.Endpoint, BootId: r.Crash.BootID}
+	for _, s := range r.Suspects {
+		out.Suspects = append(out.Suspects, &pb.Suspect{Part: encodePart(s.Part), Trial: s.Trial})
+	}
+	return out
+}
+
+func decodeReport(r *pb.CrashReport) quarantine.Report {
+	out := quarantine.Report{Crash: quarantine.Crash{Endpoint: r.Endpoint, BootID: r.BootId}}
+	for _, s := range r.Suspects {
+		out.Suspects = append(out.Suspects, quarantine.Suspect{Part: decodePart(s.Part), Trial: s.Trial})
+	}
+	return out
+}
--- /dev/null
+++ b/peer/suspicion_test.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/quarantine"
+)
+
+// Guards against observations that lose fields on their way to another gateway, and
+// against a message without them that stops the receiver.
+func TestSuspicionRoundTrip(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1e12)
+	part := quarantine.Part{Service: "s", ID: "p"}
+	crash := quarantine.Crash{Endpoint: "i-1", BootID: "7"}
+	in := Suspicion{
+		Reports: []quarantine.Report{{Crash: crash, Suspects: []quarantine.Suspect{{Part: part, Trial: true}, {Part: quarantine.Part{Service: "s", ID: "q"}}}}},
+		Cleared: []quarantine.Part{part},
+		Blocks:  []quarantine.Block{{Part: part, Crashes: []quarantine.Crash{crash}, Until: now.Add(time.Minute)}},
+	}
+	is.Equal(decodeSuspicion(in.batch(now), now), in)
+	malformed := &pb.Batch{Crashes: []*pb.CrashReport{{Suspects: []*pb.Suspect{{}}}}, Blocked: []*pb.BlockedPart{{}}}
+	is.True(!decodeSuspicion(malformed, now).Empty())
+}
--- /dev/null
+++ b/quarantine/fleet_test.go
@@ -0,0 +1,216 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The simulated load: a class of short requests of which one in twenty has the deadly
+// part, as many routers of a fleet see it at the same time.
+const (
+	simEngines    = 18
+	simRate       = 120 // requests a second
+	simDeadlyOdds = 20
+	simSeconds    = 22
+	simStartTime  = 150 * time.Millisecond // from sending to the response's start
+	simDownTime   = 3 * time.Second
+	simPeerDelay  = 40 * time.Millisecond
+	// simContactTime is the time after the fifth crash from which at most simLateSends
+	// deadly requests may be sent.
+	simContactTime = 4 * time.Second
+	simLateSends   = 3
+)
+
+// simEvent happens at a time of the simulation.
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+// simRequest is a request at an engine.
+type simRequest struct {
+	pass   *Pass
+	deadly bool
+	done   bool
+}
+
+// simEngine is an engine that crashes when it starts the response to a deadly request.
+type simEngine struct {
+	boot    int
+	downTil time.Time
+	running []*simRequest
+}
+
+// fleetSim is a fleet of gateways before the same engines, in simulated time.
+type fleetSim struct {
+	now      time.Time
+	rnd      *rand.Rand
+	events   []simEvent
+	gateways []*Tracker
+	engines  [simEngines]simEngine
+	// crashedAt holds the times of the crashes.
+	crashedAt []time.Time
+	// deadlySent holds the times at which deadly requests were sent.
+	deadlySent            []time.Time
+	sound, soundNotServed int
+}
+
+// simPeer passes what a gateway observes to the others.
+type simPeer struct {
+	sim  *fleetSim
+	from int
+}
+
+func (p simPeer) CrashObserved(r Report) {
+	p.others(func(t *Tracker) { t.ApplyReport(r, p.sim.now) })
+}
+func (p simPeer) PartCleared(part Part) { p.others(func(t *Tracker) { t.Clear(part) }) }
+func (p simPeer) PartBlocked(b Block)   { p.others(func(t *Tracker) { t.ApplyBlock(b) }) }
+
+func (p simPeer) others(do func(t *Tracker)) {
+	p.sim.in(simPeerDelay, func() {
+		for i, t := range p.sim.gateways {
+			if i != p.from {
+				do(t)
+			}
+		}
+	})
+}
+
+// in schedules an event.
+func (s *fleetSim) in(d time.Duration, do func()) {
+	e := simEvent{s.now.Add(d), do}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b simEvent) int {
+		if a.at.After(b.at) {
+			return 1
+		}
+		return -1 // after the events of the same time
+	})
+	s.events = slices.Insert(s.events, i, e)
+}
+
+// send sends a request from a random gateway to a random engine that is up.
+func (s *fleetSim) send() {
+	deadly := s.rnd.Intn(simDeadlyOdds) == 0
+	parts := prompt(fmt.Sprint("shop", s.rnd.Intn(3)), fmt.Sprint("guide", s.rnd.Intn(300)))
+	if deadly {
+		parts[1].ID = "deadly"
+	} else {
+		s.sound++
+	}
+	d := s.gateways[s.rnd.Intn(len(s.gateways))].Enter(parts, s.now)
+	if d.Verdict != Allowed {
+		if !deadly {
+			s.soundNotServed++
+		}
+		return
+	}
+	if deadly {
+		s.deadlySent = append(s.deadlySent, s.now)
+	}
+	e := s.engine()
+	if e == nil {
+		if !deadly {
+			s.soundNotServed++
+		}
+		d.Pass.End()
+		return
+	}
+	r := &simRequest{pass: d.Pass, deadly: deadly}
+	e.running = append(e.running, r)
+	s.in(simStartTime, func() { s.start(e, r) })
+}
+
+// engine returns a random engine that is up, or nil if none is.
+func (s *fleetSim) engine() *simEngine {
+	for _, i := range s.rnd.Perm(simEngines) {
+		if !s.now.Before(s.engines[i].downTil) {
+			return &s.engines[i]
+		}
+	}
+	return nil
+}
+
+// start starts the response to a request, or crashes its engine.
+func (s *fleetSim) start(e *simEngine, r *simRequest) {
+	switch {
+	case r.done:
+	case r.deadly:
+		s.crash(e)
+	default:
+		r.done = true
+		r.pass.Started(s.now)
+	}
+}
+
+func (s *fleetSim) crash(e *simEngine) {
+	c := Crash{Endpoint: fmt.Sprintf("%p", e), BootID: fmt.Sprint(e.boot)}
+	s.crashedAt = append(s.crashedAt, s.now)
+	for _, r := range e.running {
+		if !r.done {
+			r.done = true
+			if !r.deadly {
+				s.soundNotServed++
+			}
+			r.pass.Crashed(c, s.now)
+		}
+	}
+	e.boot, e.downTil, e.running = e.boot+1, s.now.Add(simDownTime), nil
+}
+
+// run plays the load with a number of gateways.
+func (s *fleetSim) run(gateways int) {
+	s.now = at(0)
+	for i := range gateways {
+		s.gateways = append(s.gateways, New(simPeer{s, i}))
+	}
+	for i := range simSeconds * simRate {
+		s.in(time.Duration(i)*time.Second/simRate, s.send)
+	}
+	for len(s.events) > 0 {
+		e := s.events[0]
+		s.events = s.events[1:]
+		s.now = e.at
+		e.do()
+	}
+}
+
+// lateSends counts the deadly requests sent later than simContactTime after the fifth
+// crash.
+func (s *fleetSim) lateSends() int {
+	if len(s.crashedAt) < 5 {
+		return 0
+	}
+	limit := s.crashedAt[4].Add(simContactTime)
+	n := 0
+	for _, at := range s.deadlySent {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against requests of one kind that crash one engine after the other while all
+// gateways send them, and against sound requests that are held back with them.
+func TestDeadlyPartOfFrequentClass(t *testing.T) {
+	for _, gateways := range []int{1, 4, 27, 100} {
+		for seed := range int64(5) {
+			t.Run(fmt.Sprintf("%d gateways, seed %d", gateways, seed), func(t *testing.T) {
+				is := is.New(t)
+				s := &fleetSim{rnd: rand.New(rand.NewSource(seed))}
+				s.run(gateways)
+				t.Logf("%d crashes, %d deadly requests sent, %d of them late; %d of %d sound requests not served",
+					len(s.crashedAt), len(s.deadlySent), s.lateSends(), s.soundNotServed, s.sound)
+				is.True(s.lateSends() <= simLateSends)
+				is.True(len(s.crashedAt) < simEngines/2)          // most engines live
+				is.True(s.soundNotServed < s.sound/simDeadlyOdds) // fewer than the deadly requests
+			})
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,162 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// recorder is an Observer that records what it is told.
+type recorder struct {
+	reports []Report
+	cleared []Part
+	blocks  []Block
+}
+
+func (r *recorder) CrashObserved(report Report) { r.reports = append(r.reports, report) }
+func (r *recorder) PartCleared(p Part)          { r.cleared = append(r.cleared, p) }
+func (r *recorder) PartBlocked(b Block)         { r.blocks = append(r.blocks, b) }
+
+// at returns a time of the test.
+func at(ms int) time.Time { return time.UnixMilli(1e9 + int64(ms)) }
+
+// prompt returns the parts of a prompt.
+func prompt(ids ...string) []Part {
+	var out []Part
+	for _, id := range ids {
+		out = append(out, Part{Service: "s", ID: id})
+	}
+	return out
+}
+
+func crash(n int) Crash { return Crash{Endpoint: fmt.Sprint("i-", n), BootID: "1"} }
+
+// crashWith sends a request at a time and reports a crash 100 ms later.
+func crashWith(t *Tracker, n, ms int, ids ...string) {
+	t.Enter(prompt(ids...), at(ms)).Pass.Crashed(crash(n), at(ms+100))
+}
+
+// Guards against requests that crash one endpoint after the other: the second crash, that
+// of the trial, must be the last.
+func TestPartIsBlockedAfterTrialCrashes(t *testing.T) {
+	is := is.New(t)
+	var seen recorder
+	q := New(&seen)
+	crashWith(q, 1, 0, "shop", "deadly")
+	is.Equal(q.Enter(prompt("shop", "deadly"), at(200)).Verdict, Wait) // the crash may not be known everywhere
+	q.Enter(prompt("shop", "guide"), at(310)).Pass.Started(at(400))
+	crashWith(q, 2, 400, "shop", "deadly")
+	d := q.Enter(prompt("shop", "deadly"), at(800))
+	is.Equal(d.Verdict, Blocked)
+	is.Equal(d.Part, Part{"s", "deadly"})
+	is.Equal(q.Enter(prompt("shop", "guide"), at(800)).Verdict, Allowed)
+	is.Equal(len(seen.blocks), 1)
+	is.Equal(seen.blocks[0].Crashes, []Crash{crash(1), crash(2)})
+}
+
+// Guards against blocking a part that many requests share because several endpoints crash
+// together for another reason.
+func TestCrashesForOtherReasonsBlockNothing(t *testing.T) {
+	is := is.New(t)
+	var seen recorder
+	q := New(&seen)
+	var passes []*Pass
+	for range 6 {
+		passes = append(passes, q.Enter(prompt("shop", "guide"), at(0)).Pass)
+	}
+	for i, p := range passes {
+		p.Crashed(crash(i), at(50+i))
+	}
+	d := q.Enter(prompt("shop", "guide"), at(400))
+	is.Equal(d.Verdict, Allowed)
+	d.Pass.Started(at(500))
+	is.Equal(seen.cleared, prompt("shop", "guide"))
+	is.Equal(len(seen.blocks), 0)
+	suspects, _ := q.Counts()
+	is.Equal(suspects, 0)
+}
+
+// Guards against holding back all requests of a hot part after a crash that it can't have
+// caused: other responses to it have started meanwhile.
+func TestPartWithOtherResponsesIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	q := New(&recorder{})
+	victim := q.Enter(prompt("shop", "rare"), at(0)).Pass
+	q.Enter(prompt("shop"), at(10)).Pass.Started(at(50))
+	victim.Crashed(crash(1), at(100))
+	is.Equal(q.Enter(prompt("shop"), at(110)).Verdict, Allowed)
+	is.Equal(q.Enter(prompt("rare"), at(110)).Verdict, Wait)
+}
+
+// Guards against several requests with the same suspect that crash several endpoints at
+// once, and against a trial without an end that holds back all others.
+func TestTrialsRunOneAtATime(t *testing.T) {
+	is := is.New(t)
+	q := New(&recorder{})
+	crashWith(q, 1, 0, "deadly")
+	trial := q.Enter(prompt("deadly"), at(400))
+	is.Equal(trial.Verdict, Allowed)
+	is.Equal(q.Enter(prompt("deadly"), at(500)).Verdict, Wait)
+	trial.Pass.End() // refused by the endpoint
+	is.Equal(q.Enter(prompt("deadly"), at(600)).Verdict, Allowed)
+	is.Equal(q.Enter(prompt("deadly"), at(700)).Verdict, Wait)
+	is.Equal(q.Enter(prompt("deadly"), at(600).Add(trialTime)).Verdict, Allowed)
+}
+
+// Guards against blocking the part that many requests share when two parts have been in
+// the same crashes, and against crashes without end if it was that part after all.
+func TestDeepestOfEqualSuspectsIsBlockedFirst(t *testing.T) {
+	is := is.New(t)
+	var seen recorder
+	q := New(&seen)
+	crashWith(q, 1, 0, "shop", "deadly", "a")
+	crashWith(q, 2, 1000, "shop", "deadly", "a")
+	is.Equal(q.Enter(prompt("shop", "deadly", "a"), at(2000)).Part, Part{"s", "a"})
+	q.Enter(prompt("shop", "guide"), at(2000)).Pass.Started(at(2100))
+	crashWith(q, 3, 3000, "shop", "deadly", "b")
+	is.Equal(q.Enter(prompt("shop", "deadly", "b"), at(4000)).Part, Part{"s", "deadly"})
+	is.Equal(q.Enter(prompt("shop", "b"), at(4000)).Verdict, Allowed) // its only crash is explained
+	is.Equal(len(seen.blocks), 2)
+}
+
+// Guards against a sound part that is blocked because its trial ran at an endpoint that a
+// deadly one crashed: responses to it have been seen before.
+func TestTrialBesideDeadlyOneIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	q := New(&recorder{})
+	q.Enter(prompt("sound"), at(0)).Pass.Started(at(100))
+	sound, deadly := q.Enter(prompt("sound"), at(200)).Pass, q.Enter(prompt("deadly"), at(200)).Pass
+	sound.Crashed(crash(1), at(300))
+	deadly.Crashed(crash(1), at(300))
+	sound, deadly = q.Enter(prompt("sound"), at(600)).Pass, q.Enter(prompt("deadly"), at(600)).Pass
+	sound.Crashed(crash(2), at(700))
+	deadly.Crashed(crash(2), at(700))
+	is.Equal(q.Enter(prompt("sound"), at(1000)).Verdict, Allowed)
+	is.Equal(q.Enter(prompt("deadly"), at(1000)).Verdict, Blocked)
+}
+
+// Guards against a block without an end, and against one that an operator can't end.
+func TestBlockEnds(t *testing.T) {
+	is := is.New(t)
+	q := New(&recorder{})
+	is.True(q.ApplyBlock(Block{Part: Part{"s", "a"}, Until: at(1000)}))
+	is.True(!q.ApplyBlock(Block{Part: Part{"s", "a"}, Until: at(1000)})) // known already
+	is.Equal(q.Enter(prompt("a"), at(999)).Verdict, Blocked)
+	is.Equal(q.Enter(prompt("a"), at(1000)).Verdict, Allowed)
+	q.ApplyBlock(Block{Part: Part{"s", "b"}, Until: at(9000)})
+	q.Unblock(Part{"s", "b"})
+	is.Equal(q.Enter(prompt("b"), at(0)).Verdict, Allowed)
+}
+
+// Guards against unbounded memory when callers send many parts that crash endpoints.
+func TestSuspectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	q := New(&recorder{})
+	for i := range 3 * maxSuspects {
+		crashWith(q, i, i, fmt.Sprint("p", i))
+	}
+	suspects, _ := q.Counts()
+	is.Equal(suspects, maxSuspects)
+}
