gateway: a stream without framing that ends inside an event is broken off

Cause: only resumable streams, which are buffered by event, were checked for an event without an end; all others were complete at the end of the connection.

Class: the end of a transport is taken for the end of a message.

Fix: a stream is whole if it ends with a blank line, or if its framing says that it is empty. Ruled out: refusing streams without framing, which are allowed.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -278,3 +278,36 @@
 		})
 	}
 }
+
+// Guards against a stream without a length or chunks that its endpoint breaks off inside
+// an event, and that reaches the caller as a complete success.
+func TestStreamWithoutFramingIsWhole(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for name, tc := range map[string]struct {
+		body  string
+		whole bool
+	}{
+		"ends after an event": {whole, true},
+		"ends inside a line":  {whole + "id: 3\nda", false},
+		"ends after a line":   {whole + "id: 3\n", false},
+		"ends before it":      {"", false},
+	} {
+		for _, path := range []string{"/draft/1", "/tag/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t)
+				f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+					if id := readRequest(r); id != "" {
+						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\n\r\n%s", id, tc.body)
+					}
+				})
+				resp, err := f.open(f.request(t, http.MethodPost, path, "r1", "b"))
+				is.NoErr(err)
+				defer resp.Body.Close()
+				got, err := io.ReadAll(resp.Body)
+				is.Equal(err == nil && resp.StatusCode == http.StatusOK, tc.whole)
+				is.True(!tc.whole || string(got) == whole)
+			})
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -23,7 +24,7 @@
 // first bytes are relayed; after that, a resumable stream continues at another
 // endpoint, and any other is aborted.
 func (x *exchange) relayStream(p *response) error {
-	s := &eventStream{wholeEvents: x.route.Resumable}
+	s := &eventStream{wholeEvents: x.route.Resumable, framed: framed(p.resp)}
 	chunk, err := s.next(p.resp.Body)
 	if len(chunk) == 0 && err != nil && err != io.EOF {
 		return x.truncated(p, err)
@@ -97,6 +98,9 @@
 type eventStream struct {
 	// wholeEvents makes next return whole events only.
 	wholeEvents bool
+	// framed is true if the response has a length or chunks, so that its end is not that
+	// of its connection.
+	framed bool
 	// lastID is the id of the last whole event.
 	lastID string
 	// events and bytes count what was read.
@@ -106,6 +110,32 @@
 	buf [streamReadBytes]byte
 	// partial is the beginning of an event whose end has not arrived.
 	partial []byte
+	// tail holds the last bytes read, at most as many as the longest event end.
+	tail []byte
+}
+
+// eventEnds are the blank lines that end an event.
+var eventEnds = [][]byte{eventSeparator, []byte("\r\n\r\n")}
+
+// framed reports whether a response has a length or chunks.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// brokenOff reports whether a stream that ends now ends inside an event or, without
+// framing, before its first event.
+func (s *eventStream) brokenOff() bool {
+	if s.bytes == 0 {
+		return !s.framed
+	}
+	return !slices.ContainsFunc(eventEnds, func(end []byte) bool { return bytes.HasSuffix(s.tail, end) })
+}
+
+// keepTail updates tail with bytes that were read.
+func (s *eventStream) keepTail(b []byte) {
+	const longest = 4
+	s.tail = append(s.tail, b[max(0, len(b)-longest):]...)
+	s.tail = s.tail[max(0, len(s.tail)-longest):]
 }
 
 // next returns the next bytes to relay. io.EOF means that the stream is complete;
@@ -114,11 +144,12 @@
 	for {
 		n, err := body.Read(s.buf[:])
 		s.bytes += int64(n)
+		s.keepTail(s.buf[:n])
 		chunk := s.add(s.buf[:n])
 		switch {
 		case len(s.partial) > maxEventBytes:
 			err = errLargeEvent
-		case err == io.EOF && len(s.partial) > 0:
+		case err == io.EOF && (len(s.partial) > 0 || s.brokenOff()):
 			err = errPartialEvent
 		}
 		if len(chunk) > 0 || err != nil {
@@ -162,5 +193,8 @@
 	}
 }
 
-// discardPartial discards a truncated event.
-func (s *eventStream) discardPartial() { s.partial = s.partial[:0] }
+// discardPartial discards a truncated event. What was relayed ends with a whole one.
+func (s *eventStream) discardPartial() {
+	s.partial = s.partial[:0]
+	s.tail = append(s.tail[:0], eventSeparator...)
+}
