gatewayd: a block is logged, published and stored

Cause: the log encoder can't encode a list of structs and panicked in the call that announces a block. The server recovered, the request was aborted, and the block was neither published nor written; each gateway decided by itself.

Class: an error in reporting stops what is reported.

Fix: the crashes are one string. Reports that tell nothing new are no longer logged nor sent.

--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,12 +63,21 @@
 
 // PartBlocked implements quarantine.Observer.
 func (p quarantineObserver) PartBlocked(b quarantine.Block) {
-	p.log.Error("prompt part blocked", zap.String("service", b.Service), zap.String("part", b.ID), zap.Any("crashes", b.Crashes),
+	p.log.Error("prompt part blocked", zap.String("service", b.Service), zap.String("part", b.ID), zap.String("crashes", crashList(b.Crashes)),
 		zap.Time("until", b.Until), zap.String("key", blockKey(b.Part)))
 	p.peerServer.PublishSuspicion(peer.Suspicion{Blocks: []quarantine.Block{b}})
 	go p.storeBlock(b)
 }
 
+// crashList returns the crashes as endpoint/boot, separated by commas.
+func crashList(crashes []quarantine.Crash) string {
+	var out []string
+	for _, c := range crashes {
+		out = append(out, c.Endpoint+"/"+c.BootID)
+	}
+	return strings.Join(out, ",")
+}
+
 // storeBlock writes a block to the store, so that it outlives this process and reaches
 // gateways that start later. It retries until the block ends.
 func (p quarantineObserver) storeBlock(b quarantine.Block) {
--- a/internal/gatewayd/quarantine_test.go
+++ b/internal/gatewayd/quarantine_test.go
@@ -1,16 +1,24 @@
 package gatewayd
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/platform/platformtest"
 	"github.com/citrontiller/citrontiller/quarantine"
 )
 
@@ -31,6 +39,38 @@
 	is.Equal(p.quarantine.Enter([]quarantine.Part{part}, time.Now()).Verdict, quarantine.Allowed)
 }
 
+// Guards against a decision that is lost: the log line of a block panicked, so that the
+// request was aborted and the block was neither published nor written to the store.
+func TestBlockIsLoggedAndStored(t *testing.T) {
+	is := is.New(t)
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	var out bytes.Buffer
+	log, err := process.LoggerTo(zapcore.AddSync(&out), "info")
+	is.NoErr(err)
+	p := newProcess(Settings{}, platform.Settings{Name: "g0", Region: "r", StoreAddress: server.Listener.Addr().String()}, log, func() int64 { return 0 })
+	deadly := quarantine.Part{Service: "s", ID: "deadly"}
+	var crashes []quarantine.Crash
+	now := time.Now().Add(-time.Minute)
+	for i := range 2 {
+		crash := quarantine.Crash{Endpoint: fmt.Sprint("i-", i), BootID: "1"}
+		crashes = append(crashes, crash)
+		p.quarantine.Enter([]quarantine.Part{deadly}, now).Pass.Crashed(crash, now)
+		now = now.Add(time.Second)
+	}
+	is.Equal(p.quarantine.Enter([]quarantine.Part{deadly}, now).Verdict, quarantine.Blocked)
+	is.True(strings.Contains(out.String(), `msg="prompt part blocked" service=s part=deadly crashes=i-0/1,i-1/1`))
+	var pair infra.Pair
+	for end := time.Now().Add(5 * time.Second); pair.Revision == 0 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		pair, _ = p.store.Get(context.Background(), blockKey(deadly)) // not found until it is written
+	}
+	var r blockRecord
+	is.NoErr(json.Unmarshal(pair.Value, &r))
+	is.Equal(r.Part, "deadly")
+	is.Equal(r.Crashes, crashes)
+}
+
 // Guards against a gateway that does not take over what its peers observe.
 func TestPeersReportsAreApplied(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/pass.go
+++ b/quarantine/pass.go
@@ -125,18 +125,18 @@
 func (p *Pass) Crashed(c Crash, now time.Time) {
 	t := p.tracker
 	t.mu.Lock()
-	r := Report{Crash: c}
+	r, changed := Report{Crash: c}, false
 	if !p.ended {
 		for _, part := range p.parts {
 			if at, ok := t.started.Peek(part); !ok || at.Before(p.sentAt) {
 				r.Suspects = append(r.Suspects, Suspect{Part: part, Trial: p.trials[part]})
 			}
 		}
-		t.apply(r, now)
+		changed = t.apply(r, now)
 		p.end()
 	}
 	t.mu.Unlock()
-	if len(r.Suspects) > 0 {
+	if changed {
 		t.observer.CrashObserved(r)
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,9 +45,9 @@
 
 // Crash identifies the crash of an endpoint.
 type Crash struct {
-	Endpoint string
+	Endpoint string `json:"endpoint"`
 	// BootID identifies the incarnation that crashed.
-	BootID string
+	BootID string `json:"boot_id"`
 }
 
 // Report names the suspects of one request that was at an endpoint when it crashed.
