gateway: what the quarantine remembers of a caller's headers is bounded

A caller could fill the gateway's memory: the ids of prompt parts are remembered after the request, and each kept the whole header that it was cut from (26 MB after 600 requests with headers of 40 KiB, without a bound below 0.5 GB).

Fix: ids over 64 bytes are remembered as a hash, others are copied, and at most 32 parts of a prompt are watched.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/quarantine"
@@ -23,6 +26,10 @@
 	// trialWait is how long a request that was at a crashed endpoint waits to be sent
 	// again: the crash has to be known everywhere, and a trial may be in progress.
 	trialWait = 400 * time.Millisecond
+	// maxQuarantineParts bounds the parts of a prompt that are remembered, maxPartIDBytes
+	// the length of their ids.
+	maxQuarantineParts = 32
+	maxPartIDBytes     = 64
 	// crashProbeTimeout bounds the probe of an endpoint whose connection broke.
 	crashProbeTimeout = 300 * time.Millisecond
 	// aliveTime is how long an endpoint counts as alive after a probe.
@@ -36,13 +43,22 @@
 	if x.g.Quarantine == nil || len(shared) == 0 {
 		return quarantine.Decision{}
 	}
-	parts := make([]quarantine.Part, 0, len(shared))
-	for _, p := range shared {
-		parts = append(parts, quarantine.Part{Service: x.service, ID: p.ID})
+	parts := make([]quarantine.Part, 0, min(len(shared), maxQuarantineParts))
+	for _, p := range shared[:cap(parts)] {
+		parts = append(parts, quarantine.Part{Service: x.service, ID: boundedID(p.ID)})
 	}
 	return x.g.Quarantine.Enter(parts, time.Now())
 }
 
+// boundedID returns the id of a part to remember: a hash in place of a long id, and a copy
+// that doesn't keep the caller's headers in memory.
+func boundedID(id string) string {
+	if len(id) > maxPartIDBytes {
+		return fmt.Sprintf("xxh64:%016x", xxhash.Sum64String(id))
+	}
+	return strings.Clone(id)
+}
+
 // quarantined returns the refusal of a request that was not sent because of a part of its
 // prompt.
 func (x *exchange) quarantined(d quarantine.Decision) *Refusal {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -148,6 +149,38 @@
 	}
 }
 
+// keptAfterLongHeaders returns the bytes in use after requests with long and with many
+// parts.
+func keptAfterLongHeaders(t *testing.T, q *quarantine.Tracker) int64 {
+	const requests, headerBytes = 300, 40 << 10
+	f := newFleet(t, []responder{ok("whole")})
+	f.gateway.Quarantine = q
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range requests {
+		f.callParts(t, "/read/1", fmt.Sprint("long", i), fmt.Sprint(strings.Repeat("x", headerBytes), i, " own"))
+		f.callParts(t, "/read/1", fmt.Sprint("many", i), strings.Repeat(fmt.Sprint("p", i, " "), headerBytes/8))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
+
+// Guards against memory that grows with the headers of callers who send long or many
+// parts: they are remembered after the request.
+func TestRememberedPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	const maxKept = 2 << 20
+	without := keptAfterLongHeaders(t, nil)
+	q := quarantine.New(noObserver{})
+	with := keptAfterLongHeaders(t, q)
+	t.Logf("%d KiB kept with the quarantine, %d KiB without", with>>10, without>>10)
+	is.True(with-without < maxKept)
+	suspects, _ := q.Counts()
+	is.Equal(suspects, 0)
+}
+
 // Guards against taking an endpoint that breaks a connection, but lives, for one that has
 // crashed: after enough such failures the prompts of sound requests would be blocked.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
