--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -200,14 +200,6 @@
 	return nil, 0, ctx.Err()
 }
 
-// peerMirror is another process's mirror that serves as the fallback.
-type peerMirror struct{ *Mirror }
-
-func (c peerMirror) Changes(ctx context.Context, after int64, wait time.Duration) ([]infra.Event, int64, bool, error) {
-	events, rev, complete := c.Since(ctx, after, wait)
-	return events, rev, complete, nil
-}
-
 // Guards against serving an old configuration for the length of a poll without a
 // response, although peers have a newer revision.
 func TestSilentPollUsesFallback(t *testing.T) {
@@ -216,7 +208,7 @@
 		s := newFakeStore()
 		s.put("a", "1")
 		other, stopOther := start(s, Options{})
-		m := New(Options{Source: silentStore{s}, PollWait: 4 * time.Second, Fallback: peerMirror{other}, OnChange: func(infra.Event) {}, Log: zap.NewNop()})
+		m := New(Options{Source: silentStore{s}, PollWait: 4 * time.Second, Fallback: mirrorFallback{other}, OnChange: func(infra.Event) {}, Log: zap.NewNop()})
 		ctx, stop := context.WithCancel(context.Background())
 		go m.Run(ctx)
 		time.Sleep(time.Second)
