mirror, gatewayd: a removal's delay computed once, blocks of others applied in one place

The delay was computed once for the decision and once for the timer, and the line for a block of another gateway stood at both places that apply one.

--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -113,12 +113,20 @@
 	}
 	b := quarantine.Block{Part: quarantine.Part{Service: r.Service, ID: r.Part}, Crashes: r.Crashes, Until: time.UnixMilli(r.UntilMs)}
 	p.blockedKeys.Store(ev.Key, b.Part)
-	if p.quarantine.ApplyBlock(b) {
-		p.log.Info("prompt part blocked by another gateway", zap.String("service", b.Service), zap.String("part", b.ID), zap.Time("until", b.Until))
-	}
+	p.applyBlock(b)
 	time.AfterFunc(time.Until(b.Until), func() { p.removeExpiredBlock(ev.Pair) })
 }
 
+// applyBlock applies a block that another gateway has decided, and reports whether it was
+// new.
+func (p *gatewayProcess) applyBlock(b quarantine.Block) bool {
+	if !p.quarantine.ApplyBlock(b) {
+		return false
+	}
+	p.log.Info("prompt part blocked by another gateway", zap.String("service", b.Service), zap.String("part", b.ID), zap.Time("until", b.Until))
+	return true
+}
+
 // unblock ends the block of the part that a key held.
 func (p *gatewayProcess) unblock(key string) {
 	part, ok := p.blockedKeys.LoadAndDelete(key)
@@ -157,8 +165,7 @@
 		}
 	}
 	for _, b := range u.Blocks {
-		if p.quarantine.ApplyBlock(b) {
-			p.log.Info("prompt part blocked by another gateway", zap.String("service", b.Service), zap.String("part", b.ID), zap.Time("until", b.Until))
+		if p.applyBlock(b) {
 			fresh.Blocks = append(fresh.Blocks, b)
 		}
 	}
--- a/mirror/deferred.go
+++ b/mirror/deferred.go
@@ -15,10 +15,10 @@
 	at time.Time
 }
 
-// removalDelay returns how long a removal is delayed, 0 or less for none. The caller
-// holds mu.
+// removalDelay returns how long a change is delayed, 0 or less for none. Only removals
+// are. The caller holds mu.
 func (m *Mirror) removalDelay(ev infra.Event) time.Duration {
-	if m.DeferRemoval == nil || !m.DeferRemoval(ev.Key) {
+	if !ev.Deleted || m.DeferRemoval == nil || !m.DeferRemoval(ev.Key) {
 		return 0
 	}
 	if m.resumedAt.IsZero() {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -247,6 +247,7 @@
 func (m *Mirror) apply(ev infra.Event) bool {
 	m.mu.Lock()
 	_, ok := m.items[ev.Key]
+	delay := m.removalDelay(ev)
 	switch {
 	case m.outdated(ev):
 		m.mu.Unlock()
@@ -255,8 +256,7 @@
 		m.recordRemoval(ev) // an older revision may still arrive
 		m.mu.Unlock()
 		return false
-	case ev.Deleted && m.removalDelay(ev) > 0:
-		delay := m.removalDelay(ev)
+	case delay > 0:
 		m.deferred[ev.Key] = deferredRemoval{revision: ev.Revision, at: time.Now().Add(delay)}
 		m.mu.Unlock()
 		m.Log.Info("removal deferred after an outage", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision), zap.Duration("delay", delay))
