--- a/catalog/endpoint.go
+++ b/catalog/endpoint.go
@@ -14,6 +14,13 @@
 	Weights map[string]int64
 }
 
+// Incarnation identifies the process behind an endpoint's list entry. It changes when
+// the endpoint restarts or moves to another address.
+type Incarnation struct{ ID, BootID, Address string }
+
+// Incarnation returns the incarnation that the entry lists.
+func (e Endpoint) Incarnation() Incarnation { return Incarnation{e.ID, e.BootID, e.Address} }
+
 // Target is the version of a model's weights that its engines should have.
 type Target struct {
 	Model   string
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/quarantine"
 )
@@ -60,6 +61,8 @@
 	resp   *http.Response
 	cancel context.CancelFunc
 	start  time.Time
+	// incarnation is the endpoint's incarnation that was listed when the request was sent.
+	incarnation catalog.Incarnation
 	// firstByteAt is the arrival of the body's first byte, zero before it.
 	firstByteAt time.Time
 	// harmless is true once the quarantine knows that the endpoint has borne the request.
@@ -102,7 +105,7 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	start := time.Now()
+	start, incarnation := time.Now(), x.g.Directory.Incarnation(c.endpoint.ID)
 	resp, err := x.transport().RoundTrip(x.request(ctx, c, lastEventID))
 	if connected.Load() {
 		x.sends++
@@ -119,7 +122,7 @@
 		c.attempt.Failed(time.Now())
 		return nil, x.recordFailure(&attemptError{failure: f, endpoint: c.endpoint.ID, err: err})
 	}
-	p := &response{choice: c, resp: resp, cancel: cancel, start: start}
+	p := &response{choice: c, resp: resp, cancel: cancel, start: start, incarnation: incarnation}
 	if err := x.check(p); err != nil {
 		p.close()
 		return nil, x.recordFailure(err)
@@ -146,6 +149,9 @@
 	info := x.g.Codec.DecodeResponse(p.resp.StatusCode, p.resp.Header)
 	x.g.Directory.Observe(p.endpoint.ID, info)
 	otherRequest := info.RequestID != "" && info.RequestID != x.info.ID
+	if !otherRequest && p.resp.StatusCode != http.StatusMisdirectedRequest {
+		x.observeLeaving(p.incarnation, info)
+	}
 	if info.NotRun && !otherRequest {
 		p.attempt.Refused(time.Now())
 		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -76,6 +76,8 @@
 	Stamped bool
 	// NotRun is true when the endpoint states that it did not run the request.
 	NotRun bool
+	// Leaving is true when the endpoint states that it is about to leave.
+	Leaving bool
 	// WeightsVersion is the version of the loaded weights, 0 when unknown.
 	WeightsVersion int64
 	Load           Load
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/catalog"
@@ -43,6 +44,9 @@
 	updatingExpiry *time.Timer
 	// prunePending is true while a call of prune is scheduled.
 	prunePending bool
+	// leaving holds the incarnations that have announced that they leave. It outlives
+	// their list entries, since the entry may be removed and restored, or be an old one.
+	leaving *lru.Cache[catalog.Incarnation, struct{}]
 	// reports counts the calls of report; the count is the key of a route.Report.
 	reports uint64
 }
@@ -59,7 +63,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory(members *member.Tracker, tracker *route.Tracker, log *zap.Logger) *Directory {
 	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, updating: map[string]bool{},
-		plans: map[string]rollout.Plan{}}
+		plans: map[string]rollout.Plan{}, leaving: newLeavingMarks()}
 }
 
 // Put adds an endpoint or replaces its list entry. revision is the entry's
@@ -159,7 +163,11 @@
 // publish passes an endpoint's entry to the member tracker; the caller holds mu.
 func (d *Directory) publish(r *endpointRecord) {
 	h := r.Host
-	if h.State == infra.Live && d.updating[r.ID] {
+	switch {
+	case h.State != infra.Live:
+	case d.leaving.Contains(r.Incarnation()):
+		h.State = infra.Leaving
+	case d.updating[r.ID]:
 		h.State = infra.Updating
 	}
 	d.members.PutHost(h)
@@ -227,7 +235,7 @@
 	var out []rollout.Engine
 	for id, r := range d.endpoints {
 		if _, ok := r.Weights[model]; ok {
-			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live, Running: r.load.Running})
+			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !d.leaving.Contains(r.Incarnation()), Running: r.load.Running})
 		}
 	}
 	return out
@@ -254,14 +262,15 @@
 	return true
 }
 
-// BootID returns the boot id of an endpoint, "" if it is not listed.
-func (d *Directory) BootID(id string) string {
+// Incarnation returns the listed incarnation of an endpoint, with only the id if it is
+// not listed.
+func (d *Directory) Incarnation(id string) catalog.Incarnation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r := d.endpoints[id]; r != nil {
-		return r.BootID
+		return r.Incarnation()
 	}
-	return ""
+	return catalog.Incarnation{ID: id}
 }
 
 // RegionEngines returns the ids of a region's engines.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,8 +42,11 @@
 	StandingQueues admit.StandingQueueDetector
 	// Quarantine keeps requests that crash endpoints from being sent; nil for none.
 	Quarantine *quarantine.Tracker
-	Metrics    *Metrics
-	Log        *zap.Logger
+	// OnLeaving is called with each endpoint that announces in a response that it leaves;
+	// nil for no call. It must not block.
+	OnLeaving func(catalog.Incarnation)
+	Metrics   *Metrics
+	Log       *zap.Logger
 
 	split    regionSplit
 	crashes  crashDetector
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -86,7 +86,7 @@
 	if c.pass == nil || c.pass.Ended() || x.ctx.Err() != nil {
 		return
 	}
-	crash := quarantine.Crash{Endpoint: c.endpoint.ID, BootID: x.g.Directory.BootID(c.endpoint.ID)}
+	crash := quarantine.Crash{Endpoint: c.endpoint.ID, BootID: x.g.Directory.Incarnation(c.endpoint.ID).BootID}
 	if !x.g.crashes.crashed(crash, c.endpoint.Address) {
 		return
 	}
--- /dev/null
+++ b/internal/gatewayd/announced_test.go
@@ -0,0 +1,256 @@
+package gatewayd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/peer"
+	"github.com/citrontiller/citrontiller/platform"
+)
+
+// announcedConfig has a route whose requests may be repeated.
+const announcedConfig = `{"version":1,"routes":[
+ {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":2}],
+ "services":[{"name":"s"}],"limits":{"max_body_bytes":100000}}`
+
+// drainTime is the time in which a gateway stops sending to an endpoint that leaves.
+const drainTime = 2500 * time.Millisecond
+
+// announcer is a test double of an endpoint that adds headers to its answers.
+type announcer struct {
+	id string
+
+	mu       sync.Mutex
+	arrivals []time.Time
+	// status is the status of its answers, 0 for 200, and header is added to them.
+	status int
+	header http.Header
+}
+
+// ServeHTTP implements http.Handler.
+func (a *announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.arrivals = append(a.arrivals, time.Now())
+	w.Header().Set("Citrontiller-Request-Id", r.Header.Get("Citrontiller-Request-Id"))
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	switch {
+	case r.Header.Get("Citrontiller-Expect-Instance") != a.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case a.status != 0:
+		w.Header().Set("Citrontiller-Not-Executed", "1")
+		w.WriteHeader(a.status)
+	default:
+		w.Header().Set("Citrontiller-Server-Stamp", a.id)
+		_, _ = io.WriteString(w, "fine")
+	}
+}
+
+// announce sets the status and a header of later answers.
+func (a *announcer) announce(status int, name, value string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.status, a.header = status, http.Header{}
+	if name != "" {
+		a.header.Set(name, value)
+	}
+}
+
+// since returns the number of requests that have arrived since a time.
+func (a *announcer) since(t time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, at := range a.arrivals {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// announcedFleet is a gateway that gets no response from the store, in front of
+// announcers.
+type announcedFleet struct {
+	t         *testing.T
+	process   *gatewayProcess
+	url       string
+	endpoints []*announcer
+	servers   []*httptest.Server
+	revision  int64
+	requests  int
+}
+
+func newAnnouncedFleet(t *testing.T, endpoints int) *announcedFleet {
+	t.Helper()
+	p := newProcess(Settings{UsualUrgent: 2, UsualOther: 2, OverloadUrgent: 2, OverloadOther: 2, UsualOtherMax: time.Minute, OverloadOtherMax: time.Minute},
+		platform.Settings{Name: "g0", Region: "r", Regions: map[string]string{"z": "r"}, RetryPercent: 100}, zap.NewNop(), func() int64 { return 0 })
+	f := &announcedFleet{t: t, process: p}
+	f.put(platform.ConfigKey, announcedConfig)
+	for i := range endpoints {
+		a := &announcer{id: fmt.Sprint("e", i)}
+		s := httptest.NewServer(a)
+		t.Cleanup(s.Close)
+		f.endpoints, f.servers = append(f.endpoints, a), append(f.servers, s)
+		f.list(i, "ready", 1)
+	}
+	s := httptest.NewServer(p.gateway)
+	t.Cleanup(s.Close)
+	f.url = s.URL
+	return f
+}
+
+// put applies a change of the store.
+func (f *announcedFleet) put(key, value string) {
+	f.revision++
+	f.process.onStoreChange(infra.Event{Pair: infra.Pair{Key: key, Value: []byte(value), Revision: f.revision}})
+}
+
+// list applies an endpoint's list entry.
+func (f *announcedFleet) list(i int, state string, boot int) {
+	f.put("servers/"+f.endpoints[i].id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":64,"state":%q,"born":%d}`,
+		f.servers[i].Listener.Addr(), state, boot))
+}
+
+// call sends a request and returns its response, whose body is closed.
+func (f *announcedFleet) call() *http.Response {
+	f.t.Helper()
+	f.requests++
+	req, err := http.NewRequest(http.MethodGet, f.url+"/read/1", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Citrontiller-Request-Id", fmt.Sprint("r", f.requests))
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp
+}
+
+// callUntil sends requests until an endpoint has received n more.
+func (f *announcedFleet) callUntil(i, n int) {
+	f.t.Helper()
+	start := time.Now()
+	for f.endpoints[i].since(start) < n {
+		if f.call(); time.Since(start) > 5*time.Second {
+			f.t.Fatalf("endpoint %d received %d requests in 5 s", i, f.endpoints[i].since(start))
+		}
+	}
+}
+
+// Guards against requests to an endpoint that has said in an answer that it leaves, from
+// a gateway that learns nothing from the store: its list entry still says ready.
+func TestEndpointThatAnnouncesLeavingGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 3)
+	f.endpoints[0].announce(0, "Server-Leaving", "1")
+	f.callUntil(0, 1)
+	time.Sleep(drainTime)
+	start := time.Now()
+	for range 60 {
+		is.Equal(f.call().StatusCode, http.StatusOK)
+	}
+	is.Equal(f.endpoints[0].since(start), 0)
+}
+
+// Guards against a leaving endpoint that is in use again because an older list entry of it
+// arrives, or its entry is removed and put back; and against keeping out its next
+// incarnation.
+func TestAnnouncedLeavingOutlivesListEntry(t *testing.T) {
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 2)
+	f.endpoints[0].announce(0, "Server-Leaving", "1")
+	f.callUntil(0, 1)
+	f.process.onStoreChange(infra.Event{Pair: infra.Pair{Key: "servers/e0", Revision: 90}, Deleted: true})
+	f.list(0, "ready", 1)
+	start := time.Now()
+	for range 30 {
+		f.call()
+	}
+	is.Equal(f.endpoints[0].since(start), 0)
+	f.endpoints[0].announce(0, "", "")
+	f.list(0, "ready", 2)
+	f.callUntil(0, 1)
+	f.list(0, "ready", 1) // an older copy of the store
+	f.endpoints[0].announce(0, "Server-Leaving", "1")
+	start = time.Now()
+	for range 30 {
+		f.call()
+	}
+	is.Equal(f.endpoints[0].since(start), 0)
+}
+
+// Guards against a caller that waits, or a request to a leaving endpoint, when the last
+// endpoint of a service leaves.
+func TestLastEndpointThatAnnouncesLeaving(t *testing.T) {
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 1)
+	f.endpoints[0].announce(0, "Server-Leaving", "1")
+	is.Equal(f.call().StatusCode, http.StatusOK)
+	start := time.Now()
+	resp := f.call()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.Equal(f.endpoints[0].since(start), 0)
+}
+
+// followedBy connects another gateway that lists the same endpoints and follows f's.
+func (f *announcedFleet) followedBy() *announcedFleet {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go f.process.servePeers(ctx, l)
+	other := newAnnouncedFleet(f.t, 0)
+	other.endpoints, other.servers = f.endpoints, f.servers
+	for i := range f.endpoints {
+		other.list(i, "ready", 1)
+	}
+	other.process.peers.Put(peer.Record{Name: "g1", Address: l.Addr().String(), Region: "r"})
+	return other
+}
+
+// waitForState waits until a gateway has an endpoint in a state.
+func (f *announcedFleet) waitForState(i int, want member.State) {
+	f.t.Helper()
+	for end := time.Now().Add(drainTime); f.process.gateway.Members.Service("s")[i].State != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("endpoint %d is not %s after %v", i, want, drainTime)
+		}
+	}
+}
+
+// Guards against requests to a leaving endpoint from a gateway that gets no answers of it:
+// it learns from the others, those that announced it before it joined included.
+func TestPeersTellOfLeavingEndpoints(t *testing.T) {
+	f := newAnnouncedFleet(t, 3)
+	f.endpoints[0].announce(0, "Server-Leaving", "1")
+	f.callUntil(0, 1)
+	other := f.followedBy()
+	other.waitForState(0, member.Leaving)
+	f.endpoints[1].announce(0, "Server-Leaving", "1")
+	f.callUntil(1, 1)
+	other.waitForState(1, member.Leaving)
+	other.waitForState(2, member.Ready)
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -126,7 +126,8 @@
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
 	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval, OnChange: p.onStoreChange, Log: log})
-	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, log)
+	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, p.gateway.Directory.LeavingEndpoints, log)
+	p.gateway.OnLeaving = func(i catalog.Incarnation) { p.peerServer.PublishLeaving([]catalog.Incarnation{i}) }
 	tracker.OnEvent(p.peerServer.Publish)
 	p.probeMux = http.NewServeMux()
 	p.probeMux.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
--- a/internal/gatewayd/peers.go
+++ b/internal/gatewayd/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -29,6 +30,20 @@
 // that its own copy is behind.
 func (p peerReceiver) RevisionReceived(revision int64) { p.mirror.NotePeerRevision(revision) }
 
+// LeavingReceived implements peer.Receiver. Only what is new is passed on, since relays
+// hear what other relays pass on.
+func (p peerReceiver) LeavingReceived(from string, leaving []catalog.Incarnation, sameRegion bool) {
+	var fresh []catalog.Incarnation
+	for _, i := range leaving {
+		if p.gateway.Directory.MarkLeaving(i, from) {
+			fresh = append(fresh, i)
+		}
+	}
+	if len(fresh) > 0 && p.peers.IsRelay() {
+		p.peerServer.RelayLeaving(fresh, sameRegion)
+	}
+}
+
 // DigestReceived implements peer.Receiver.
 func (p peerReceiver) DigestReceived(d peer.Digest, sameRegion bool) {
 	now := time.Now()
--- a/peer/client.go
+++ b/peer/client.go
@@ -82,6 +82,9 @@
 	// SuspicionReceived is called with what a peer tells of parts of prompts that crash
 	// endpoints.
 	SuspicionReceived(s Suspicion, sameRegion bool)
+	// LeavingReceived is called with endpoints that have announced to a peer that they
+	// leave.
+	LeavingReceived(from string, leaving []catalog.Incarnation, sameRegion bool)
 }
 
 // Set holds connections to all known peers and follows their streams. It is safe
@@ -228,6 +231,9 @@
 	if u := decodeSuspicion(b, now); !u.Empty() {
 		s.receiver.SuspicionReceived(u, sameRegion)
 	}
+	if len(b.Leaving) > 0 {
+		s.receiver.LeavingReceived(l.record.Name, decodeIncarnations(b.Leaving), sameRegion)
+	}
 	decode(b, func(e route.Event) {
 		if !sameRegion {
 			e.TransitTime = 0 // this event took as long to arrive as the request
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,6 +54,7 @@
 	pb.UnimplementedPeerServer
 	replica Replica
 	targets *rollout.Targets
+	leaving func() []catalog.Incarnation
 	region  string
 	// sameRegion and crossRegion send to the followers of the own region and of
 	// other regions, control to the followers that want no events.
@@ -62,9 +63,10 @@
 }
 
 // NewServer returns the server of a gateway in a region. It serves the changes of a
-// replica of the store, and the times at which versions of weights were named.
-func NewServer(region string, replica Replica, targets *rollout.Targets, log *zap.Logger) *Server {
-	return &Server{replica: replica, targets: targets, region: region, sameRegion: newOutbox(sameRegionInterval), crossRegion: newOutbox(crossRegionInterval),
+// replica of the store, the times at which versions of weights were named, and the
+// endpoints that leaving returns as announced to leave.
+func NewServer(region string, replica Replica, targets *rollout.Targets, leaving func() []catalog.Incarnation, log *zap.Logger) *Server {
+	return &Server{replica: replica, targets: targets, leaving: leaving, region: region, sameRegion: newOutbox(sameRegionInterval), crossRegion: newOutbox(crossRegionInterval),
 		control: newOutbox(crossRegionInterval), log: log}
 }
 
@@ -76,20 +78,30 @@
 
 // PublishPlan sends a rollout plan of this process to all followers. It never blocks.
 func (s *Server) PublishPlan(p rollout.Plan) {
-	b := &pb.Batch{Plan: encodePlan(p)}
+	s.broadcast(&pb.Batch{Plan: encodePlan(p)})
+}
+
+// broadcast sends a batch to all followers.
+func (s *Server) broadcast(b *pb.Batch) {
 	s.sameRegion.send(b)
 	s.crossRegion.send(b)
 	s.control.send(b)
 }
 
-// RelayPlan passes on a plan of another process: one of the own region to the relays
-// of other regions, one of another region to the own region. It never blocks.
-func (s *Server) RelayPlan(p rollout.Plan, sameRegion bool) {
-	out := s.sameRegion
+// relay passes on a batch of another process: one of the own region to the relays of
+// other regions, one of another region to the own region.
+func (s *Server) relay(b *pb.Batch, sameRegion bool) {
 	if sameRegion {
-		out = s.control
+		s.control.send(b)
+		return
 	}
-	out.send(&pb.Batch{Plan: encodePlan(p)})
+	s.sameRegion.send(b)
+}
+
+// RelayPlan passes on a plan of another process to the regions that don't have it from
+// that process. It never blocks.
+func (s *Server) RelayPlan(p rollout.Plan, sameRegion bool) {
+	s.relay(&pb.Batch{Plan: encodePlan(p)}, sameRegion)
 }
 
 // PublishDigest sends a digest of the own region's engines to the relays of other
@@ -152,10 +164,10 @@
 	return s.crossRegion
 }
 
-// initialBatch returns the first batch for a follower: the copy's revision and the
-// known versions.
+// initialBatch returns the first batch for a follower: the copy's revision, the known
+// versions and the endpoints known to leave.
 func (s *Server) initialBatch() *pb.Batch {
-	b := &pb.Batch{Revision: s.replica.Revision()}
+	b := &pb.Batch{Revision: s.replica.Revision(), Leaving: encodeIncarnations(s.leaving())}
 	s.targets.Each(func(want catalog.Target, named time.Time) {
 		b.Targets = append(b.Targets, &pb.Target{Model: want.Model, Version: want.Version, NamedMs: named.UnixMilli()})
 	})
--- a/peer/suspicion.go
+++ b/peer/suspicion.go
@@ -20,20 +20,12 @@
 // PublishSuspicion sends what this process has observed to all followers. It never
 // blocks.
 func (s *Server) PublishSuspicion(u Suspicion) {
-	b := u.batch(time.Now())
-	s.sameRegion.send(b)
-	s.crossRegion.send(b)
-	s.control.send(b)
+	s.broadcast(u.batch(time.Now()))
 }
 
-// RelaySuspicion passes on what another process has observed: one of the own region to
-// the relays of other regions, one of another region to the own region. It never blocks.
+// RelaySuspicion passes on what another process has observed. It never blocks.
 func (s *Server) RelaySuspicion(u Suspicion, sameRegion bool) {
-	out := s.sameRegion
-	if sameRegion {
-		out = s.control
-	}
-	out.send(u.batch(time.Now()))
+	s.relay(u.batch(time.Now()), sameRegion)
 }
 
 func (s Suspicion) batch(now time.Time) *pb.Batch {
