--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -148,15 +148,12 @@
 func (x *exchange) check(p *response) *attemptError {
 	info := x.g.Codec.DecodeResponse(p.resp.StatusCode, p.resp.Header)
 	x.g.Directory.Observe(p.endpoint.ID, info)
-	otherRequest := info.RequestID != "" && info.RequestID != x.info.ID
-	if !otherRequest && p.resp.StatusCode != http.StatusMisdirectedRequest {
-		x.observeLeaving(p.incarnation, info)
-	}
-	if info.NotRun && !otherRequest {
+	x.observeAnnouncements(p, info)
+	if info.NotRun && !x.isForeign(info) {
 		p.attempt.Refused(time.Now())
 		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
 	}
-	if err := undeliverable(p.resp, info, otherRequest); err != nil {
+	if err := undeliverable(p.resp, info, x.isForeign(info)); err != nil {
 		p.attempt.Failed(time.Now())
 		return &attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err}
 	}
@@ -298,7 +295,7 @@
 		if c, ok := x.chooseAllowed(); ok {
 			return c, true
 		}
-		if x.quarantine.Verdict == quarantine.Blocked || x.overloadWait > 0 || len(x.g.Members.Service(x.service)) == 0 || time.Now().After(until) {
+		if x.availableIn > time.Until(until) || x.quarantine.Verdict == quarantine.Blocked || x.overloadWait > 0 || len(x.g.Members.Service(x.service)) == 0 || time.Now().After(until) {
 			return choice{}, false
 		}
 		if !wait.Sleep(x.ctx, endpointPollInterval) {
@@ -323,7 +320,7 @@
 		if x.overloadWait > 0 {
 			return x.overloaded()
 		}
-		return x.unavailable("no_room", err)
+		return x.noEndpoint(err)
 	case x.r.Context().Err() != nil:
 		return &Refusal{Status: http.StatusBadGateway, Outcome: "caller_left", Err: err}
 	case errors.Is(err, context.DeadlineExceeded) || x.ctx.Err() != nil:
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -58,10 +58,12 @@
 	now := time.Now()
 	r := x.routeRequest(now)
 	members := x.g.Members.Service(x.service)
-	local, sampled := x.g.candidates(x.service, members)
-	candidates := x.g.Tracker.AppendSnapshot(nil, r, local, sampled, noReport, now)
+	candidates := x.snapshot(r, members, now)
 	d := x.g.Scheduler.Choose(r, candidates)
 	x.reason, x.score = d.Reason, d.Score
+	if d.Chosen == "" {
+		x.availableIn = availableIn(r.Exclude, candidates)
+	}
 	if ce := x.g.Log.Check(zap.DebugLevel, "route"); ce != nil || d.Chosen == "" {
 		x.g.Log.Info("route", zap.String("request", x.info.ID), zap.String("service", x.service), zap.String("chosen", d.Chosen),
 			zap.String("reason", d.Reason), zap.Int("total", d.Total), zap.Stringer("candidates", d))
@@ -84,6 +86,37 @@
 	return choice{}, false
 }
 
+// snapshot returns the candidates for a request.
+func (x *exchange) snapshot(r *route.Request, members []member.Endpoint, now time.Time) []route.Endpoint {
+	local, sampled := x.g.candidates(x.service, members)
+	return x.g.Tracker.AppendSnapshot(nil, r, local, sampled, noReport, now)
+}
+
+// reopensIn returns the time until an endpoint of the service takes requests from this
+// process again, 0 if one may take them now.
+func (x *exchange) reopensIn() time.Duration {
+	now := time.Now()
+	return availableIn(nil, x.snapshot(x.routeRequest(now), x.g.Members.Service(x.service), now))
+}
+
+// availableIn returns the time until the first of the candidates that are not in exclude
+// takes another request from this process. It is 0 if none is ready, or if one is
+// unavailable for another reason, whose end is not known.
+func availableIn(exclude map[string]bool, candidates []route.Endpoint) time.Duration {
+	var soonest time.Duration
+	for i := range candidates {
+		e := &candidates[i]
+		switch {
+		case e.State != member.Ready || exclude[e.ID]:
+		case e.PausedFor == 0:
+			return 0
+		case soonest == 0 || e.PausedFor < soonest:
+			soonest = e.PausedFor
+		}
+	}
+	return soonest
+}
+
 // candidates returns those of a service's members among which a request's endpoint is
 // chosen. In a fleet whose regions don't exchange the events of requests, these are
 // the members of the own region and a sample of the others.
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -78,6 +78,9 @@
 	NotRun bool
 	// Leaving is true when the endpoint states that it is about to leave.
 	Leaving bool
+	// Pause is the time for which the endpoint wants no requests from this process, 0
+	// when it asks for none.
+	Pause time.Duration
 	// WeightsVersion is the version of the loaded weights, 0 when unknown.
 	WeightsVersion int64
 	Load           Load
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -44,9 +44,9 @@
 	updatingExpiry *time.Timer
 	// prunePending is true while a call of prune is scheduled.
 	prunePending bool
-	// leaving holds the incarnations that have announced that they leave. It outlives
-	// their list entries, since the entry may be removed and restored, or be an old one.
-	leaving *lru.Cache[catalog.Incarnation, struct{}]
+	// announcements holds what incarnations have announced. It outlives their list entries,
+	// since an entry may be removed and restored, or be an old one.
+	announcements *lru.Cache[catalog.Incarnation, announcement]
 	// reports counts the calls of report; the count is the key of a route.Report.
 	reports uint64
 }
@@ -63,7 +63,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory(members *member.Tracker, tracker *route.Tracker, log *zap.Logger) *Directory {
 	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, updating: map[string]bool{},
-		plans: map[string]rollout.Plan{}, leaving: newLeavingMarks()}
+		plans: map[string]rollout.Plan{}, announcements: newAnnouncements()}
 }
 
 // Put adds an endpoint or replaces its list entry. revision is the entry's
@@ -83,6 +83,9 @@
 	}
 	d.publish(r)
 	d.report(r)
+	if old == nil || old.Incarnation() != r.Incarnation() {
+		d.tracker.SetPause(r.ID, d.announced(r.Incarnation()).pausedUntil)
+	}
 }
 
 // SetKVCapacityTokens sets the capacity of an engine's KV cache memory in tokens, by
@@ -165,7 +168,7 @@
 	h := r.Host
 	switch {
 	case h.State != infra.Live:
-	case d.leaving.Contains(r.Incarnation()):
+	case d.announced(r.Incarnation()).leaving:
 		h.State = infra.Leaving
 	case d.updating[r.ID]:
 		h.State = infra.Updating
@@ -235,7 +238,7 @@
 	var out []rollout.Engine
 	for id, r := range d.endpoints {
 		if _, ok := r.Weights[model]; ok {
-			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !d.leaving.Contains(r.Incarnation()), Running: r.load.Running})
+			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !d.announced(r.Incarnation()).leaving, Running: r.load.Running})
 		}
 	}
 	return out
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,9 @@
 	// overloadWait is the expected wait for which the request was shed, 0 when it
 	// was not.
 	overloadWait time.Duration
+	// availableIn is the time until an endpoint takes the request, if the last choice found
+	// none; 0 when it is not known.
+	availableIn time.Duration
 	// quarantine is the last decision on the parts of the prompt.
 	quarantine quarantine.Decision
 	// endpoint is the id of the endpoint last chosen. reason and score are the reason
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -51,6 +51,17 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Outcome: outcome, RetryAfter: minRetryAfter + spread, Err: err}
 }
 
+// noEndpoint returns the refusal of a request that no endpoint has taken. The caller
+// retries when one takes requests again, if that time is known.
+func (x *exchange) noEndpoint(err error) *Refusal {
+	r := x.unavailable("no_room", err)
+	if in := x.reopensIn(); in > 0 {
+		r.Outcome = "endpoints_paused"
+		r.RetryAfter += in
+	}
+	return r
+}
+
 // overloaded returns the refusal of a shed request. The caller retries when the
 // present queue is expected to have drained.
 func (x *exchange) overloaded() *Refusal {
--- /dev/null
+++ b/internal/retryafter/retryafter_test.go
@@ -0,0 +1,23 @@
+package retryafter
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against waits that a server did not ask for: values that are malformed, without
+// bound or in the past.
+func TestParse(t *testing.T) {
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	for value, want := range map[string]time.Duration{
+		"": 0, "2": 2 * time.Second, "0.25": 250 * time.Millisecond, "-1": 0, "soon": 0, "NaN": 0, "1e300": Max, "Inf": Max,
+		now.Add(3 * time.Second).Format(http.TimeFormat): 3 * time.Second, now.Add(-time.Second).Format(http.TimeFormat): 0,
+	} {
+		t.Run(value, func(t *testing.T) {
+			is.New(t).Equal(Parse(http.Header{"Retry-After": {value}}, now), want)
+		})
+	}
+}
--- a/plugins/etcd/etcd.go
+++ b/plugins/etcd/etcd.go
@@ -19,8 +19,8 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/retryafter"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/plugins/internal/retryafter"
 )
 
 func init() {
--- a/plugins/ready/ready.go
+++ b/plugins/ready/ready.go
@@ -13,6 +13,8 @@
 	Tried = "tried"
 	// Version means that the endpoint has other or older weights than required.
 	Version = "version"
+	// Paused means that the endpoint wants no requests from this process for some time.
+	Paused = "paused"
 	// Ejected means that the endpoint receives only probes, after failures.
 	Ejected = "ejected"
 )
@@ -33,6 +35,8 @@
 		return Version
 	case e.Load.WeightsVersion != 0 && e.Load.WeightsVersion < r.MinWeightsVersion:
 		return Version
+	case e.PausedFor > 0:
+		return Paused
 	case e.Ejected && !r.LastResort && !(e.Probe && r.Idempotent):
 		return Ejected
 	}
--- a/plugins/weights/weights.go
+++ b/plugins/weights/weights.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/retryafter"
 	"github.com/citrontiller/citrontiller/kernel"
-	"github.com/citrontiller/citrontiller/plugins/internal/retryafter"
 )
 
 func init() {
--- a/route/route.go
+++ b/route/route.go
@@ -131,6 +131,9 @@
 	Ejected bool
 	// Probe is true when an ejected endpoint's next probe is due.
 	Probe bool
+	// PausedFor is the time for which the endpoint wants no requests from this process, 0
+	// for none.
+	PausedFor time.Duration
 	// KVUsedTokens is the KV cache memory that running requests occupy, in tokens.
 	KVUsedTokens float64
 	// TokenMs is the expected prefill time per prompt token at the current slowdown,
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -57,6 +57,9 @@
 	ejection time.Duration
 	probeAt  time.Time
 
+	// pausedUntil is the time before which the endpoint wants no requests, zero for none.
+	pausedUntil time.Time
+
 	learnedLifetime time.Duration
 	// assumedLifetime is the block lifetime from the service's policy, 0 for the
 	// default.
@@ -163,6 +166,14 @@
 	t.mu.Unlock()
 }
 
+// SetPause sets the time before which an endpoint wants no requests from this process; a
+// time in the past means none.
+func (t *Tracker) SetPause(id string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state(id).pausedUntil = until
+}
+
 // AppendSnapshot is like Snapshot for endpoints whose reports are passed to Report as
 // they arrive. It calls report only for endpoints without a report. The members must
 // not be modified later. The candidates are appended to out, after them those of
@@ -198,7 +209,7 @@
 	}
 	return Endpoint{Endpoint: m, Load: s.load, InFlight: s.inFlight, WaitMs: s.wait(r, now), BacklogMs: s.lowestRankWait(now),
 		KVUsedTokens: s.kvUsed(now), CachedTokens: s.expected(t.snapshotSeq), Residual: s.residualNow(now), TokenMs: s.backlog.currentTokenMs(),
-		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), RTT: s.rtt}
+		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)), RTT: s.rtt}
 }
 
 // memberStates holds the endpoint states of a service's members.
