--- /dev/null
+++ b/mirror/list_test.go
@@ -0,0 +1,58 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/infra"
+)
+
+// slowList is a service whose keys change while they are listed: the pairs are those of
+// the first page.
+type slowList struct {
+	*fakeStore
+	meanwhile func()
+}
+
+func (s slowList) List(ctx context.Context, prefix string) ([]infra.Pair, int64, error) {
+	pairs, rev, err := s.fakeStore.List(ctx, prefix)
+	s.meanwhile()
+	return pairs, rev, err
+}
+
+// Guards against a gateway that has just started and serves with an old configuration: it
+// applied the one of the list's first page although the list had taken seconds.
+func TestListIsAppliedWithLaterChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("config", "old")
+		s.put("servers/1", "ready")
+		source := slowList{s, func() {
+			s.put("config", "new")
+			s.remove("servers/1")
+		}}
+		var values []string
+		m := New(Options{Source: source, Log: zap.NewNop(), OnChange: func(ev infra.Event) { values = append(values, string(ev.Value)) }})
+		is.NoErr(m.list(t.Context()))
+		is.Equal(values, []string{"new"})
+		is.Equal(m.Revision(), int64(4))
+	})
+}
+
+// Guards against a gateway that stays without a copy because the changes since the list
+// can't be read.
+func TestListIsAppliedWithoutLaterChanges(t *testing.T) {
+	is := is.New(t)
+	s := newFakeStore()
+	s.put("config", "old")
+	source := slowList{s, func() { s.fail(infra.ErrUnavailable) }}
+	m := New(Options{Source: source, Log: zap.NewNop(), OnChange: func(infra.Event) {}})
+	is.NoErr(m.list(context.Background()))
+	is.Equal(value(m, "config"), "old")
+	is.Equal(m.Revision(), int64(1))
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// outageThreshold is the time without a response after which removals are
 	// deferred: leases may have expired while their owners could not renew them.
 	outageThreshold = 700 * time.Millisecond
+	// catchUpTimeout bounds the read of the changes made during a list. Without them the
+	// list is applied as it is, since peers may have newer changes.
+	catchUpTimeout = 500 * time.Millisecond
 	// rejoinGrace is the time that owners need to write their keys again after an
 	// outage.
 	rejoinGrace = 2500 * time.Millisecond
@@ -185,14 +189,27 @@
 	}
 }
 
-// list reads all keys from the service and removes those that no longer exist.
+// list reads all keys from the service and removes those that no longer exist. A long
+// list is as old as its first page, so the changes made meanwhile are applied with it.
 func (m *Mirror) list(ctx context.Context) error {
 	pairs, rev, err := m.Source.List(ctx, m.Prefix)
 	if err != nil {
 		return err
 	}
 	m.noteResponse()
-	events := make([]infra.Event, 0, len(pairs))
+	pollCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	changes, latest, err := m.Source.Poll(pollCtx, m.Prefix, rev, 0)
+	switch {
+	case errors.Is(err, infra.ErrCompacted):
+		return err
+	case err != nil:
+		m.Log.Info("changes since the list not read", zap.Int64("revision", rev), zap.Error(err))
+	default:
+		rev = max(rev, latest)
+	}
+	// The newest revision of a key wins, so the changes come before the older pairs.
+	events := slices.Grow(changes, len(pairs))
 	for _, p := range pairs {
 		events = append(events, infra.Event{Pair: p})
 	}
