--- a/catalog/endpoint.go
+++ b/catalog/endpoint.go
@@ -1,6 +1,11 @@
 package catalog
 
-import "github.com/citrontiller/citrontiller/infra"
+import (
+	"math"
+	"time"
+
+	"github.com/citrontiller/citrontiller/infra"
+)
 
 // Endpoint is a listed endpoint with the state that it reports.
 type Endpoint struct {
@@ -21,6 +26,19 @@
 // Incarnation returns the incarnation that the entry lists.
 func (e Endpoint) Incarnation() Incarnation { return Incarnation{e.ID, e.BootID, e.Address} }
 
+// RateLimit is the number of requests that an incarnation takes from all gateways
+// together, as it has announced.
+type RateLimit struct {
+	Incarnation
+	// PerSecond is in requests a second, math.Inf(1) when there is no limit.
+	PerSecond float64
+	// At is when the response was requested that says so.
+	At time.Time
+}
+
+// Limited reports whether there is a limit.
+func (r RateLimit) Limited() bool { return !math.IsInf(r.PerSecond, 1) }
+
 // Target is the version of a model's weights that its engines should have.
 type Target struct {
 	Model   string
--- a/gateway/announced.go
+++ b/gateway/announced.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -17,6 +18,10 @@
 	leaving bool
 	// pausedUntil is the end of the time in which it wants no requests from this process.
 	pausedUntil time.Time
+	// rateLimit is its last statement on its rate limit; its At is zero before any.
+	rateLimit catalog.RateLimit
+	// toldAt is when this or another gateway last told the others of the limit.
+	toldAt time.Time
 }
 
 // maxAnnouncements bounds the incarnations whose announcements are remembered. The
@@ -75,6 +80,99 @@
 	}
 }
 
+const (
+	// rateLimitInterval is the time after which the gateways are told again that a rate
+	// limit is in force.
+	rateLimitInterval = 2 * time.Second
+	// reportedAfter is how much newer another gateway's statement must be than the last one
+	// to replace it. Its age doesn't include its way through the relays.
+	reportedAfter = 200 * time.Millisecond
+	// significantRateChange is the relative change of a rate limit from which it is logged
+	// and told to the other gateways at once.
+	significantRateChange = 0.1
+)
+
+// ObserveRateLimit records the rate limit that a response to this process announces.
+// request is the id of its request, for the log. It returns true if the other gateways
+// should be told.
+func (d *Directory) ObserveRateLimit(r catalog.RateLimit, request string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.announced(r.Incarnation)
+	if !r.Limited() && (a.rateLimit.At.IsZero() || !a.rateLimit.Limited()) || r.At.Before(a.rateLimit.At) {
+		return false
+	}
+	now := time.Now()
+	tell := rateLimitChanged(a.rateLimit, r) || now.Sub(a.toldAt) >= rateLimitInterval
+	if tell {
+		a.toldAt = now
+	}
+	d.setRateLimit(a, r, request)
+	return tell
+}
+
+// ApplyRateLimit records what another gateway has told of a rate limit. It returns false
+// if it isn't news.
+func (d *Directory) ApplyRateLimit(r catalog.RateLimit, gateway string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.announced(r.Incarnation)
+	if r.At.Before(a.rateLimit.At.Add(reportedAfter)) {
+		return false
+	}
+	a.toldAt = time.Now()
+	d.setRateLimit(a, r, gateway)
+	return true
+}
+
+// setRateLimit replaces the rate limit of an announcement and stores both. The caller
+// holds mu.
+func (d *Directory) setRateLimit(a announcement, r catalog.RateLimit, source string) {
+	before := a.rateLimit
+	a.rateLimit = r
+	d.announcements.Add(r.Incarnation, a)
+	if rateLimitChanged(before, r) {
+		d.log.Info("endpoint rate limit", zap.String("endpoint", r.ID), zap.String("boot", r.BootID), zap.Float64("per_second", r.PerSecond),
+			zap.String("source", source))
+	}
+	if d.listed(r.Incarnation) != nil {
+		d.tracker.SetRateLimit(r.ID, r.PerSecond, r.At, time.Now())
+	}
+}
+
+// rateLimitChanged reports whether two statements differ significantly. The time of the
+// first is zero if there was none.
+func rateLimitChanged(before, after catalog.RateLimit) bool {
+	if limited := !before.At.IsZero() && before.Limited(); !limited || !after.Limited() {
+		return limited != after.Limited()
+	}
+	return math.Abs(after.PerSecond-before.PerSecond) > significantRateChange*before.PerSecond
+}
+
+// RateLimits returns the rate limits of the listed endpoints that have one.
+func (d *Directory) RateLimits() []catalog.RateLimit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []catalog.RateLimit
+	for _, i := range d.announcements.Keys() {
+		if r := d.announced(i).rateLimit; !r.At.IsZero() && r.Limited() && d.listed(i) != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// applyAnnouncements passes what the incarnation of a new list entry has announced to the
+// route tracker. The caller holds mu.
+func (d *Directory) applyAnnouncements(r *endpointRecord) {
+	a := d.announced(r.Incarnation())
+	d.tracker.SetPause(r.ID, a.pausedUntil)
+	d.tracker.ResetRateLimit(r.ID)
+	if !a.rateLimit.At.IsZero() {
+		d.tracker.SetRateLimit(r.ID, a.rateLimit.PerSecond, a.rateLimit.At, time.Now())
+	}
+}
+
 // listed returns the list entry of an incarnation, nil if it is not listed. The caller
 // holds mu.
 func (d *Directory) listed(i catalog.Incarnation) *endpointRecord {
@@ -109,6 +207,13 @@
 	if info.Pause > 0 {
 		x.g.Directory.Pause(p.incarnation, time.Now().Add(info.Pause), x.info.ID)
 	}
+	if !info.HasRateLimit {
+		return
+	}
+	r := catalog.RateLimit{Incarnation: p.incarnation, PerSecond: info.RateLimit, At: p.start}
+	if x.g.Directory.ObserveRateLimit(r, x.info.ID) && x.g.OnRateLimit != nil {
+		x.g.OnRateLimit(r)
+	}
 }
 
 // isForeign reports whether a response belongs to another request.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -108,10 +108,10 @@
 		e := &candidates[i]
 		switch {
 		case e.State != member.Ready || exclude[e.ID]:
-		case e.PausedFor == 0:
+		case e.UnavailableFor() == 0:
 			return 0
-		case soonest == 0 || e.PausedFor < soonest:
-			soonest = e.PausedFor
+		case soonest == 0 || e.UnavailableFor() < soonest:
+			soonest = e.UnavailableFor()
 		}
 	}
 	return soonest
@@ -162,14 +162,14 @@
 // maxWaitSamples bounds the endpoints from which the median wait is computed.
 const maxWaitSamples = 64
 
-// medianWait returns the median, over the ready endpoints that are not ejected, of
+// medianWait returns the median, over the ready endpoints that may be chosen, of
 // the expected wait of a request with the lowest priority. If there are more than
 // maxWaitSamples candidates, it samples them at even steps.
 func medianWait(candidates []route.Endpoint) time.Duration {
 	var waits [maxWaitSamples]float64
 	n, step := 0, 1+len(candidates)/maxWaitSamples
 	for i := 0; i < len(candidates); i += step {
-		if e := &candidates[i]; e.State == member.Ready && !e.Ejected {
+		if e := &candidates[i]; e.State == member.Ready && !e.Ejected && e.UnavailableFor() == 0 {
 			waits[n] = e.BacklogMs
 			n++
 		}
--- a/gateway/codec.go
+++ b/gateway/codec.go
@@ -81,6 +81,11 @@
 	// Pause is the time for which the endpoint wants no requests from this process, 0
 	// when it asks for none.
 	Pause time.Duration
+	// RateLimit is the number of requests a second that the endpoint takes from all
+	// gateways together, math.Inf(1) for any number. HasRateLimit is false if the response
+	// tells nothing of it.
+	RateLimit    float64
+	HasRateLimit bool
 	// WeightsVersion is the version of the loaded weights, 0 when unknown.
 	WeightsVersion int64
 	Load           Load
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -84,7 +84,7 @@
 	d.publish(r)
 	d.report(r)
 	if old == nil || old.Incarnation() != r.Incarnation() {
-		d.tracker.SetPause(r.ID, d.announced(r.Incarnation()).pausedUntil)
+		d.applyAnnouncements(r)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,8 +45,11 @@
 	// OnLeaving is called with each endpoint that announces in a response that it leaves;
 	// nil for no call. It must not block.
 	OnLeaving func(catalog.Incarnation)
-	Metrics   *Metrics
-	Log       *zap.Logger
+	// OnRateLimit is called with what a response announces of its endpoint's rate limit, if
+	// the other gateways should be told; nil for no call. It must not block.
+	OnRateLimit func(catalog.RateLimit)
+	Metrics     *Metrics
+	Log         *zap.Logger
 
 	split    regionSplit
 	crashes  crashDetector
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -56,7 +56,7 @@
 func (x *exchange) noEndpoint(err error) *Refusal {
 	r := x.unavailable("no_room", err)
 	if in := x.reopensIn(); in > 0 {
-		r.Outcome = "endpoints_paused"
+		r.Outcome = "endpoints_limited"
 		r.RetryAfter += in
 	}
 	return r
--- a/internal/gatewayd/announced_test.go
+++ b/internal/gatewayd/announced_test.go
@@ -90,18 +90,17 @@
 	t         *testing.T
 	process   *gatewayProcess
 	url       string
+	peer      peer.Record
 	endpoints []*announcer
 	servers   []*httptest.Server
 	revision  int64
 	requests  int
 }
 
+// newAnnouncedFleet returns a gateway in front of new endpoints.
 func newAnnouncedFleet(t *testing.T, endpoints int) *announcedFleet {
 	t.Helper()
-	p := newProcess(Settings{UsualUrgent: 2, UsualOther: 2, OverloadUrgent: 2, OverloadOther: 2, UsualOtherMax: time.Minute, OverloadOtherMax: time.Minute},
-		platform.Settings{Name: "g0", Region: "r", Regions: map[string]string{"z": "r"}, RetryPercent: 100}, zap.NewNop(), func() int64 { return 0 })
-	f := &announcedFleet{t: t, process: p}
-	f.put(platform.ConfigKey, announcedConfig)
+	f := newAnnouncedGateway(t, "g0")
 	for i := range endpoints {
 		a := &announcer{id: fmt.Sprint("e", i)}
 		s := httptest.NewServer(a)
@@ -109,9 +108,27 @@
 		f.endpoints, f.servers = append(f.endpoints, a), append(f.servers, s)
 		f.list(i, "ready", 1)
 	}
+	return f
+}
+
+// newAnnouncedGateway returns a gateway that serves other gateways and lists no endpoint.
+func newAnnouncedGateway(t *testing.T, name string) *announcedFleet {
+	t.Helper()
+	p := newProcess(Settings{UsualUrgent: 2, UsualOther: 2, OverloadUrgent: 2, OverloadOther: 2, UsualOtherMax: time.Minute, OverloadOtherMax: time.Minute},
+		platform.Settings{Name: name, Region: "r", Regions: map[string]string{"z": "r"}, RetryPercent: 100}, zap.NewNop(), func() int64 { return 0 })
+	f := &announcedFleet{t: t, process: p}
+	f.put(platform.ConfigKey, announcedConfig)
 	s := httptest.NewServer(p.gateway)
 	t.Cleanup(s.Close)
 	f.url = s.URL
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go p.servePeers(ctx, l)
+	f.peer = peer.Record{Name: name, Address: l.Addr().String(), Region: "r"}
 	return f
 }
 
@@ -213,22 +230,16 @@
 	is.Equal(f.endpoints[0].since(start), 0)
 }
 
-// followedBy connects another gateway that lists the same endpoints and follows f's.
-func (f *announcedFleet) followedBy() *announcedFleet {
+// another returns another gateway that lists the same endpoints. The two follow each other.
+func (f *announcedFleet) another() *announcedFleet {
 	f.t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	f.t.Cleanup(cancel)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	go f.process.servePeers(ctx, l)
-	other := newAnnouncedFleet(f.t, 0)
+	other := newAnnouncedGateway(f.t, "g1")
 	other.endpoints, other.servers = f.endpoints, f.servers
 	for i := range f.endpoints {
 		other.list(i, "ready", 1)
 	}
-	other.process.peers.Put(peer.Record{Name: "g1", Address: l.Addr().String(), Region: "r"})
+	other.process.peers.Put(f.peer)
+	f.process.peers.Put(other.peer)
 	return other
 }
 
@@ -248,7 +259,7 @@
 	f := newAnnouncedFleet(t, 3)
 	f.endpoints[0].announce(0, "Server-Leaving", "1")
 	f.callUntil(0, 1)
-	other := f.followedBy()
+	other := f.another()
 	other.waitForState(0, member.Leaving)
 	f.endpoints[1].announce(0, "Server-Leaving", "1")
 	f.callUntil(1, 1)
@@ -256,9 +267,6 @@
 	other.waitForState(2, member.Ready)
 }
 
-// pauseSlack is the time in which requests that are on their way may still arrive.
-const pauseSlack = 500 * time.Millisecond
-
 // Guards against requests to an endpoint that has rejected one with 503 and Retry-After:
 // it wants none from this gateway for so long. Afterwards it gets requests again.
 func TestEndpointIsPausedForItsRetryAfter(t *testing.T) {
@@ -328,3 +336,60 @@
 	is.NoErr(err)
 	is.True(after > 2.5 && after < 4)
 }
+
+// callFor sends requests one after the other for a time and returns how many had another
+// status than 200.
+func (f *announcedFleet) callFor(d time.Duration) (failed int) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if f.call().StatusCode != http.StatusOK {
+			failed++
+		}
+	}
+	return failed
+}
+
+// Guards against an endpoint that gets more requests than the rate limit that it has
+// announced from two gateways together, while another endpoint can take them; and against a
+// limit that outlives its announcement.
+func TestGatewaysKeepAnnouncedRateLimit(t *testing.T) {
+	const perSecond, window = 3, 4 * time.Second
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 2)
+	gateways := []*announcedFleet{f, f.another()}
+	f.endpoints[0].announce(0, "Server-Limit", fmt.Sprint(perSecond))
+	callAll := func(d time.Duration) {
+		var wg sync.WaitGroup
+		for _, g := range gateways {
+			wg.Go(func() { is.Equal(g.callFor(d), 0) })
+		}
+		wg.Wait()
+	}
+	callAll(time.Second)
+	start := time.Now()
+	callAll(window)
+	got := f.endpoints[0].since(start)
+	is.True(got <= perSecond*6+5)
+	is.True(got >= perSecond*3) // it isn't left out
+	f.endpoints[0].announce(0, "", "")
+	callAll(time.Second)
+	start = time.Now()
+	callAll(time.Second)
+	is.True(f.endpoints[0].since(start) > perSecond*6+5)
+}
+
+// Guards against callers that wait for a rate limit that can't carry them: they are refused
+// at once, and told when it can.
+func TestRequestBeyondRateLimitIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 1)
+	f.endpoints[0].announce(0, "Server-Limit", "0.2")
+	f.callUntil(0, 1)
+	start := time.Now()
+	resp := f.call()
+	is.True(time.Since(start) < 400*time.Millisecond) // an eighth of the target latency is 500 ms
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 4 && after < 6)
+	is.Equal(f.endpoints[0].since(start), 0)
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -118,15 +118,18 @@
 	}
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "citrontiller_log_lines_dropped_total", Help: "Log lines that found the queue full."},
 		func() float64 { return float64(droppedLines()) }))
-	reg.MustRegister(partGauge("suspect", "Prompt parts that may crash endpoints.", func() int { n, _ := p.quarantine.Counts(); return n }),
-		partGauge("blocked", "Prompt parts that are not sent because they crash endpoints.", func() int { _, n := p.quarantine.Counts(); return n }))
+	reg.MustRegister(gauge("suspect_prompt_parts", "Prompt parts that may crash endpoints.", func() int { n, _ := p.quarantine.Counts(); return n }),
+		gauge("blocked_prompt_parts", "Prompt parts that are not sent because they crash endpoints.", func() int { _, n := p.quarantine.Counts(); return n }),
+		gauge("leaving_endpoints", "Listed endpoints that have announced that they leave.", func() int { return len(p.gateway.Directory.LeavingEndpoints()) }),
+		gauge("rate_limited_endpoints", "Listed endpoints that have announced a rate limit.", func() int { return len(p.gateway.Directory.RateLimits()) }))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
 	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval, OnChange: p.onStoreChange, Log: log})
-	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, p.gateway.Directory.LeavingEndpoints, log)
+	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, p.gateway.Directory, log)
+	p.gateway.OnRateLimit = p.peerServer.PublishRateLimit
 	p.gateway.OnLeaving = func(i catalog.Incarnation) { p.peerServer.PublishLeaving([]catalog.Incarnation{i}) }
 	tracker.OnEvent(p.peerServer.Publish)
 	p.probeMux = http.NewServeMux()
@@ -135,9 +138,9 @@
 	return p
 }
 
-// partGauge returns a gauge of the prompt parts in a state.
-func partGauge(state, help string, count func() int) prometheus.Collector {
-	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_" + state + "_prompt_parts", Help: help}, func() float64 { return float64(count()) })
+// gauge returns a gauge of a count.
+func gauge(name, help string, count func() int) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_" + name, Help: help}, func() float64 { return float64(count()) })
 }
 
 // readiness handles the load balancer's readiness check.
--- a/internal/gatewayd/peers.go
+++ b/internal/gatewayd/peers.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// RateLimitsReceived implements peer.Receiver.
+func (p peerReceiver) RateLimitsReceived(from string, limits []catalog.RateLimit, sameRegion bool) {
+	var fresh []catalog.RateLimit
+	for _, r := range limits {
+		if p.gateway.Directory.ApplyRateLimit(r, from) {
+			fresh = append(fresh, r)
+		}
+	}
+	if len(fresh) > 0 && p.peers.IsRelay() {
+		p.peerServer.RelayRateLimits(fresh, sameRegion)
+	}
+}
+
 // DigestReceived implements peer.Receiver.
 func (p peerReceiver) DigestReceived(d peer.Digest, sameRegion bool) {
 	now := time.Now()
--- a/peer/client.go
+++ b/peer/client.go
@@ -85,6 +85,9 @@
 	// LeavingReceived is called with endpoints that have announced to a peer that they
 	// leave.
 	LeavingReceived(from string, leaving []catalog.Incarnation, sameRegion bool)
+	// RateLimitsReceived is called with what endpoints have announced to a peer on their
+	// rate limits.
+	RateLimitsReceived(from string, limits []catalog.RateLimit, sameRegion bool)
 }
 
 // Set holds connections to all known peers and follows their streams. It is safe
@@ -110,6 +113,8 @@
 	// kind is what is followed of the peer, and stop ends the stream; nil for none.
 	kind streamKind
 	stop context.CancelFunc
+	// heard is true while the peer's events arrive.
+	heard bool
 	// revision is the last reported revision of the peer's copy of the store.
 	revision atomic.Int64
 }
@@ -187,6 +192,7 @@
 func (s *Set) follow(ctx context.Context, l *link, kind streamKind) {
 	for ctx.Err() == nil {
 		err := s.receive(ctx, l, kind)
+		s.setHeard(l, false)
 		s.tracker.ForgetSender(l.record.Name, time.Now())
 		if ctx.Err() == nil {
 			s.log.Info("peer lost", zap.String("peer", l.record.Name), zap.Error(err))
@@ -207,11 +213,22 @@
 		if err != nil {
 			return err
 		}
+		s.setHeard(l, kind == streamEvents)
 		l.revision.Store(max(b.Revision, l.revision.Load()))
 		s.handleBatch(l, b, time.Now())
 	}
 }
 
+// setHeard records whether a peer's events arrive.
+func (s *Set) setHeard(l *link, heard bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.heard != heard {
+		l.heard = heard
+		s.scheduleScope()
+	}
+}
+
 // handleBatch passes the contents of a batch to the tracker, the targets and the
 // receiver.
 func (s *Set) handleBatch(l *link, b *pb.Batch, now time.Time) {
@@ -234,6 +251,9 @@
 	if len(b.Leaving) > 0 {
 		s.receiver.LeavingReceived(l.record.Name, decodeIncarnations(b.Leaving), sameRegion)
 	}
+	if len(b.RateLimits) > 0 {
+		s.receiver.RateLimitsReceived(l.record.Name, decodeRateLimits(b.RateLimits, now), sameRegion)
+	}
 	decode(b, func(e route.Event) {
 		if !sameRegion {
 			e.TransitTime = 0 // this event took as long to arrive as the request
--- a/peer/events.go
+++ b/peer/events.go
@@ -9,8 +9,10 @@
 	"github.com/citrontiller/citrontiller/route"
 )
 
-// eventCount returns the number of events in a batch.
-func eventCount(b *pb.Batch) int { return len(b.Dispatches) + len(b.Starts) + len(b.Ends) }
+// eventCount returns the number of events and rate limits in a batch.
+func eventCount(b *pb.Batch) int {
+	return len(b.Dispatches) + len(b.Starts) + len(b.Ends) + len(b.RateLimits)
+}
 
 // encode adds an event to a batch.
 func encode(b *pb.Batch, e route.Event) {
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -45,9 +45,14 @@
 	return &outbox{batchInterval: interval, wake: make(chan struct{}, 1), pending: &pb.Batch{}, followers: map[chan *pb.Batch]bool{}}
 }
 
-// add queues an event. It drops the event if there are no followers or maxPending
-// events are queued. It never blocks.
+// add queues an event. It never blocks.
 func (o *outbox) add(e route.Event) {
+	o.queue(func(b *pb.Batch) { encode(b, e) })
+}
+
+// queue calls add to add to the next batch, unless there are no followers or maxPending
+// events are queued.
+func (o *outbox) queue(add func(b *pb.Batch)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
@@ -55,7 +60,7 @@
 	case eventCount(o.pending) >= maxPending:
 		o.dropped++
 	default:
-		encode(o.pending, e)
+		add(o.pending)
 		select {
 		case o.wake <- struct{}{}:
 		default: // run is already woken
@@ -63,6 +68,11 @@
 	}
 }
 
+// addRateLimit queues what an endpoint has announced on its rate limit. It never blocks.
+func (o *outbox) addRateLimit(r *pb.RateLimit) {
+	o.queue(func(b *pb.Batch) { b.RateLimits = append(b.RateLimits, r) })
+}
+
 // run sends batches until ctx ends. revision returns the revision of the copy of
 // the store.
 func (o *outbox) run(ctx context.Context, revision func() int64) {
--- a/peer/scope.go
+++ b/peer/scope.go
@@ -108,14 +108,26 @@
 	time.AfterFunc(scopeDelay, s.adjustScope)
 }
 
-// adjustScope opens and closes streams so that each peer is followed as wanted.
+// adjustScope opens and closes streams so that each peer is followed as wanted, and tells
+// the tracker of the fleet.
 func (s *Set) adjustScope() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.scopePending = false
 	for _, l := range s.peers {
 		if kind := s.wanted(l.record); kind != l.kind {
 			s.setStream(l, kind)
 		}
 	}
+	f := s.fleet()
+	s.mu.Unlock()
+	s.tracker.SetFleet(f)
+}
+
+// fleet returns the known gateways. The caller holds mu.
+func (s *Set) fleet() route.Fleet {
+	f := route.Fleet{Self: s.self.Name, RegionsApart: s.regionsApart(), Gateways: []route.GatewayInfo{{Name: s.self.Name, Region: s.self.Region, Heard: true}}}
+	for name, l := range s.peers {
+		f.Gateways = append(f.Gateways, route.GatewayInfo{Name: name, Region: l.record.Region, Heard: l.heard})
+	}
+	return f
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,8 +54,9 @@
 	pb.UnimplementedPeerServer
 	replica Replica
 	targets *rollout.Targets
-	leaving func() []catalog.Incarnation
-	region  string
+	// announcements is sent to new followers.
+	announcements Announcements
+	region        string
 	// sameRegion and crossRegion send to the followers of the own region and of
 	// other regions, control to the followers that want no events.
 	sameRegion, crossRegion, control *outbox
@@ -63,10 +64,10 @@
 }
 
 // NewServer returns the server of a gateway in a region. It serves the changes of a
-// replica of the store, the times at which versions of weights were named, and the
-// endpoints that leaving returns as announced to leave.
-func NewServer(region string, replica Replica, targets *rollout.Targets, leaving func() []catalog.Incarnation, log *zap.Logger) *Server {
-	return &Server{replica: replica, targets: targets, leaving: leaving, region: region, sameRegion: newOutbox(sameRegionInterval), crossRegion: newOutbox(crossRegionInterval),
+// replica of the store, the times at which versions of weights were named, and what
+// endpoints have announced.
+func NewServer(region string, replica Replica, targets *rollout.Targets, announcements Announcements, log *zap.Logger) *Server {
+	return &Server{replica: replica, targets: targets, announcements: announcements, region: region, sameRegion: newOutbox(sameRegionInterval), crossRegion: newOutbox(crossRegionInterval),
 		control: newOutbox(crossRegionInterval), log: log}
 }
 
@@ -165,9 +166,10 @@
 }
 
 // initialBatch returns the first batch for a follower: the copy's revision, the known
-// versions and the endpoints known to leave.
+// versions and what endpoints have announced.
 func (s *Server) initialBatch() *pb.Batch {
-	b := &pb.Batch{Revision: s.replica.Revision(), Leaving: encodeIncarnations(s.leaving())}
+	b := &pb.Batch{Revision: s.replica.Revision(), Leaving: encodeIncarnations(s.announcements.LeavingEndpoints()),
+		RateLimits: encodeRateLimits(s.announcements.RateLimits(), time.Now())}
 	s.targets.Each(func(want catalog.Target, named time.Time) {
 		b.Targets = append(b.Targets, &pb.Target{Model: want.Model, Version: want.Version, NamedMs: named.UnixMilli()})
 	})
--- a/plugins/ready/ready.go
+++ b/plugins/ready/ready.go
@@ -15,6 +15,8 @@
 	Version = "version"
 	// Paused means that the endpoint wants no requests from this process for some time.
 	Paused = "paused"
+	// RateLimited means that the gateways have sent as many requests as the endpoint takes.
+	RateLimited = "rate limit"
 	// Ejected means that the endpoint receives only probes, after failures.
 	Ejected = "ejected"
 )
@@ -37,6 +39,8 @@
 		return Version
 	case e.PausedFor > 0:
 		return Paused
+	case e.RateLimitedFor > 0:
+		return RateLimited
 	case e.Ejected && !r.LastResort && !(e.Probe && r.Idempotent):
 		return Ejected
 	}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -31,7 +31,10 @@
 	levelAges   []float64
 	crossRegion bool
 	firstToken  bool
-	done        bool
+	// published is true if other processes need the attempt's events. Requests without a
+	// prompt have no effect on their choices unless the endpoint has a rate limit.
+	published bool
+	done      bool
 }
 
 // Dispatch records that a request is sent to an endpoint of its snapshot. The
@@ -46,6 +49,8 @@
 	uncached := e.UncachedTokens(r.Tokens)
 	a.costMs = e.PrefillMs(uncached)
 	a.levelAges = t.placement.ages(r.Levels, s, now)
+	a.published = r.Tokens > 0 || s.rateLimiter.limited()
+	s.rateLimiter.send(now)
 	s.inFlight++
 	s.pending = append(s.pending, a)
 	if s.ejection > 0 {
@@ -68,10 +73,9 @@
 	return a
 }
 
-// emit passes an event of the attempt to the callback. Requests without a prompt have
-// no effect on other processes' choices.
+// emit passes an event of the attempt to the callback.
 func (a *Attempt) emit(e Event) {
-	if a.request.Tokens > 0 {
+	if a.published {
 		a.tracker.emit(e)
 	}
 }
--- a/route/event.go
+++ b/route/event.go
@@ -81,6 +81,10 @@
 	key := dispatchKey{sender, e.Seq}
 	switch e.Kind {
 	case Dispatched:
+		s.rateLimiter.take(now)
+		if e.PromptTokens == 0 {
+			return
+		}
 		s.backlog.add(pendingPrefill{key: key, rank: e.Rank, arrival: now.Add(e.TransitTime), tokens: e.UncachedTokens}, now)
 		s.kv.add(key, e.Levels, float64(e.PromptTokens), now)
 		t.collectHoldings(e.Levels, s, now)
--- a/route/route.go
+++ b/route/route.go
@@ -134,6 +134,9 @@
 	// PausedFor is the time for which the endpoint wants no requests from this process, 0
 	// for none.
 	PausedFor time.Duration
+	// RateLimitedFor is the time until the endpoint's rate limit allows this process
+	// another request, 0 for none.
+	RateLimitedFor time.Duration
 	// KVUsedTokens is the KV cache memory that running requests occupy, in tokens.
 	KVUsedTokens float64
 	// TokenMs is the expected prefill time per prompt token at the current slowdown,
@@ -146,6 +149,10 @@
 	RTT time.Duration
 }
 
+// UnavailableFor returns the time for which the endpoint takes no requests from this
+// process because it has asked for that, 0 if it takes them.
+func (e *Endpoint) UnavailableFor() time.Duration { return max(e.PausedFor, e.RateLimitedFor) }
+
 // DefaultPrefillTokensPerSecond is the assumed prefill speed of endpoints that don't
 // report theirs. The residual compensates for a wrong value.
 const DefaultPrefillTokensPerSecond = 60_000
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -59,6 +59,7 @@
 
 	// pausedUntil is the time before which the endpoint wants no requests, zero for none.
 	pausedUntil time.Time
+	rateLimiter rateLimiter
 
 	learnedLifetime time.Duration
 	// assumedLifetime is the block lifetime from the service's policy, 0 for the
@@ -133,6 +134,8 @@
 	holdingPart   Part
 	holdings      []Holding
 	holdingTimes  *lru.Cache[Holding, time.Time]
+	// fleet is the gateways that share the endpoints' rate limits.
+	fleet *Fleet
 	// seq is the sequence number of the last dispatch of this process.
 	seq uint64
 	// serviceStates caches the endpoint states of each service's members, which saves
@@ -145,7 +148,7 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{placement: newPlacement(), endpoints: map[string]*endpointState{}, outputLengths: map[lengthKey]float64{},
-		serviceStates: map[string]memberStates{}, tokenTimes: map[string]*tokenTime{}, holdingTimes: newHoldingTimes()}
+		serviceStates: map[string]memberStates{}, tokenTimes: map[string]*tokenTime{}, holdingTimes: newHoldingTimes(), fleet: loneFleet}
 }
 
 // Snapshot returns the candidates for a request with their state at the time now. It
@@ -209,7 +212,8 @@
 	}
 	return Endpoint{Endpoint: m, Load: s.load, InFlight: s.inFlight, WaitMs: s.wait(r, now), BacklogMs: s.lowestRankWait(now),
 		KVUsedTokens: s.kvUsed(now), CachedTokens: s.expected(t.snapshotSeq), Residual: s.residualNow(now), TokenMs: s.backlog.currentTokenMs(),
-		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)), RTT: s.rtt}
+		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)),
+		RateLimitedFor: t.rateLimitedFor(s, m.Region, now), RTT: s.rtt}
 }
 
 // memberStates holds the endpoint states of a service's members.
