--- a/gateway/announced.go
+++ b/gateway/announced.go
@@ -198,7 +198,7 @@
 // observeAnnouncements records what a response to this request announces, unless its
 // sender may be another endpoint.
 func (x *exchange) observeAnnouncements(p *response, info ResponseInfo) {
-	if x.isForeign(info) || p.resp.StatusCode == http.StatusMisdirectedRequest {
+	if x.isForeign(p, info) || p.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	if info.Leaving && x.g.Directory.MarkLeaving(p.incarnation, x.info.ID) && x.g.OnLeaving != nil {
@@ -215,8 +215,3 @@
 		x.g.OnRateLimit(r)
 	}
 }
-
-// isForeign reports whether a response belongs to another request.
-func (x *exchange) isForeign(info ResponseInfo) bool {
-	return info.RequestID != "" && info.RequestID != x.info.ID
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,7 +49,7 @@
 
 // Reasons why a response can't be delivered.
 var (
-	errOtherRequest  = errors.New("response belongs to another request")
+	errOtherRequest  = errors.New("response belongs to another request, or doesn't say to which one")
 	errNoStamp       = errors.New("successful response lacks the endpoint's stamp")
 	errEncoded       = errors.New("response has a content encoding that was not requested")
 	errNotRunMissing = errors.New("refusal lacks the statement that the request did not run")
@@ -63,6 +63,8 @@
 	start  time.Time
 	// incarnation is the endpoint's incarnation that was listed when the request was sent.
 	incarnation catalog.Incarnation
+	// reusedConn is true if the connection had carried other requests before.
+	reusedConn bool
 	// firstByteAt is the arrival of the body's first byte, zero before it.
 	firstByteAt time.Time
 	// harmless is true once the quarantine knows that the endpoint has borne the request.
@@ -103,8 +105,11 @@
 // headers. The error is an *attemptError.
 func (x *exchange) send(c choice, lastEventID string) (*response, error) {
 	ctx, cancel := context.WithCancel(x.ctx)
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	var connected, reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(conn httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(conn.Reused)
+	}})
 	start, incarnation := time.Now(), x.g.Directory.Incarnation(c.endpoint.ID)
 	resp, err := x.transport().RoundTrip(x.request(ctx, c, lastEventID))
 	if connected.Load() {
@@ -122,7 +127,7 @@
 		c.attempt.Failed(time.Now())
 		return nil, x.recordFailure(&attemptError{failure: f, endpoint: c.endpoint.ID, err: err})
 	}
-	p := &response{choice: c, resp: resp, cancel: cancel, start: start, incarnation: incarnation}
+	p := &response{choice: c, resp: resp, cancel: cancel, start: start, incarnation: incarnation, reusedConn: reused.Load()}
 	if err := x.check(p); err != nil {
 		p.close()
 		return nil, x.recordFailure(err)
@@ -149,17 +154,37 @@
 	info := x.g.Codec.DecodeResponse(p.resp.StatusCode, p.resp.Header)
 	x.g.Directory.Observe(p.endpoint.ID, info)
 	x.observeAnnouncements(p, info)
-	if info.NotRun && !x.isForeign(info) {
+	if info.NotRun && !x.isForeign(p, info) {
 		p.attempt.Refused(time.Now())
 		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
 	}
-	if err := undeliverable(p.resp, info, x.isForeign(info)); err != nil {
+	if x.isForeign(p, info) && p.resp.Body == http.NoBody {
+		// The connection is idle again, although this request's own response is due on it.
+		x.closeIdleConnections()
+	}
+	if err := undeliverable(p.resp, info, x.isForeign(p, info)); err != nil {
 		p.attempt.Failed(time.Now())
 		return &attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err}
 	}
 	return nil
 }
 
+// isForeign reports whether a response may belong to another request. On a connection that
+// has carried other requests, a response without an id may be a copy of an earlier one.
+func (x *exchange) isForeign(p *response, info ResponseInfo) bool {
+	if info.RequestID == "" {
+		return p.reusedConn
+	}
+	return info.RequestID != x.info.ID
+}
+
+// closeIdleConnections closes the idle connections of the request's pool.
+func (x *exchange) closeIdleConnections() {
+	if t, ok := x.transport().(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
+
 // undeliverable returns the reason why a response can't be delivered, or nil.
 func undeliverable(resp *http.Response, info ResponseInfo, otherRequest bool) error {
 	ok := resp.StatusCode/100 == 2
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -311,3 +311,89 @@
 		}
 	}
 }
+
+// Guards against an earlier refusal that an endpoint writes once more on a kept connection:
+// without a request id it was taken for the refusal of the request that runs there, whose
+// caller was told that it had not run, or which ran at a second endpoint. On a new
+// connection it can only belong to the request.
+func TestRepeatedRefusalIsNotTakenForThisRequest(t *testing.T) {
+	refusals := map[string]string{"503": "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"421": "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}
+	for name, refusal := range refusals {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			var received atomic.Int64
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+				for id, first := readRequest(r), true; id != ""; id, first = readRequest(r), false {
+					received.Add(1)
+					if !first {
+						_, _ = io.WriteString(c, refusal)
+					}
+					_, _ = io.WriteString(c, answer(id))
+				}
+			})
+			status, _ := f.callID(t, "/book/1", "first")
+			is.Equal(status, http.StatusOK)
+			status, _ = f.callID(t, "/book/1", "second")
+			is.Equal(status, http.StatusBadGateway) // it may have run
+			f.add(t, "e1", []responder{ok("fine")})
+			const requests = 12
+			received.Store(0)
+			for i := range requests {
+				status, _ := f.callID(t, "/book/1", fmt.Sprint("r", i))
+				is.True(status != http.StatusServiceUnavailable)
+			}
+			is.Equal(int(received.Load())+f.sends(), requests) // none has run twice
+			f = newFleet(t)
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+				_ = readRequest(r)
+				_, _ = io.WriteString(c, refusal)
+			})
+			status, _ = f.callID(t, "/book/1", "first")
+			is.Equal(status, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// Guards against a kept connection whose responses are all one request late after a
+// refusal that was written once more: each further request on it failed too.
+func TestConnectionWithRepeatedRefusalIsNotKept(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, n int) {
+		for id, i := readRequest(r), 0; id != ""; id, i = readRequest(r), i+1 {
+			if n == 0 && i == 1 {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				time.Sleep(50 * time.Millisecond) // its run
+			}
+			_, _ = io.WriteString(c, answer(id))
+		}
+	})
+	for i, want := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK, http.StatusOK} {
+		status, _ := f.callID(t, "/book/1", fmt.Sprint("r", i))
+		is.Equal(status, want)
+	}
+}
+
+// Guards against a response without a request id on a kept connection, which may be the
+// second copy of an earlier one, that reaches the next caller.
+func TestResponseWithoutRequestIDOnKeptConnection(t *testing.T) {
+	const copied = "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 7\r\n\r\nanother"
+	for _, path := range []string{"/book/1", "/read/1", "/draft/1", "/tag/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+				_, _ = io.WriteString(c, answer(readRequest(r)))
+				for id := readRequest(r); id != ""; id = readRequest(r) {
+					_, _ = io.WriteString(c, copied+answer(id))
+				}
+			})
+			status, _ := f.callID(t, "/book/1", "first")
+			is.Equal(status, http.StatusOK)
+			status, body := f.callID(t, path, "second")
+			is.True(status != http.StatusOK || body != "another")
+		})
+	}
+}
