--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,7 +24,8 @@
 // first bytes are relayed; after that, a resumable stream continues at another
 // endpoint, and any other is aborted.
 func (x *exchange) relayStream(p *response) error {
-	s := &eventStream{wholeEvents: x.route.Resumable, framed: framed(p.resp)}
+	s := &eventStream{wholeEvents: x.route.Resumable}
+	s.begin(p.resp)
 	chunk, err := s.next(p.resp.Body)
 	if len(chunk) == 0 && err != nil && err != io.EOF {
 		return x.truncated(p, err)
@@ -76,7 +77,6 @@
 	p.attempt.Failed(time.Now())
 	x.observeBreak(p)
 	_ = x.recordFailure(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: cause}) // recordFailure logs it
-	s.discardPartial()
 	for x.allowRetry(unknown) {
 		c, ok := x.waitForEndpoint()
 		if !ok {
@@ -85,6 +85,7 @@
 		next, err := x.send(c, s.lastID)
 		if err == nil && next.resp.StatusCode == http.StatusOK {
 			next.attempt.FirstToken(time.Now())
+			s.begin(next.resp)
 			return next
 		}
 		if err == nil {
@@ -98,9 +99,9 @@
 type eventStream struct {
 	// wholeEvents makes next return whole events only.
 	wholeEvents bool
-	// framed is true if the response has a length or chunks, so that its end is not that
-	// of its connection.
-	framed bool
+	// framed is true if the present response has a length or chunks, so that its end is not
+	// that of its connection. received is true once it has sent bytes.
+	framed, received bool
 	// lastID is the id of the last whole event.
 	lastID string
 	// events and bytes count what was read.
@@ -125,7 +126,7 @@
 // brokenOff reports whether a stream that ends now ends inside an event or, without
 // framing, before its first event.
 func (s *eventStream) brokenOff() bool {
-	if s.bytes == 0 {
+	if !s.received {
 		return !s.framed
 	}
 	return !slices.ContainsFunc(eventEnds, func(end []byte) bool { return bytes.HasSuffix(s.tail, end) })
@@ -144,6 +145,7 @@
 	for {
 		n, err := body.Read(s.buf[:])
 		s.bytes += int64(n)
+		s.received = s.received || n > 0
 		s.keepTail(s.buf[:n])
 		chunk := s.add(s.buf[:n])
 		switch {
@@ -193,8 +195,10 @@
 	}
 }
 
-// discardPartial discards a truncated event. What was relayed ends with a whole one.
-func (s *eventStream) discardPartial() {
-	s.partial = s.partial[:0]
-	s.tail = append(s.tail[:0], eventSeparator...)
+// begin makes next read another response: the first, or one that continues the stream. A
+// truncated event of the response before is discarded; what was relayed ends with a whole
+// one.
+func (s *eventStream) begin(resp *http.Response) {
+	s.framed, s.received = framed(resp), false
+	s.partial, s.tail = s.partial[:0], s.tail[:0]
 }
