--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// Guards against an event that callers get twice, or events of two runs in one stream: the
+// next endpoint begins again with events that the caller has.
+func TestContinuationDoesNotRepeatEvents(t *testing.T) {
+	for name, events := range map[string]string{
+		"from the first event": delivered + "id: 3\ndata: c\n\n",
+		"from the last event":  "id: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+		"without an id":        "data: b\n\nid: 3\ndata: c\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := brokenStream(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", len(events), events))
+			body, complete := f.readStream(t)
+			is.Equal(body, delivered)
+			is.True(!complete)
+		})
+	}
+}
+
 // Guards against a stream that isn't continued after the last whole event, in one piece.
 func TestContinuationGoesOn(t *testing.T) {
 	is := is.New(t)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -18,6 +19,7 @@
 var (
 	errPartialEvent = errors.New("stream ended inside an event")
 	errLargeEvent   = fmt.Errorf("event exceeds %d bytes", maxEventBytes)
+	errRepeated     = errors.New("continued stream begins with an event that has been relayed, or that has no id")
 )
 
 // relayStream relays events as they arrive. It returns an error only before the
@@ -104,6 +106,8 @@
 	framed, received bool
 	// lastID is the id of the last whole event.
 	lastID string
+	// afterID is the id after which a continuation must go on, empty once it has.
+	afterID string
 	// events and bytes count what was read.
 	events int
 	bytes  int64
@@ -148,6 +152,10 @@
 		s.received = s.received || n > 0
 		s.keepTail(s.buf[:n])
 		chunk := s.add(s.buf[:n])
+		if len(chunk) > 0 && s.afterID != "" && !follows(chunk, s.afterID) {
+			return nil, errRepeated
+		}
+		s.record(chunk)
 		switch {
 		case len(s.partial) > maxEventBytes:
 			err = errLargeEvent
@@ -163,7 +171,6 @@
 // add adds bytes that have arrived and returns those that may be relayed.
 func (s *eventStream) add(b []byte) []byte {
 	if !s.wholeEvents {
-		s.events += bytes.Count(b, eventSeparator)
 		return b
 	}
 	// A separator may begin with the last byte that was there before.
@@ -176,29 +183,58 @@
 	end += from + len(eventSeparator)
 	chunk := bytes.Clone(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
-	s.recordEvents(chunk)
 	return chunk
 }
 
 // eventSeparator separates events.
 var eventSeparator = []byte("\n\n")
 
-// recordEvents counts whole events and records the last one's id.
-func (s *eventStream) recordEvents(chunk []byte) {
+// record counts the events of a chunk and, if they are whole, records the last one's id.
+func (s *eventStream) record(chunk []byte) {
+	s.events += bytes.Count(chunk, eventSeparator)
+	if !s.wholeEvents || len(chunk) == 0 {
+		return
+	}
+	s.afterID = ""
 	for line := range bytes.Lines(chunk) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			s.events++
-		} else if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimSpace(id))
+		if id, ok := eventID(line); ok {
+			s.lastID = id
 		}
 	}
 }
 
+// eventID returns the id in a line of an event, or false if the line has none.
+func eventID(line []byte) (string, bool) {
+	id, ok := bytes.CutPrefix(line, []byte("id:"))
+	return string(bytes.TrimSpace(id)), ok
+}
+
+// follows reports whether the first of whole events comes after the event with an id. Ids
+// of a stream increase.
+func follows(events []byte, after string) bool {
+	first, _, _ := bytes.Cut(events, eventSeparator)
+	for line := range bytes.Lines(first) {
+		if id, ok := eventID(line); ok {
+			return isGreater(id, after)
+		}
+	}
+	return false
+}
+
+// isGreater compares ids as numbers if both are, else for inequality.
+func isGreater(id, than string) bool {
+	a, aerr := strconv.ParseUint(id, 10, 64)
+	b, berr := strconv.ParseUint(than, 10, 64)
+	if aerr != nil || berr != nil {
+		return id != than
+	}
+	return a > b
+}
+
 // begin makes next read another response: the first, or one that continues the stream. A
 // truncated event of the response before is discarded; what was relayed ends with a whole
 // one.
 func (s *eventStream) begin(resp *http.Response) {
 	s.framed, s.received = framed(resp), false
-	s.partial, s.tail = s.partial[:0], s.tail[:0]
+	s.partial, s.tail, s.afterID = s.partial[:0], s.tail[:0], s.lastID
 }
