--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -15,9 +15,15 @@
 // delivered is what callers of a brokenStream have received before it breaks off.
 const delivered = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
+// Heads of a response that breaks off, without the stamp and the id.
+const (
+	chunkedHead = "Transfer-Encoding: chunked\r\n\r\n24\r\n"
+	lengthHead  = "Content-Length: 500\r\n\r\n"
+)
+
 // brokenStream returns a fleet whose endpoints break off a stream after two events, and
-// answer its resume with the head and the body of a response. ID stands for the request id.
-func brokenStream(t *testing.T, resumed string) *fleet {
+// answer its resume with a whole response. head is the rest of the first one's; ID stands for the request id.
+func brokenStream(t *testing.T, head, resumed string) *fleet {
 	f := newFleet(t)
 	for i := range 3 {
 		f.addRaw(t, fmt.Sprint("e", i), func(c net.Conn, r *bufio.Reader, _ int) {
@@ -34,8 +40,7 @@
 				_, _ = io.WriteString(c, strings.ReplaceAll(resumed, "ID", id))
 				return
 			}
-			const events = delivered + "id: 3\nda"
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, len(events), events)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nStamp: s\r\n"+head+delivered+"id: 3\n")
 		})
 	}
 	return f
@@ -58,7 +63,7 @@
 // was taken for that of the second.
 func TestEmptyContinuationIsNotComplete(t *testing.T) {
 	is := is.New(t)
-	f := brokenStream(t, "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\n\r\n")
+	f := brokenStream(t, chunkedHead, "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\n\r\n")
 	body, complete := f.readStream(t)
 	is.Equal(body, delivered)
 	is.True(!complete)
@@ -82,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := brokenStream(t, resumed)
+			f := brokenStream(t, chunkedHead, resumed)
 			body, complete := f.readStream(t)
 			is.Equal(body, delivered)
 			is.True(!complete)
@@ -100,7 +105,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := brokenStream(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", len(events), events))
+			f := brokenStream(t, chunkedHead, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", len(events), events))
 			body, complete := f.readStream(t)
 			is.Equal(body, delivered)
 			is.True(!complete)
@@ -108,15 +113,20 @@
 	}
 }
 
-// Guards against a stream that isn't continued after the last whole event, in one piece.
+// Guards against a stream that isn't continued after the last whole event, in one piece, or
+// that never looks complete because the first endpoint had told its length.
 func TestContinuationGoesOn(t *testing.T) {
-	is := is.New(t)
 	const rest = "id: 3\ndata: c\n\nid: 10\ndata: d\n\n"
-	f := brokenStream(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", len(rest), rest))
-	body, complete := f.readStream(t)
-	is.Equal(body, delivered+rest)
-	is.True(complete)
-	is.Equal(f.arrivals, []string{"", "2"})
+	for name, head := range map[string]string{"chunks": chunkedHead, "length": lengthHead} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := brokenStream(t, head, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", len(rest), rest))
+			body, complete := f.readStream(t)
+			is.Equal(body, delivered+rest)
+			is.True(complete)
+			is.Equal(f.arrivals, []string{"", "2"})
+		})
+	}
 }
 
 // Guards against a 200 with an empty or short body, framed as whole, after an endpoint
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,7 +33,10 @@
 		return x.truncated(p, err)
 	}
 	x.recordFirstByte(p)
-	x.copyHeaders(p)
+	h := x.copyHeaders(p)
+	if x.route.Resumable {
+		h.Del("Content-Length") // a continuation may have another length
+	}
 	x.writeHead(p)
 	flusher := http.NewResponseController(x.w)
 	current := p
