--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -134,22 +134,22 @@
 func TestCutHeadIsNoSuccess(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n"
 	for _, path := range []string{"/book/1", "/read/1", "/draft/1", "/tag/1"} {
-		t.Run(path, func(t *testing.T) {
-			is := is.New(t)
-			cut := 0
-			f := newFleet(t)
-			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
-				if readRequest(r) != "" {
-					_, _ = io.WriteString(c, whole[:cut])
-				}
-			})
-			for cut = 0; cut < len(whole); cut += 3 {
+		for cut := 0; cut < len(whole); cut += 3 {
+			t.Run(fmt.Sprint(path, "/", cut), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newFleet(t)
+				f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+					if readRequest(r) != "" {
+						_, _ = io.WriteString(c, whole[:cut])
+					}
+				})
 				resp, err := f.open(f.request(t, http.MethodPost, path, "r1", "b"))
 				is.NoErr(err)
 				_, err = io.ReadAll(resp.Body)
 				_ = resp.Body.Close()
 				is.True(err != nil || resp.StatusCode != http.StatusOK)
-			}
-		})
+			})
+		}
 	}
 }
