--- a/mirror/list_test.go
+++ b/mirror/list_test.go
@@ -56,3 +56,30 @@
 	is.Equal(value(m, "config"), "old")
 	is.Equal(m.Revision(), int64(1))
 }
+
+// Guards against a reader that sends all values of a large fleet to each of its followers
+// when all start at once: those that they have listed themselves aren't needed.
+func TestCompleteReplyHasOnlyNewValues(t *testing.T) {
+	is := is.New(t)
+	s := newFakeStore()
+	s.put("a", "old")
+	listed := s.put("b", "old")
+	s.put("b", "new")
+	m := New(Options{Source: s, Log: zap.NewNop(), OnChange: func(infra.Event) {}})
+	is.NoErr(m.list(t.Context()))
+	follower := New(Options{Log: zap.NewNop(), OnChange: func(infra.Event) {}})
+	follower.applyChanges(reply{revision: listed, complete: true, events: []infra.Event{
+		putEvent("a", 1), putEvent("b", 2), putEvent("gone", 2)}})
+	before := value(follower, "a")
+	events, revision, complete := m.Since(t.Context(), listed, 0)
+	is.True(complete)
+	values := 0
+	for _, ev := range events {
+		values += len(ev.Value)
+	}
+	is.Equal(values, len("new"))
+	follower.applyChanges(reply{revision: revision, complete: complete, events: events})
+	is.Equal(value(follower, "a"), before)
+	is.Equal(value(follower, "b"), "new")
+	is.Equal(value(follower, "gone"), "none")
+}
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -32,9 +32,10 @@
 
 // Since returns the changes after a revision, waiting up to wait for the first
 // one, and the copy's revision. Removals that this copy delays are among the changes:
-// a caller that continues from the revision would never learn of them. complete is true when events holds every key of
-// the copy, because the removals since that revision are not all known. It is
-// false before the copy has been filled.
+// a caller that continues from the revision would never learn of them. complete is true
+// when events holds every key of the copy, because the removals since that revision are not
+// all known; keys that have not changed since are without their values. It is false before
+// the copy has been filled.
 func (m *Mirror) Since(ctx context.Context, after int64, wait time.Duration) (events []infra.Event, revision int64, complete bool) {
 	m.mu.RLock()
 	revision, changed := m.revision, m.updated
@@ -52,8 +53,11 @@
 	defer m.mu.RUnlock()
 	complete = after <= m.removedFloor
 	for _, p := range m.items {
-		if complete || p.Revision > after {
+		switch {
+		case p.Revision > after:
 			events = append(events, infra.Event{Pair: p})
+		case complete:
+			events = append(events, infra.Event{Pair: infra.Pair{Key: p.Key, Revision: p.Revision}})
 		}
 	}
 	if complete {
