--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -175,17 +175,33 @@
 	_ = p.cmd.Process.Kill()
 }
 
+// endpoint is a stand-in of an endpoint behind a proxy.
+type endpoint struct {
+	*platformtest.Endpoint
+	proxy *proxy
+	// boot counts its incarnations. Only the goroutine that injects faults and those that
+	// remove them use it.
+	boot atomic.Int64
+}
+
+// restart lists a new incarnation of an endpoint, which announces nothing.
+func (s *system) restart(e *endpoint) {
+	e.Announce(platformtest.Announcement{})
+	s.store.Put("servers/"+e.ID, map[string]any{"service": "s", "address": e.proxy.Addr().String(), "zone": "z", "slots": 8,
+		"state": "ready", "born": e.boot.Add(1)})
+}
+
 // system is the gateways under test with the stand-ins and proxies around them.
 type system struct {
-	t               *testing.T
-	rng             *rand.Rand
-	store           *platformtest.Store
-	storeProxies    []*proxy
-	endpointProxies []*proxy
-	processes       []*process
-	runs            *platformtest.Runs
-	failures        atomic.Int64
-	served          atomic.Int64
+	t            *testing.T
+	rng          *rand.Rand
+	store        *platformtest.Store
+	storeProxies []*proxy
+	endpoints    []*endpoint
+	processes    []*process
+	runs         *platformtest.Runs
+	failures     atomic.Int64
+	served       atomic.Int64
 	// lastServed is the time of the last complete response in Unix nanoseconds.
 	lastServed atomic.Int64
 }
@@ -213,13 +229,12 @@
 	t.Cleanup(store.Close)
 	s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, 1)))
 	for i := range endpoints {
-		id := fmt.Sprintf("i-%d", i)
-		srv := httptest.NewServer(&platformtest.Endpoint{ID: id, Runs: s.runs, RefuseProbability: 0.05, BreakProbability: 0.03})
+		e := &endpoint{Endpoint: &platformtest.Endpoint{ID: fmt.Sprintf("i-%d", i), Runs: s.runs, RefuseProbability: 0.05, BreakProbability: 0.03}}
+		srv := httptest.NewServer(e)
 		t.Cleanup(srv.Close)
-		endpointProxy := newProxy(t, srv.Listener.Addr().String())
-		s.endpointProxies = append(s.endpointProxies, endpointProxy)
-		s.store.Put("servers/"+id, map[string]any{"service": "s", "address": endpointProxy.Addr().String(), "zone": "z", "slots": 8,
-			"state": "ready", "born": 1})
+		e.proxy = newProxy(t, srv.Listener.Addr().String())
+		s.endpoints = append(s.endpoints, e)
+		s.restart(e)
 	}
 	dir := t.TempDir()
 	for i := range *gateways {
@@ -314,10 +329,11 @@
 func (s *system) injectFault(version int) string {
 	p := s.processes[s.rng.IntN(len(s.processes))]
 	storeProxy := s.storeProxies[s.rng.IntN(len(s.storeProxies))]
-	endpointProxy := s.endpointProxies[s.rng.IntN(len(s.endpointProxies))]
+	e := s.endpoints[s.rng.IntN(len(s.endpoints))]
+	endpointProxy := e.proxy
 	length := time.Duration(200+s.rng.IntN(1500)) * time.Millisecond
 	later := func(f func()) { time.AfterFunc(length, f) }
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(12) {
 	case 0:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.name
@@ -348,6 +364,18 @@
 		s.store.SetDown(true)
 		later(func() { s.store.SetDown(false) })
 		return "store down"
+	case 8:
+		e.Announce(platformtest.Announcement{Leaving: true})
+		later(func() { s.restart(e) })
+		return e.ID + " announces leaving, then restarts"
+	case 9:
+		e.Announce(platformtest.Announcement{RateLimit: 0.5 + 5*s.rng.Float64()})
+		later(func() { e.Announce(platformtest.Announcement{}) })
+		return e.ID + " announces a rate limit"
+	case 10:
+		e.Announce(platformtest.Announcement{Pause: length})
+		later(func() { e.Announce(platformtest.Announcement{}) })
+		return e.ID + " asks for pauses"
 	default:
 		s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, version)))
 		p.signal(syscall.SIGHUP)
@@ -380,9 +408,14 @@
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	time.Sleep(settleTime)
-	before := s.served.Load()
+	before, arrivals := s.served.Load(), s.arrivals()
 	time.Sleep(time.Second)
 	after := s.served.Load()
+	for i, n := range s.arrivals() {
+		if n == arrivals[i] {
+			s.fail("endpoint %s gets no requests after the faults", s.endpoints[i].ID)
+		}
+	}
 	cancel()
 	wg.Wait()
 	t.Logf("seed %d: %d requests, %d served, %d in the last second", seed, next.Load(), after, after-before)
@@ -390,6 +423,15 @@
 	is.Equal(s.failures.Load(), int64(0))
 }
 
+// arrivals returns the number of requests that each endpoint has received.
+func (s *system) arrivals() []int {
+	out := make([]int, 0, len(s.endpoints))
+	for _, e := range s.endpoints {
+		out = append(out, e.Arrivals())
+	}
+	return out
+}
+
 // saveLogs copies the gateways' logs of a failed seed to the temporary directory.
 func (s *system) saveLogs(seed int) {
 	for _, p := range s.processes {
@@ -410,8 +452,9 @@
 
 // Guards against a non-idempotent request that runs twice, a false "not run", a
 // wrong or mixed-up response, and gateways that stay unavailable, all under
-// overlapping faults: kills, pauses, stalled and reset connections, store outages
-// and configuration changes.
+// overlapping faults: kills, pauses, stalled and reset connections, store outages,
+// configuration changes, and endpoints that announce that they leave, take few requests or
+// want none; and against endpoints that are left out afterwards.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "citrontiller")
 	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/citrontiller").CombinedOutput(); err != nil {
