--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,14 +47,6 @@
 // Unwrap returns the cause.
 func (e *attemptError) Unwrap() error { return e.err }
 
-// Reasons why a response can't be delivered.
-var (
-	errOtherRequest  = errors.New("response belongs to another request, or doesn't say to which one")
-	errNoStamp       = errors.New("successful response lacks the endpoint's stamp")
-	errEncoded       = errors.New("response has a content encoding that was not requested")
-	errNotRunMissing = errors.New("refusal lacks the statement that the request did not run")
-)
-
 // response is an endpoint's response whose status and headers have been read.
 type response struct {
 	choice
@@ -148,69 +140,6 @@
 	return err
 }
 
-// check returns an error when a response can't be delivered, and reports the
-// failure or the refusal to the tracker.
-func (x *exchange) check(p *response) *attemptError {
-	info := x.g.Codec.DecodeResponse(p.resp.StatusCode, p.resp.Header)
-	x.g.Directory.Observe(p.endpoint.ID, info)
-	x.observeAnnouncements(p, info)
-	if info.NotRun && !x.isForeign(p, info) {
-		p.attempt.Refused(time.Now())
-		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
-	}
-	if x.isForeign(p, info) && p.resp.Body == http.NoBody {
-		// The connection is idle again, although this request's own response is due on it.
-		x.closeIdleConnections()
-	}
-	if err := undeliverable(p.resp, info, x.isForeign(p, info)); err != nil {
-		p.attempt.Failed(time.Now())
-		return &attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err}
-	}
-	return nil
-}
-
-// isForeign reports whether a response may belong to another request. On a connection that
-// has carried other requests, a response without an id may be a copy of an earlier one.
-func (x *exchange) isForeign(p *response, info ResponseInfo) bool {
-	if info.RequestID == "" {
-		return p.reusedConn
-	}
-	return info.RequestID != x.info.ID
-}
-
-// closeIdleConnections closes the idle connections of the request's pool.
-func (x *exchange) closeIdleConnections() {
-	if t, ok := x.transport().(interface{ CloseIdleConnections() }); ok {
-		t.CloseIdleConnections()
-	}
-}
-
-// undeliverable returns the reason why a response can't be delivered, or nil.
-func undeliverable(resp *http.Response, info ResponseInfo, otherRequest bool) error {
-	ok := resp.StatusCode/100 == 2
-	switch {
-	case otherRequest:
-		return errOtherRequest
-	case impliesNotRun(resp.StatusCode):
-		return errNotRunMissing
-	case ok && !info.Stamped:
-		return errNoStamp
-	case ok && resp.Header.Get("Content-Encoding") != "":
-		return errEncoded
-	}
-	return nil
-}
-
-// impliesNotRun reports whether callers conclude from a status that the request
-// has not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // transport returns the connection pool for the request.
 func (x *exchange) transport() http.RoundTripper {
 	if x.route.Repeatable() {
--- a/internal/gatewayd/announced_test.go
+++ b/internal/gatewayd/announced_test.go
@@ -163,6 +163,18 @@
 	return resp
 }
 
+// callRefused sends a request that must be refused as not run, and returns the seconds after
+// which its caller may return.
+func (f *announcedFleet) callRefused() (retryAfter float64) {
+	f.t.Helper()
+	resp := f.call()
+	retryAfter, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if resp.StatusCode != http.StatusServiceUnavailable || err != nil {
+		f.t.Fatalf("status %d, Retry-After: %v", resp.StatusCode, err)
+	}
+	return retryAfter
+}
+
 // callUntil sends requests until an endpoint has received n more.
 func (f *announcedFleet) callUntil(i, n int) {
 	f.t.Helper()
@@ -224,9 +236,7 @@
 	f.endpoints[0].announce(0, "Server-Leaving", "1")
 	is.Equal(f.call().StatusCode, http.StatusOK)
 	start := time.Now()
-	resp := f.call()
-	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
-	is.True(resp.Header.Get("Retry-After") != "")
+	is.True(f.callRefused() > 0)
 	is.Equal(f.endpoints[0].since(start), 0)
 }
 
@@ -316,11 +326,8 @@
 		f.call()
 	}
 	start := time.Now()
-	resp := f.call()
+	after := f.callRefused()
 	is.True(time.Since(start) < 400*time.Millisecond) // an eighth of the target latency is 500 ms
-	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
-	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	is.NoErr(err)
 	is.True(after > 2 && after < 4)
 	is.Equal(f.endpoints[0].since(start)+f.endpoints[1].since(start), 0)
 }
@@ -330,10 +337,7 @@
 	is := is.New(t)
 	f := newAnnouncedFleet(t, 1)
 	f.endpoints[0].announce(http.StatusServiceUnavailable, "Retry-After", "3")
-	resp := f.call()
-	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
-	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	is.NoErr(err)
+	after := f.callRefused()
 	is.True(after > 2.5 && after < 4)
 }
 
@@ -385,11 +389,8 @@
 	f.endpoints[0].announce(0, "Server-Limit", "0.2")
 	f.callUntil(0, 1)
 	start := time.Now()
-	resp := f.call()
+	after := f.callRefused()
 	is.True(time.Since(start) < 400*time.Millisecond) // an eighth of the target latency is 500 ms
-	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
-	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	is.NoErr(err)
 	is.True(after > 4 && after < 6)
 	is.Equal(f.endpoints[0].since(start), 0)
 }
--- a/internal/gatewayd/peers.go
+++ b/internal/gatewayd/peers.go
@@ -33,12 +33,7 @@
 // LeavingReceived implements peer.Receiver. Only what is new is passed on, since relays
 // hear what other relays pass on.
 func (p peerReceiver) LeavingReceived(from string, leaving []catalog.Incarnation, sameRegion bool) {
-	var fresh []catalog.Incarnation
-	for _, i := range leaving {
-		if p.gateway.Directory.MarkLeaving(i, from) {
-			fresh = append(fresh, i)
-		}
-	}
+	fresh := filter(leaving, func(i catalog.Incarnation) bool { return p.gateway.Directory.MarkLeaving(i, from) })
 	if len(fresh) > 0 && p.peers.IsRelay() {
 		p.peerServer.RelayLeaving(fresh, sameRegion)
 	}
@@ -46,17 +41,23 @@
 
 // RateLimitsReceived implements peer.Receiver.
 func (p peerReceiver) RateLimitsReceived(from string, limits []catalog.RateLimit, sameRegion bool) {
-	var fresh []catalog.RateLimit
-	for _, r := range limits {
-		if p.gateway.Directory.ApplyRateLimit(r, from) {
-			fresh = append(fresh, r)
-		}
-	}
+	fresh := filter(limits, func(r catalog.RateLimit) bool { return p.gateway.Directory.ApplyRateLimit(r, from) })
 	if len(fresh) > 0 && p.peers.IsRelay() {
 		p.peerServer.RelayRateLimits(fresh, sameRegion)
 	}
 }
 
+// filter returns the items for which keep returns true. It calls keep once for each.
+func filter[T any](items []T, keep func(T) bool) []T {
+	var kept []T
+	for _, item := range items {
+		if keep(item) {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
 // DigestReceived implements peer.Receiver.
 func (p peerReceiver) DigestReceived(d peer.Digest, sameRegion bool) {
 	now := time.Now()
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -152,22 +152,11 @@
 // SuspicionReceived implements peer.Receiver. Only what is new is passed on, since relays
 // hear what other relays pass on.
 func (p peerReceiver) SuspicionReceived(u peer.Suspicion, sameRegion bool) {
-	var fresh peer.Suspicion
 	now := time.Now()
-	for _, r := range u.Reports {
-		if p.quarantine.ApplyReport(r, now) {
-			fresh.Reports = append(fresh.Reports, r)
-		}
-	}
-	for _, part := range u.Cleared {
-		if p.quarantine.Clear(part) {
-			fresh.Cleared = append(fresh.Cleared, part)
-		}
-	}
-	for _, b := range u.Blocks {
-		if p.applyBlock(b) {
-			fresh.Blocks = append(fresh.Blocks, b)
-		}
+	fresh := peer.Suspicion{
+		Reports: filter(u.Reports, func(r quarantine.Report) bool { return p.quarantine.ApplyReport(r, now) }),
+		Cleared: filter(u.Cleared, p.quarantine.Clear),
+		Blocks:  filter(u.Blocks, p.applyBlock),
 	}
 	if !fresh.Empty() && p.peers.IsRelay() {
 		p.peerServer.RelaySuspicion(fresh, sameRegion)
