--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -14,6 +14,7 @@
 	"github.com/citrontiller/citrontiller/plugins/prefill"
 	"github.com/citrontiller/citrontiller/plugins/prefixcache"
 	"github.com/citrontiller/citrontiller/plugins/queue"
+	"github.com/citrontiller/citrontiller/plugins/ratelimit"
 	"github.com/citrontiller/citrontiller/plugins/ready"
 	"github.com/citrontiller/citrontiller/plugins/region"
 	"github.com/citrontiller/citrontiller/route"
@@ -36,7 +37,8 @@
 // request costs the others there.
 func NewDirect(log *zap.Logger) *route.Scheduler {
 	s := New(log)
-	s.Prices = append(s.Prices, mustLoad[route.Scorer](prefill.ID, kernel.Settings{Log: log}))
+	settings := kernel.Settings{Log: log}
+	s.Prices = append(s.Prices, mustLoad[route.Scorer](prefill.ID, settings), mustLoad[route.Scorer](ratelimit.ID, settings))
 	return s
 }
 
--- a/route/ratelimit.go
+++ b/route/ratelimit.go
@@ -28,7 +28,7 @@
 }
 
 const (
-	// rateLimitBurst is the time whose unused requests may be sent at once, besides one.
+	// rateLimitBurst is the time whose unused requests may be sent at once.
 	rateLimitBurst = time.Second
 	// minRateLimit is the rate in requests a second that is used at least, so that an
 	// endpoint that announces less is asked now and then whether it still does.
@@ -149,12 +149,25 @@
 	if !l.limited() || !now.After(l.filledAt) {
 		return
 	}
-	burst := 1 + l.share*rateLimitBurst.Seconds()
+	l.tokens = min(1+l.reserve(), l.tokens+l.share*now.Sub(l.filledAt).Seconds())
+	l.filledAt = now
+}
+
+// reserve returns how many requests may be sent at once, besides one. It is 0 if a sharer
+// isn't heard, which may send at the same time.
+func (l *rateLimiter) reserve() float64 {
 	if l.share < l.perSecond {
-		burst = 1 // those that aren't heard may send at the same time
+		return 0
 	}
-	l.tokens = min(burst, l.tokens+l.share*now.Sub(l.filledAt).Seconds())
-	l.filledAt = now
+	return l.share * rateLimitBurst.Seconds()
+}
+
+// used returns the used part of the reserve, 0 if there is none.
+func (l *rateLimiter) used() float64 {
+	if l.reserve() == 0 {
+		return 0
+	}
+	return min(1, 1-(l.tokens-1)/l.reserve())
 }
 
 // take records a dispatch of any gateway. The debt is at most one request of each sharer:
--- a/route/route.go
+++ b/route/route.go
@@ -137,6 +137,9 @@
 	// RateLimitedFor is the time until the endpoint's rate limit allows this process
 	// another request, 0 for none.
 	RateLimitedFor time.Duration
+	// RateLimitUsed is the used part of the requests that the endpoint's rate limit allows at
+	// once, from 0 to 1; 0 without a limit.
+	RateLimitUsed float64
 	// KVUsedTokens is the KV cache memory that running requests occupy, in tokens.
 	KVUsedTokens float64
 	// TokenMs is the expected prefill time per prompt token at the current slowdown,
