--- a/gateway/announced.go
+++ b/gateway/announced.go
@@ -195,10 +195,10 @@
 	return out
 }
 
-// observeAnnouncements records what a response to this request announces, unless its
-// sender may be another endpoint.
+// observeAnnouncements records what a response announces, unless its sender is another
+// endpoint at the same address.
 func (x *exchange) observeAnnouncements(p *response, info ResponseInfo) {
-	if x.isForeign(p, info) || p.resp.StatusCode == http.StatusMisdirectedRequest {
+	if p.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	if info.Leaving && x.g.Directory.MarkLeaving(p.incarnation, x.info.ID) && x.g.OnLeaving != nil {
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -19,23 +19,32 @@
 // failure or the refusal to the tracker.
 func (x *exchange) check(p *response) *attemptError {
 	info := x.g.Codec.DecodeResponse(p.resp.StatusCode, p.resp.Header)
+	if x.isForeign(p, info) {
+		return x.rejectForeign(p)
+	}
 	x.g.Directory.Observe(p.endpoint.ID, info)
 	x.observeAnnouncements(p, info)
-	if info.NotRun && !x.isForeign(p, info) {
+	if info.NotRun {
 		p.attempt.Refused(time.Now())
 		return &attemptError{failure: notRun, endpoint: p.endpoint.ID, err: fmt.Errorf("status %d", p.resp.StatusCode)}
 	}
-	if x.isForeign(p, info) && p.resp.Body == http.NoBody {
-		// The connection is idle again, although this request's own response is due on it.
-		x.closeIdleConnections()
-	}
-	if err := undeliverable(p.resp, info, x.isForeign(p, info)); err != nil {
+	if err := undeliverable(p.resp, info); err != nil {
 		p.attempt.Failed(time.Now())
 		return &attemptError{failure: unknown, endpoint: p.endpoint.ID, err: err}
 	}
 	return nil
 }
 
+// rejectForeign reports a response of another request to the tracker and returns the error.
+func (x *exchange) rejectForeign(p *response) *attemptError {
+	if p.resp.Body == http.NoBody {
+		// The connection is idle again, although this request's own response is due on it.
+		x.closeIdleConnections()
+	}
+	p.attempt.Failed(time.Now())
+	return &attemptError{failure: unknown, endpoint: p.endpoint.ID, err: errOtherRequest}
+}
+
 // isForeign reports whether a response may belong to another request. On a connection that
 // has carried other requests, a response without an id may be a copy of an earlier one.
 func (x *exchange) isForeign(p *response, info ResponseInfo) bool {
@@ -53,11 +62,9 @@
 }
 
 // undeliverable returns the reason why a response can't be delivered, or nil.
-func undeliverable(resp *http.Response, info ResponseInfo, otherRequest bool) error {
+func undeliverable(resp *http.Response, info ResponseInfo) error {
 	ok := resp.StatusCode/100 == 2
 	switch {
-	case otherRequest:
-		return errOtherRequest
 	case impliesNotRun(resp.StatusCode):
 		return errNotRunMissing
 	case ok && !info.Stamped:
--- a/route/ratelimit.go
+++ b/route/ratelimit.go
@@ -95,10 +95,10 @@
 	// of the limit and hears no more of it. sentAt is when it sent the last one.
 	askInterval time.Duration
 	sentAt      time.Time
-	// sharers is the number of gateways that use the limit; member is true if this process
-	// is one of them.
+	// sharers is the number of gateways that use the limit; sharing is true if this
+	// process is one of them.
 	sharers int
-	member  bool
+	sharing bool
 	// tokens is the number of requests that may be sent at the time filledAt. It is
 	// negative after gateways have sent at the same time.
 	tokens   float64
@@ -116,6 +116,9 @@
 		l.tokens, l.filledAt = 0, now
 	}
 	if perSecond = max(perSecond, minRateLimit); perSecond != l.perSecond {
+		if l.perSecond > 0 {
+			l.share *= perSecond / l.perSecond
+		}
 		l.perSecond, l.fleet = perSecond, nil
 	}
 	l.at = at
@@ -133,12 +136,12 @@
 	l.fleet = f
 	sharers := f.sharers(endpoint, region, l.perSecond)
 	heard := 0
-	l.member = false
+	l.sharing = false
 	for _, g := range sharers {
 		if g.Heard {
 			heard++
 		}
-		l.member = l.member || g.Name == f.Self
+		l.sharing = l.sharing || g.Name == f.Self
 	}
 	l.sharers, l.askInterval = len(sharers), f.askInterval(endpoint, l.perSecond)
 	l.share = l.perSecond * float64(heard) / float64(max(1, len(sharers)))
@@ -191,7 +194,7 @@
 	if !l.limited() {
 		return 0
 	}
-	if !l.member {
+	if !l.sharing {
 		if now.Sub(l.at) > l.askInterval && now.Sub(l.sentAt) > l.askInterval {
 			return 0
 		}
