--- a/route/ratelimit.go
+++ b/route/ratelimit.go
@@ -156,10 +156,10 @@
 	l.filledAt = now
 }
 
-// reserve returns how many requests may be sent at once, besides one. It is 0 if a sharer
-// isn't heard, which may send at the same time.
+// reserve returns how many requests may be sent at once, besides one. It is 0 if most
+// sharers aren't heard, which may send at the same time.
 func (l *rateLimiter) reserve() float64 {
-	if l.share < l.perSecond {
+	if l.share < l.perSecond/2 {
 		return 0
 	}
 	return l.share * rateLimitBurst.Seconds()
