--- a/route/ratelimit.go
+++ b/route/ratelimit.go
@@ -46,8 +46,9 @@
 // a second can't be shared by many.
 func maxSharers(perSecond float64) int { return 3 + int(perSecond) }
 
-// sharers returns the gateways that may use the rate limit of an endpoint. All gateways
-// select the same, by the ranks of hashes, as long as they know the same fleet.
+// sharers returns the gateways that may use the rate limit of an endpoint: those of its
+// region first. All gateways select the same, by the ranks of hashes, as long as they know
+// the same fleet.
 func (f *Fleet) sharers(endpoint, region string, perSecond float64) []GatewayInfo {
 	candidates := f.Gateways
 	if f.RegionsApart {
@@ -62,6 +63,12 @@
 	}
 	candidates = slices.Clone(candidates)
 	slices.SortFunc(candidates, func(a, b GatewayInfo) int {
+		switch {
+		case a.Region == region && b.Region != region:
+			return -1
+		case a.Region != region && b.Region == region:
+			return 1
+		}
 		return cmp.Or(cmp.Compare(rank(endpoint, a.Name), rank(endpoint, b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	return candidates[:n]
--- a/route/ratelimit_test.go
+++ b/route/ratelimit_test.go
@@ -211,3 +211,27 @@
 	g.now = g.now.Add(15 * time.Second)
 	is.Equal(g.snapshot(&route.Request{Region: "b"})[0].RateLimitedFor, time.Duration(0))
 }
+
+// Guards against rate limits that gateways of other regions use, whose requests travel
+// farther and whose events arrive late, while those of the endpoint's region have no share.
+func TestRateLimitIsSharedWithinRegion(t *testing.T) {
+	is := is.New(t)
+	fleet := route.Fleet{}
+	for i := range 20 {
+		fleet.Gateways = append(fleet.Gateways, route.GatewayInfo{Name: fmt.Sprint("g", i), Region: string(rune('a' + i%2)), Heard: true})
+	}
+	sharers := map[string]int{}
+	for _, self := range fleet.Gateways {
+		fleet.Self = self.Name
+		g := newFixture(1) // its endpoint is in region a
+		g.now = time.Unix(1000, 0)
+		g.tracker.SetFleet(fleet)
+		g.tracker.SetRateLimit("e0000", 2, g.now, g.now)
+		g.snapshot(&route.Request{Region: self.Region})
+		g.now = g.now.Add(5 * time.Second)
+		if g.snapshot(&route.Request{Region: self.Region})[0].RateLimitedFor == 0 {
+			sharers[self.Region]++
+		}
+	}
+	is.Equal(sharers, map[string]int{"a": 5})
+}
