--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -237,8 +237,8 @@
 )
 
 // waitForEndpoint chooses an endpoint. It retries for a short time when none is
-// available, but not when the request is refused because of overload or the service
-// has no endpoints.
+// available, but not when the request is refused because of overload, the service has no
+// endpoints, or none takes requests in that time.
 func (x *exchange) waitForEndpoint() (choice, bool) {
 	longest := x.route.TargetLatency / endpointWaitDivisor
 	if x.sends > 0 {
@@ -249,15 +249,22 @@
 		if c, ok := x.chooseAllowed(); ok {
 			return c, true
 		}
-		if x.availableIn > time.Until(until) || x.quarantine.Verdict == quarantine.Blocked || x.overloadWait > 0 || len(x.g.Members.Service(x.service)) == 0 || time.Now().After(until) {
-			return choice{}, false
-		}
-		if !wait.Sleep(x.ctx, endpointPollInterval) {
+		if !x.mayBecomeAvailable(until) || !wait.Sleep(x.ctx, endpointPollInterval) {
 			return choice{}, false
 		}
 	}
 }
 
+// mayBecomeAvailable reports whether an endpoint may take the request before a time,
+// although the last choice found none.
+func (x *exchange) mayBecomeAvailable(until time.Time) bool {
+	switch {
+	case x.quarantine.Verdict == quarantine.Blocked, x.overloadWait > 0, len(x.g.Members.Service(x.service)) == 0:
+		return false
+	}
+	return x.availableIn <= time.Until(until)
+}
+
 // refusalFor returns the refusal for a request whose last attempt failed with
 // err; err is nil when no endpoint was available. Only a request that no endpoint
 // can have run gets a status that implies so.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -40,6 +40,7 @@
 
 // chooseAllowed is choose for a request that the quarantine allows.
 func (x *exchange) chooseAllowed() (choice, bool) {
+	x.availableIn = 0
 	x.quarantine = x.enterQuarantine()
 	if x.quarantine.Verdict != quarantine.Allowed {
 		return choice{}, false
