--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,24 +32,12 @@
 	if len(chunk) == 0 && err != nil && err != io.EOF {
 		return x.truncated(p, err)
 	}
-	x.recordFirstByte(p)
-	h := x.copyHeaders(p)
-	if x.route.Resumable {
-		h.Del("Content-Length") // a continuation may have another length
-	}
-	x.writeHead(p)
-	flusher := http.NewResponseController(x.w)
+	x.startStream(p)
 	current := p
 	for {
-		if len(chunk) > 0 {
-			if _, werr := x.w.Write(chunk); werr != nil {
-				x.outcome = "caller_left"
-				return nil
-			}
-			if werr := flusher.Flush(); werr != nil {
-				x.outcome = "caller_left"
-				return nil
-			}
+		if !x.writeChunk(chunk) {
+			x.outcome = "caller_left"
+			return nil
 		}
 		if err == io.EOF {
 			x.outcome = "answered"
@@ -73,6 +61,28 @@
 	}
 }
 
+// startStream writes the status and the headers of a stream's first response.
+func (x *exchange) startStream(p *response) {
+	x.recordFirstByte(p)
+	h := x.copyHeaders(p)
+	if x.route.Resumable {
+		h.Del("Content-Length") // a continuation may have another length
+	}
+	x.writeHead(p)
+}
+
+// writeChunk writes a part of a stream to the caller at once. It returns false if the caller
+// has left.
+func (x *exchange) writeChunk(chunk []byte) bool {
+	if len(chunk) == 0 {
+		return true
+	}
+	if _, err := x.w.Write(chunk); err != nil {
+		return false
+	}
+	return http.NewResponseController(x.w).Flush() == nil
+}
+
 // resume continues an interrupted stream at another endpoint, after the last event
 // that the caller has received. It returns nil when that is not possible.
 func (x *exchange) resume(p *response, s *eventStream, cause error) *response {
