--- a/peer/announced.go
+++ b/peer/announced.go
@@ -31,19 +31,28 @@
 func encodeIncarnations(incarnations []catalog.Incarnation) []*pb.Incarnation {
 	out := make([]*pb.Incarnation, 0, len(incarnations))
 	for _, i := range incarnations {
-		out = append(out, &pb.Incarnation{Endpoint: i.ID, BootId: i.BootID, Address: i.Address})
+		out = append(out, encodeIncarnation(i))
 	}
 	return out
 }
 
+func encodeIncarnation(i catalog.Incarnation) *pb.Incarnation {
+	return &pb.Incarnation{Endpoint: i.ID, BootId: i.BootID, Address: i.Address}
+}
+
 func decodeIncarnations(incarnations []*pb.Incarnation) []catalog.Incarnation {
 	out := make([]catalog.Incarnation, 0, len(incarnations))
 	for _, i := range incarnations {
-		out = append(out, catalog.Incarnation{ID: i.Endpoint, BootID: i.BootId, Address: i.Address})
+		out = append(out, decodeIncarnation(i))
 	}
 	return out
 }
 
+// decodeIncarnation accepts a missing incarnation, whose fields are then empty.
+func decodeIncarnation(i *pb.Incarnation) catalog.Incarnation {
+	return catalog.Incarnation{ID: i.GetEndpoint(), BootID: i.GetBootId(), Address: i.GetAddress()}
+}
+
 // PublishRateLimit sends all followers what an endpoint has announced to this process on
 // its rate limit, with the next events. It never blocks.
 func (s *Server) PublishRateLimit(r catalog.RateLimit) {
@@ -60,8 +69,7 @@
 }
 
 func encodeRateLimit(r catalog.RateLimit, now time.Time) *pb.RateLimit {
-	return &pb.RateLimit{Endpoint: &pb.Incarnation{Endpoint: r.ID, BootId: r.BootID, Address: r.Address}, PerSecond: r.PerSecond,
-		AgeMs: now.Sub(r.At).Milliseconds()}
+	return &pb.RateLimit{Endpoint: encodeIncarnation(r.Incarnation), PerSecond: r.PerSecond, AgeMs: now.Sub(r.At).Milliseconds()}
 }
 
 func encodeRateLimits(limits []catalog.RateLimit, now time.Time) []*pb.RateLimit {
@@ -79,9 +87,8 @@
 		if r.PerSecond < 0 || math.IsNaN(r.PerSecond) {
 			continue
 		}
-		e := r.Endpoint // the getters accept a missing one
-		out = append(out, catalog.RateLimit{Incarnation: catalog.Incarnation{ID: e.GetEndpoint(), BootID: e.GetBootId(), Address: e.GetAddress()},
-			PerSecond: r.PerSecond, At: now.Add(-time.Duration(max(0, r.AgeMs)) * time.Millisecond)})
+		out = append(out, catalog.RateLimit{Incarnation: decodeIncarnation(r.Endpoint), PerSecond: r.PerSecond,
+			At: now.Add(-time.Duration(max(0, r.AgeMs)) * time.Millisecond)})
 	}
 	return out
 }
