mirror: pings end polls that get no response, and an outage when the store is back

Cause: a poll that is sent or waits while the store is away gets no response after its return either, and was believed for its whole timeout (4 s + 1.5 s). All gateways lose the store together, so no peer had anything newer. The delay of removals after an outage counted from the late notice, not from the return. Class: a pending call is taken for a sign that nothing has changed.

Ruled out: old state from the store (the first reply after the hang brings every revision), slow application (the same millisecond).

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -121,7 +121,8 @@
 	reg.MustRegister(gauge("suspect_prompt_parts", "Prompt parts that may crash endpoints.", func() int { n, _ := p.quarantine.Counts(); return n }),
 		gauge("blocked_prompt_parts", "Prompt parts that are not sent because they crash endpoints.", func() int { _, n := p.quarantine.Counts(); return n }),
 		gauge("leaving_endpoints", "Listed endpoints that have announced that they leave.", func() int { return len(p.gateway.Directory.LeavingEndpoints()) }),
-		gauge("rate_limited_endpoints", "Listed endpoints that have announced a rate limit.", func() int { return len(p.gateway.Directory.RateLimits()) }))
+		gauge("rate_limited_endpoints", "Listed endpoints that have announced a rate limit.", func() int { return len(p.gateway.Directory.RateLimits()) }),
+		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(log)}
@@ -143,6 +144,14 @@
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_" + name, Help: help}, func() float64 { return float64(count()) })
 }
 
+// storeLost returns 1 while the store doesn't respond.
+func (p *gatewayProcess) storeLost() int {
+	if p.mirror.Lost() {
+		return 1
+	}
+	return 0
+}
+
 // readiness handles the load balancer's readiness check.
 func (p *gatewayProcess) readiness(w http.ResponseWriter, _ *http.Request) {
 	if !p.gateway.Ready() {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -43,6 +43,9 @@
 	// one, and the revision to poll from next. It returns infra.ErrCompacted when
 	// the service no longer has the changes.
 	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]infra.Event, int64, error)
+	// Ping returns the service's revision, or an older one, when the service responds.
+	// It must be cheap, because all processes call it repeatedly during an outage.
+	Ping(ctx context.Context) (int64, error)
 }
 
 // Options are a mirror's settings.
@@ -83,6 +86,9 @@
 	// directUntil is when the mirror follows the leader again after a failure; until
 	// then it polls the service. Only Run uses it.
 	directUntil time.Time
+	// doubtful is true after a read or the leader failed, until the next read succeeds.
+	// Only Run uses it.
+	doubtful bool
 	// respondedAt is the time of the last response of the service or the leader.
 	respondedAt time.Time
 	// resumedAt is the time of the first response after the last outage.
@@ -135,6 +141,9 @@
 		if listed && m.follow(ctx) {
 			continue
 		}
+		if m.doubtful && !m.awaitResponse(ctx) {
+			return
+		}
 		var err error
 		if listed {
 			err = m.poll(ctx)
@@ -142,7 +151,7 @@
 			listed = true
 		}
 		if err == nil {
-			backoff = minBackoff
+			m.doubtful, backoff = false, minBackoff
 			continue
 		}
 		if ctx.Err() != nil {
@@ -154,6 +163,7 @@
 			continue
 		}
 		m.noteFailure(err)
+		m.doubtful = true
 		wait.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -230,9 +240,20 @@
 	return out
 }
 
-// poll applies the changes of one poll of the service.
+// poll applies the changes of one poll of the service. The first poll after a failure
+// doesn't wait for changes, so that a service that fails again is noticed soon.
 func (m *Mirror) poll(ctx context.Context) error {
-	events, rev, err := m.Source.Poll(ctx, m.Prefix, m.position(), m.PollWait)
+	longest := m.PollWait
+	if m.doubtful {
+		longest = 0
+	}
+	pollCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go m.guardPoll(pollCtx, cancel)
+	events, rev, err := m.Source.Poll(pollCtx, m.Prefix, m.position(), longest)
+	if cause := context.Cause(pollCtx); err != nil && cause != nil {
+		return cause
+	}
 	if err != nil {
 		return err
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -60,6 +60,12 @@
 	s.err = err
 }
 
+func (s *fakeStore) Ping(context.Context) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev, s.err
+}
+
 func (s *fakeStore) List(context.Context, string) ([]infra.Pair, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,8 +112,11 @@
 }
 
 // start runs a mirror of the store and returns it with a stop function.
-func start(s *fakeStore, o Options) (*Mirror, func()) {
-	o.Source, o.PollWait, o.Log = s, time.Second, zap.NewNop()
+func start(s Source, o Options) (*Mirror, func()) {
+	o.Source, o.Log = s, zap.NewNop()
+	if o.PollWait == 0 {
+		o.PollWait = time.Second
+	}
 	if o.OnChange == nil {
 		o.OnChange = func(infra.Event) {}
 	}
--- /dev/null
+++ b/mirror/probe.go
@@ -0,0 +1,81 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/citrontiller/citrontiller/internal/wait"
+)
+
+const (
+	// pollPingInterval is the time between two pings while a poll waits for changes.
+	pollPingInterval = time.Second
+	// pollPingTimeout is the time without a response to a ping after which the poll is
+	// abandoned.
+	pollPingTimeout = time.Second
+	// stalePollTimeout is how long a poll may lack a change that a ping has shown.
+	stalePollTimeout = 500 * time.Millisecond
+	// pingInterval is the mean time between two pings of a service that doesn't respond.
+	pingInterval = 400 * time.Millisecond
+)
+
+// errStalePoll means that the service has changes for which a poll gets no response.
+var errStalePoll = errors.New("poll gets no response though there are changes")
+
+// guardPoll cancels a poll that will get no response, because it was sent during an
+// outage or its response was lost. Otherwise the copy would be out of date until the poll
+// times out. It returns when ctx, the poll's context, ends.
+func (m *Mirror) guardPoll(ctx context.Context, cancel context.CancelCauseFunc) {
+	for wait.Sleep(ctx, pollPingInterval) {
+		pingCtx, cancelPing := context.WithTimeout(ctx, pollPingTimeout)
+		rev, err := m.Source.Ping(pingCtx)
+		cancelPing()
+		if err != nil {
+			cancel(err)
+			return
+		}
+		m.noteResponse()
+		if rev > m.position() && wait.Sleep(ctx, stalePollTimeout) {
+			cancel(errStalePoll)
+			return
+		}
+	}
+}
+
+// awaitResponse pings the service until it responds, and reports false when ctx ends
+// first. A call that is sent during an outage may get no response even after its end, so
+// a ping doesn't wait for the ones before it.
+func (m *Mirror) awaitResponse(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-next.C:
+			go m.ping(ctx, results)
+			// Gateways that lost the service together must not ping it in step.
+			next.Reset(pingInterval/2 + rand.N(pingInterval))
+		case err := <-results:
+			if err == nil {
+				m.noteResponse()
+				return true
+			}
+			m.noteFailure(err)
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// ping sends the result of a ping to results unless ctx ends first.
+func (m *Mirror) ping(ctx context.Context, results chan<- error) {
+	_, err := m.Source.Ping(ctx)
+	select {
+	case results <- err:
+	case <-ctx.Done():
+	}
+}
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -106,6 +106,7 @@
 	}
 	if err != nil {
 		m.directUntil = time.Now().Add(directReadTime)
+		m.doubtful = true // the leader may have failed because it gets no responses itself
 		m.Log.Info("leader lost, reading the store", zap.Int64("revision", after), zap.Error(err))
 		return false
 	}
