mirror: lists that follow each other are spaced

Cause: only failed calls were followed by a delay, and a successful list reset it. Now a poll that finds its history compacted counts, and only a successful poll resets the delay. That the polls got 410 at all is another fault.

TestListsWithoutHistoryAreSpaced failed before (more than 200 lists; without the stop in the test they never ended).

--- a/mirror/list_test.go
+++ b/mirror/list_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -83,3 +85,37 @@
 	is.Equal(value(follower, "b"), "new")
 	is.Equal(value(follower, "gone"), "none")
 }
+
+// forgetful is a store whose history is always compacted.
+type forgetful struct {
+	*fakeStore
+	lists atomic.Int64
+}
+
+func (s *forgetful) List(ctx context.Context, prefix string) ([]infra.Pair, int64, error) {
+	if s.lists.Add(1) > 200 {
+		<-ctx.Done() // the test has failed
+		return nil, 0, ctx.Err()
+	}
+	return s.fakeStore.List(ctx, prefix)
+}
+
+func (s *forgetful) Poll(context.Context, string, int64, time.Duration) ([]infra.Event, int64, error) {
+	return nil, 0, infra.ErrCompacted
+}
+
+// Guards against lists without a pause between them when the store never has the history
+// after the list's revision.
+func TestListsWithoutHistoryAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &forgetful{fakeStore: newFakeStore()}
+		s.put("a", "1")
+		_, stop := start(s, Options{})
+		defer synctest.Wait()
+		defer stop()
+		time.Sleep(10 * time.Second)
+		is.True(s.lists.Load() < 40)
+		is.True(s.lists.Load() > 5)
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -147,23 +147,27 @@
 		var err error
 		if listed {
 			err = m.poll(ctx)
-		} else if err = m.list(ctx); err == nil {
-			listed = true
+		} else {
+			err = m.list(ctx)
 		}
 		if err == nil {
-			m.doubtful, backoff = false, minBackoff
+			m.doubtful = false
+			if listed {
+				backoff = minBackoff
+			}
+			listed = true
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, infra.ErrCompacted) {
-			m.Log.Info("store history is compacted; listing all keys", zap.String("prefix", m.Prefix), zap.Int64("revision", m.position()))
+			m.Log.Info("store history is compacted; listing all keys", zap.String("prefix", m.Prefix), zap.Int64("revision", m.position()), zap.Error(err))
 			listed = false
-			continue
+		} else {
+			m.noteFailure(err)
+			m.doubtful = true
 		}
-		m.noteFailure(err)
-		m.doubtful = true
 		wait.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
