infra, platform: revisions carry the era of a restored store

Cause: a revision was taken for a clock that never goes back. The copy dropped everything that wasn't above its own revision (log: from=61 revision=47 applied=0). The same class: conditions of writes met a revision that was given out again, a lease id of another process was renewed, the next holder's fence was lower than that of the one before.

The driver combines era and revision into one number, so that revisions never go back for everything that compares them (docs/decisions/restored-store.md). Endpoints and gateways that the restored store lacks have the usual time to register again.

--- a/infra/infra.go
+++ b/infra/infra.go
@@ -72,7 +72,8 @@
 	ErrCompacted   = &Error{Code: Compacted}
 )
 
-// Pair is a key with its value and the store revision of its last change.
+// Pair is a key with its value and the store revision of its last change. Revisions never
+// go back, also when the service is restored from an older copy; see Revision.
 type Pair struct {
 	Key      string
 	Value    []byte
@@ -90,6 +91,10 @@
 
 // KV is the key-value service. Values are at most 1 MB. Every call counts against the
 // service's rate limit; an open watch counts as one call. Errors are of type *Error.
+//
+// The service may be restored from an older copy. Then a call that names a revision of
+// before returns ErrConflict, a watch from such a revision ends, and a lease of before is
+// reported as expired, because the service may have given its id to another process.
 type KV interface {
 	// Get returns the pair of a key, or ErrNotFound if the key does not exist.
 	Get(ctx context.Context, key string) (Pair, error)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -66,8 +66,7 @@
 
 // Held is a lock that this process has acquired.
 type Held struct {
-	// Fence is the fencing token. It is the key's revision, which the service
-	// never assigns twice.
+	// Fence is the fencing token. It is the key's revision, which never goes back.
 	Fence int64
 
 	lock *Lock
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -54,6 +55,27 @@
 	s.history, s.floor = nil, s.rev
 }
 
+// snapshot returns a function that restores the store to its state at this moment, in a
+// new era.
+func (s *fakeStore) snapshot() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	saved := maps.Clone(s.items)
+	number := infra.RevisionNumber(s.rev)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		era := infra.Era(s.rev) + 1
+		s.items = map[string]infra.Pair{}
+		for key, p := range saved {
+			p.Revision = infra.Revision(era, infra.RevisionNumber(p.Revision))
+			s.items[key] = p
+		}
+		s.rev = infra.Revision(era, number)
+		s.history, s.floor = nil, s.rev
+	}
+}
+
 func (s *fakeStore) fail(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/mirror/probe.go
+++ b/mirror/probe.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
@@ -37,6 +38,10 @@
 			return
 		}
 		m.noteResponse()
+		if infra.Era(rev) > infra.Era(m.position()) {
+			cancel(infra.ErrCompacted) // a restored service may give out the polled revision again
+			return
+		}
 		if rev > m.position() && wait.Sleep(ctx, stalePollTimeout) {
 			cancel(errStalePoll)
 			return
--- a/mirror/reply.go
+++ b/mirror/reply.go
@@ -33,6 +33,7 @@
 	m.changeMu.Lock()
 	defer m.changeMu.Unlock()
 	before, applied := m.position(), 0
+	m.noteEra(r)
 	present := make(map[string]bool, len(r.events))
 	for _, ev := range r.events {
 		present[ev.Key] = true
--- /dev/null
+++ b/mirror/restored_test.go
@@ -0,0 +1,105 @@
+package mirror
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+)
+
+// Guards against a copy that drops every change of a restored store until the store's
+// revision has passed that of the copy: a withdrawn key stayed valid for seconds, and the
+// store was listed without end.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	for _, length := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &hangingStore{fakeStore: newFakeStore()}
+			s.put("credential", "valid")
+			s.put("route", "1")
+			restore := s.snapshot()
+			for range 20 {
+				s.put("lost", "1")
+			}
+			m, stop := start(s, Options{PollWait: 4 * time.Second})
+			defer synctest.Wait()
+			defer stop()
+			time.Sleep(time.Second)
+			is.Equal(value(m, "lost"), "1")
+			s.away.Store(true)
+			time.Sleep(length)
+			restore()
+			s.away.Store(false)
+			s.put("credential", "withdrawn")
+			time.Sleep(configApplyTime)
+			is.Equal(value(m, "credential"), "withdrawn")
+			is.Equal(value(m, "route"), "1")
+			is.Equal(value(m, "lost"), "none")
+			s.put("route", "2")
+			time.Sleep(configApplyTime)
+			is.Equal(value(m, "route"), "2")
+		})
+	}
+}
+
+// Guards against endpoints that are dropped at once because the restored store is older
+// than their registration, and against those that stay though they don't register again.
+func TestEndpointsMayRegisterAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("before", "1")
+		restore := s.snapshot()
+		s.put("e/back", "1")
+		s.put("e/dead", "1")
+		m, stop := start(s, Options{DeferRemoval: func(key string) bool { return strings.HasPrefix(key, "e/") }})
+		defer synctest.Wait()
+		defer stop()
+		time.Sleep(3 * time.Second)
+		restore() // no call fails
+		time.Sleep(1900 * time.Millisecond)
+		is.Equal(value(m, "e/back"), "1")
+		s.put("e/back", "2")
+		time.Sleep(rejoinGrace)
+		is.Equal(value(m, "e/back"), "2")
+		is.Equal(value(m, "e/dead"), "none")
+	})
+}
+
+// Guards against a process without access to the store that stays in the state of before
+// a restore, and against one that returns to that state because of a peer which is still
+// in it.
+func TestPeersLearnOfRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("credential", "valid")
+		restore := s.snapshot()
+		for range 20 {
+			s.put("lost", "1")
+		}
+		m, stop := start(s, Options{})
+		defer synctest.Wait()
+		defer stop()
+		time.Sleep(time.Second)
+		refused := &fakeStore{items: s.items, rev: s.rev}
+		cut, stopCut := start(refused, Options{Fallback: mirrorFallback{m}})
+		defer stopCut()
+		time.Sleep(time.Second)
+		refused.fail(errDown)
+		time.Sleep(2 * time.Second)
+		late := peerChanges(cut, 0)
+		restore()
+		s.put("credential", "withdrawn")
+		time.Sleep(2 * time.Second)
+		is.Equal(value(cut, "credential"), "withdrawn")
+		is.Equal(value(cut, "lost"), "none")
+		cut.applyChanges(late)
+		m.applyChanges(late)
+		is.Equal(value(cut, "credential"), "withdrawn")
+		is.Equal(value(m, "lost"), "none")
+	})
+}
