mirror, gatewayd: what only gateways write outlives a restored store

After a restore from a copy that is older than a block, the part of prompts was sent again and crashed engines; gateways whose registration was lost left each other for up to 4 s.

Cause: keys that a complete list lacks were removed, also those that nobody else writes again. Now a block that hasn't ended stays in force and the first gateway of each region writes it again; a gateway registers again at once. A conflict of a block's write ends it only if the copy then shows another gateway's.

Shown: TestOwnKeysOutliveRestore and TestOwnKeysAreWrittenAgainAfterRestore fail when pairs aren't retained.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -71,6 +71,9 @@
 	mirror     *mirror.Mirror
 	store      *platform.Store
 	lockTurn   lockTurn
+	// restored receives a value when the store was restored and this gateway must register
+	// again.
+	restored   chan struct{}
 	quarantine *quarantine.Tracker
 	// blockedKeys maps the store's keys of blocked parts of prompts to the parts.
 	blockedKeys sync.Map
@@ -103,7 +106,7 @@
 	scheduler := selection.NewDirect(log)
 	scheduler.BaseMs = engineBaseMs
 	p := &gatewayProcess{settings: settings, hostSettings: hostSettings, log: log, store: platform.NewStore(hostSettings.StoreAddress, newStoreTransport()),
-		lockTurn: lockTurn{startedAt: time.Now()}}
+		lockTurn: lockTurn{startedAt: time.Now()}, restored: make(chan struct{}, 1)}
 	p.quarantine = quarantine.New(quarantineObserver{p})
 	reg := prometheus.NewRegistry()
 	p.gateway = &gateway.Gateway{
@@ -128,7 +131,8 @@
 		ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
-	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval, OnChange: p.onStoreChange, Log: log})
+	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval,
+		Retain: retainLost, OnRestore: p.onStoreRestored, OnChange: p.onStoreChange, Log: log})
 	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, p.gateway.Directory, log)
 	p.gateway.OnRateLimit = p.peerServer.PublishRateLimit
 	p.gateway.OnLeaving = func(i catalog.Incarnation) { p.peerServer.PublishLeaving([]catalog.Incarnation{i}) }
@@ -226,7 +230,7 @@
 		Lock: &lease.Lock{KV: p.store, Key: rollout.LockKey, Holder: p.hostSettings.Name, TTL: p.settings.LeaseTTL, Clock: bootTime,
 			Free: p.mayAcquireLock, Log: p.log},
 		Client:  &platform.EngineClient{Client: &http.Client{Transport: newTransport(longIdleTimeout)}, Holder: p.hostSettings.Name},
-		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.keyRevision,
+		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.mirror.StoredRevision,
 		OnPlan: p.announcePlan, Strategy: rollout.Strategy(p.settings.RolloutStrategy), ShareDivisor: p.settings.RolloutShare, Log: p.log,
 	}
 }
@@ -248,11 +252,6 @@
 	return turn && !p.gateway.Draining() && p.gateway.Config.Current() != nil
 }
 
-func (p *gatewayProcess) keyRevision(key string) int64 {
-	pair, _ := p.mirror.Get(key)
-	return pair.Revision
-}
-
 // watchSIGHUP reads the settings file again on SIGHUP and logs whether it has
 // changed. The process does not apply a change, because its addresses and limits
 // are fixed at the start; the change takes effect at the next start.
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -88,15 +88,65 @@
 		p.log.Error("cannot encode block", zap.String("part", b.ID), zap.Error(err))
 		return
 	}
-	key := blockKey(b.Part)
+	p.storeBlockValue(ctx, blockKey(b.Part), value)
+}
+
+// storeBlockValue writes the value of a blocked part's key until that succeeds, another
+// gateway has written the key or ctx ends.
+func (p *gatewayProcess) storeBlockValue(ctx context.Context, key string, value []byte) {
 	for ctx.Err() == nil {
-		_, err := p.store.CompareAndSwap(ctx, key, p.keyRevision(key), value, 0)
-		if err == nil || errors.Is(err, infra.ErrConflict) {
-			return // in a conflict, another gateway has decided the same
+		known := p.mirror.StoredRevision(key)
+		_, err := p.store.CompareAndSwap(ctx, key, known, value, 0)
+		if err == nil {
+			return
 		}
-		p.log.Warn("block not stored", zap.String("part", b.ID), zap.Error(err))
+		p.log.Info("block not stored", zap.String("key", key), zap.Error(err))
 		wait.Sleep(ctx, blockRetryDelay)
+		if errors.Is(err, infra.ErrConflict) && p.mirror.StoredRevision(key) > known {
+			return // another gateway has decided the same
+		}
+	}
+}
+
+// retainLost reports whether a pair that a restored store lacks stays in force: a block that
+// hasn't ended. Only gateways write blocks.
+func retainLost(pair infra.Pair) bool {
+	if !strings.HasPrefix(pair.Key, blockPrefix) {
+		return false
+	}
+	var r blockRecord
+	err := json.Unmarshal(pair.Value, &r)
+	return err == nil && time.Now().Before(time.UnixMilli(r.UntilMs))
+}
+
+// onStoreRestored writes again what a restored store has lost of this system's own keys:
+// this gateway's registration, and the blocks, which the first gateway of each region
+// writes. The plan and the lock are written by the next holder of the lock.
+func (p *gatewayProcess) onStoreRestored(lost []infra.Pair) {
+	select {
+	case p.restored <- struct{}{}:
+	default: // not yet taken from the last time
+	}
+	if !p.peers.IsFirst() {
+		return
+	}
+	for _, pair := range lost {
+		p.log.Info("writing again a block that the store lost", zap.String("key", pair.Key))
+		go p.storeLostBlock(pair)
+	}
+}
+
+// storeLostBlock writes a block again that the store has lost. It retries until the block
+// ends.
+func (p *gatewayProcess) storeLostBlock(pair infra.Pair) {
+	var r blockRecord
+	if err := json.Unmarshal(pair.Value, &r); err != nil {
+		p.log.Warn("cannot decode block", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
+		return
 	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.UntilMs))
+	defer cancel()
+	p.storeBlockValue(ctx, pair.Key, pair.Value)
 }
 
 // applyStoredBlock applies a change of a blocked part's key. The removal of a key ends the
@@ -141,7 +191,7 @@
 // removeExpiredBlock removes the key of a block that has ended. The first gateway of each
 // region does so; the conditional write keeps a newer block.
 func (p *gatewayProcess) removeExpiredBlock(pair infra.Pair) {
-	if !p.peers.IsFirst() || p.keyRevision(pair.Key) != pair.Revision {
+	if !p.peers.IsFirst() || p.mirror.StoredRevision(pair.Key) != pair.Revision {
 		return
 	}
 	if err := p.store.Delete(context.Background(), pair.Key, pair.Revision); err != nil {
--- a/internal/gatewayd/register.go
+++ b/internal/gatewayd/register.go
@@ -63,10 +63,17 @@
 	return lease, err
 }
 
-// renew renews a lease until it has expired or ctx ends.
+// renew renews a lease until it has expired, the store was restored or ctx ends.
 func (p *gatewayProcess) renew(ctx context.Context, lease int64) {
 	for ctx.Err() == nil {
-		wait.Sleep(ctx, peerTTL/3)
+		select {
+		case <-time.After(peerTTL / 3):
+		case <-p.restored:
+			p.log.Info("registering again after the store was restored", zap.Int64("lease", lease))
+			return
+		case <-ctx.Done():
+			return
+		}
 		_, err := p.store.KeepAlive(ctx, lease)
 		if errors.Is(err, infra.ErrNotFound) {
 			p.log.Info("registration expired", zap.Int64("lease", lease))
--- /dev/null
+++ b/internal/gatewayd/restored_test.go
@@ -0,0 +1,80 @@
+package gatewayd
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/platform/platformtest"
+	"github.com/citrontiller/citrontiller/quarantine"
+)
+
+// restorableGateway is a gateway that follows and writes to a store double.
+type restorableGateway struct {
+	*gatewayProcess
+	t     *testing.T
+	store *platformtest.Store
+}
+
+func newRestorableGateway(t *testing.T) *restorableGateway {
+	store := platformtest.NewStore()
+	store.Put(platform.ConfigKey, jsonText(announcedConfig))
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	p := newProcess(Settings{PollWait: 4 * time.Second, LeaseTTL: 2 * time.Second}, platform.Settings{Name: "g0", Region: "r",
+		StoreAddress: server.Listener.Addr().String()}, zap.NewNop(), func() int64 { return 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go p.mirror.Run(ctx)
+	return &restorableGateway{gatewayProcess: p, t: t, store: store}
+}
+
+// waitFor waits at most 5 s until a condition holds.
+func (g *restorableGateway) waitFor(what string, holds func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("%s: not within 5 s", what)
+		}
+	}
+}
+
+// stored reports whether the store has a key.
+func (g *restorableGateway) stored(key string) bool {
+	_, err := g.gatewayProcess.store.Get(context.Background(), key)
+	return err == nil
+}
+
+// Guards against requests that crash endpoints again, and against gateways that lose each
+// other, after the store was restored from a copy that is older than a block and the
+// gateways' registrations.
+func TestOwnKeysAreWrittenAgainAfterRestore(t *testing.T) {
+	is := is.New(t)
+	g := newRestorableGateway(t)
+	restore := g.store.Snapshot()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.register(ctx)
+	part := quarantine.Part{Service: "s", ID: "deadly"}
+	g.quarantine.ApplyBlock(quarantine.Block{Part: part, Until: time.Now().Add(time.Minute)})
+	quarantineObserver{g.gatewayProcess}.PartBlocked(quarantine.Block{Part: part, Until: time.Now().Add(time.Minute)})
+	g.waitFor("block and registration", func() bool {
+		return g.mirror.StoredRevision(blockKey(part)) > 0 && g.mirror.StoredRevision(peerPrefix+"g0") > 0
+	})
+	restore()
+	g.waitFor("restored store", func() bool { return !g.mirror.RestoredAt().IsZero() })
+	g.waitFor("block written again", func() bool { return g.stored(blockKey(part)) })
+	g.waitFor("registration written again", func() bool { return g.stored(peerPrefix + "g0") })
+	is.Equal(g.quarantine.Enter([]quarantine.Part{part}, time.Now()).Verdict, quarantine.Blocked)
+	pair, err := g.gatewayProcess.store.Get(ctx, blockKey(part))
+	is.NoErr(err)
+	var r blockRecord
+	is.NoErr(json.Unmarshal(pair.Value, &r))
+	is.Equal(r.Part, "deadly")
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -59,6 +59,12 @@
 	// until rejoinGrace has passed, so that its owner can write it again. Nil means
 	// that no removal is delayed.
 	DeferRemoval func(key string) bool
+	// Retain reports whether a key that a restored service lacks stays in the copy, because
+	// only processes of this system write it. Nil means that no key does.
+	Retain func(p infra.Pair) bool
+	// OnRestore is called after the copy was brought to the state of a restored service,
+	// with the retained pairs that the service lacks. Nil means that nothing is called.
+	OnRestore func(lost []infra.Pair)
 	// Leader gives access to a process whose copy is followed instead of polling the
 	// service; nil means none.
 	Leader Leader
@@ -93,6 +99,8 @@
 	respondedAt time.Time
 	// resumedAt is the time of the first response after the last outage.
 	resumedAt time.Time
+	// restoredAt is when the copy learned that the service had been restored.
+	restoredAt time.Time
 	// lost is true between a failed read of the service and the next response.
 	lost bool
 	// removed maps recently removed keys to the revisions of their removal. It may
@@ -231,13 +239,14 @@
 	return nil
 }
 
-// missing returns the keys of the copy that a complete list at a revision lacks.
+// missing returns the keys of the copy that a complete list at a revision lacks, but for
+// those that are retained.
 func (m *Mirror) missing(present map[string]bool, rev int64) []string {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var out []string
 	for key, p := range m.items {
-		if !present[key] && p.Revision <= rev {
+		if !present[key] && p.Revision <= rev && !m.retained(p, infra.Era(rev)) {
 			out = append(out, key)
 		}
 	}
--- a/mirror/reply.go
+++ b/mirror/reply.go
@@ -33,7 +33,7 @@
 	m.changeMu.Lock()
 	defer m.changeMu.Unlock()
 	before, applied := m.position(), 0
-	m.noteEra(r)
+	restored := m.noteEra(r)
 	present := make(map[string]bool, len(r.events))
 	for _, ev := range r.events {
 		present[ev.Key] = true
@@ -49,6 +49,9 @@
 		}
 	}
 	m.advance(r)
+	if restored && m.OnRestore != nil {
+		m.OnRestore(m.lostPairs())
+	}
 	if len(r.events) > 0 {
 		m.Log.Info("changes of the store", zap.String("source", string(r.source)), zap.Int64("from", before), zap.Int64("revision", r.revision),
 			zap.Int("changes", len(r.events)), zap.Int("applied", applied), zap.Bool("complete", r.complete))
--- a/mirror/restored_test.go
+++ b/mirror/restored_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // Guards against a copy that drops every change of a restored store until the store's
@@ -69,6 +70,43 @@
 	})
 }
 
+// Guards against a state that only this system keeps and that a restored store lacks: it
+// ended everywhere and nobody wrote it again.
+func TestOwnKeysOutliveRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("before", "1")
+		restore := s.snapshot()
+		s.put("block/1", "1")
+		s.put("other", "1")
+		var lost []infra.Pair
+		retain := func(p infra.Pair) bool { return strings.HasPrefix(p.Key, "block/") }
+		m, stop := start(s, Options{Retain: retain, OnRestore: func(pairs []infra.Pair) { lost = pairs }})
+		defer synctest.Wait()
+		defer stop()
+		time.Sleep(time.Second)
+		is.True(m.StoredRevision("block/1") > 0)
+		restore()
+		time.Sleep(configApplyTime)
+		is.Equal(value(m, "block/1"), "1")
+		is.Equal(value(m, "other"), "none")
+		is.Equal(len(lost), 1)
+		is.Equal(lost[0].Key, "block/1")
+		is.Equal(m.StoredRevision("block/1"), int64(0))
+		follower, stopFollower := start(s, Options{Retain: retain, Leader: mirrorLeader{m}})
+		defer stopFollower()
+		follower.applyChanges(peerChanges(m, 0)) // a process that starts now learns it from its peers
+		is.Equal(value(follower, "block/1"), "1")
+		s.put("block/1", "again")
+		time.Sleep(time.Second)
+		is.True(m.StoredRevision("block/1") > 0)
+		s.remove("block/1")
+		time.Sleep(time.Second)
+		is.Equal(value(m, "block/1"), "none")
+	})
+}
+
 // Guards against a process without access to the store that stays in the state of before
 // a restore, and against one that returns to that state because of a peer which is still
 // in it.
