gatewayd: the rollout lock waits for the lease of an earlier holder after a restore

Another gateway acquired it at once, and both could give orders; engines that don't check fencing tokens would carry out both.

Now nobody acquires the lock for the length of a lease after the restore was noticed. TestLockWaitsForLeaseAfterRestore fails without the wait. Its fence is higher than the earlier one, since revisions carry the era.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -244,8 +244,12 @@
 
 // mayAcquireLock reports whether this gateway should try to acquire the rollout
 // lock: the local copy of the store shows it as free, it is this gateway's turn, and
-// the gateway has a configuration and is not draining.
+// the gateway has a configuration and is not draining. A restored store may have lost the
+// lock of a holder that relies on its lease until that ends.
 func (p *gatewayProcess) mayAcquireLock() bool {
+	if time.Since(p.mirror.RestoredAt()) < p.settings.LeaseTTL {
+		return false
+	}
 	_, held := p.mirror.Get(rollout.LockKey)
 	first := !held && p.peers.IsFirst()
 	turn := p.lockTurn.mayTry(held, first, time.Now())
--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -10,9 +10,11 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/platform/platformtest"
 	"github.com/citrontiller/citrontiller/quarantine"
+	"github.com/citrontiller/citrontiller/rollout"
 )
 
 // restorableGateway is a gateway that follows and writes to a store double.
@@ -78,3 +80,26 @@
 	is.NoErr(json.Unmarshal(pair.Value, &r))
 	is.Equal(r.Part, "deadly")
 }
+
+// Guards against two gateways that give engines orders at once: a restored store has lost
+// the lock of a holder whose lease hasn't ended by its own clock.
+func TestLockWaitsForLeaseAfterRestore(t *testing.T) {
+	is := is.New(t)
+	g := newRestorableGateway(t)
+	restore := g.store.Snapshot()
+	g.waitFor("configuration", func() bool { return g.gateway.Config.Current() != nil })
+	g.waitFor("turn", g.mayAcquireLock)
+	held, err := g.coordinator().Lock.Acquire(t.Context())
+	is.NoErr(err)
+	restore()
+	g.waitFor("restored store", func() bool { return !g.mirror.RestoredAt().IsZero() })
+	is.True(!g.stored(rollout.LockKey))
+	is.True(!g.mayAcquireLock())
+	is.True(held.Renew(t.Context()) != nil) // the lease was lost with the lock
+	g.waitFor("lease of the earlier holder", g.mayAcquireLock)
+	is.True(time.Since(g.mirror.RestoredAt()) >= g.settings.LeaseTTL)
+	next, err := g.coordinator().Lock.Acquire(t.Context())
+	is.NoErr(err)
+	is.True(next.Fence > held.Fence) // engines refuse orders with a lower fencing token
+	is.True(infra.Era(next.Fence) > infra.Era(held.Fence))
+}
