gateway: an endpoint that leaves by its list entry isn't taken back by an older one

A store that is restored from an older copy lists endpoints as ready that had said they leave, until they write again or their entries expire. Requests sent there reach a stopping endpoint.

Leaving is now remembered by incarnation for list entries as it is for responses, and told to gateways that start later.

--- a/gateway/announced.go
+++ b/gateway/announced.go
@@ -9,12 +9,13 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // announcement is what an incarnation of an endpoint has announced in its responses.
 type announcement struct {
-	// leaving is true once it has announced that it leaves. It then gets no new requests,
-	// whatever its list entry says.
+	// leaving is true once it has announced that it leaves, in a response or its list entry.
+	// It then gets no new requests, whatever its list entry says later.
 	leaving bool
 	// pausedUntil is the end of the time in which it wants no requests from this process.
 	pausedUntil time.Time
@@ -62,6 +63,17 @@
 	return true
 }
 
+// rememberLeaving records that an incarnation leaves by its list entry. A store that is
+// restored from an older copy lists it as ready again. The caller holds mu.
+func (d *Directory) rememberLeaving(r *endpointRecord) {
+	if r.State != infra.Leaving || r.BootID == "" {
+		return // without a boot id, its next incarnation couldn't be told apart
+	}
+	a := d.announced(r.Incarnation())
+	a.leaving = true
+	d.announcements.Add(r.Incarnation(), a)
+}
+
 // Pause records that an incarnation of an endpoint wants no requests from this process
 // before a time. request is the id of the request that it rejected, for the log.
 func (d *Directory) Pause(i catalog.Incarnation, until time.Time, request string) {
@@ -182,7 +194,7 @@
 	return nil
 }
 
-// LeavingEndpoints returns the listed endpoints that have announced that they leave.
+// LeavingEndpoints returns the listed endpoints that leave, for gateways that start now.
 func (d *Directory) LeavingEndpoints() []catalog.Incarnation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -77,6 +77,7 @@
 		r.load = old.load
 	}
 	d.endpoints[e.ID] = r
+	d.rememberLeaving(r)
 	if old == nil || old.State != e.State || old.BootID != e.BootID || old.weightsVersion != r.weightsVersion {
 		d.log.Info("endpoint", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("state", string(e.State)),
 			zap.String("address", e.Address), zap.String("boot", e.BootID), zap.Int64("weights", r.weightsVersion), zap.Int64("revision", revision))
--- a/internal/gatewayd/announced_test.go
+++ b/internal/gatewayd/announced_test.go
@@ -228,6 +228,29 @@
 	is.Equal(f.endpoints[0].since(start), 0)
 }
 
+// Guards against requests to an endpoint that leaves, or has left, by its list entry: a store
+// that was restored from an older copy lists it as ready; and against keeping out its
+// next incarnation.
+func TestLeavingByListEntryIsNotTakenBack(t *testing.T) {
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 2)
+	f.callUntil(0, 1)
+	f.list(0, "draining", 1)
+	f.list(0, "ready", 1)
+	start := time.Now()
+	for range 30 {
+		f.call()
+	}
+	f.process.onStoreChange(infra.Event{Pair: infra.Pair{Key: "servers/e0", Revision: 90}, Deleted: true})
+	f.list(0, "ready", 1)
+	for range 30 {
+		f.call()
+	}
+	is.Equal(f.endpoints[0].since(start), 0)
+	f.list(0, "ready", 2)
+	f.callUntil(0, 1)
+}
+
 // Guards against a caller that waits, or a request to a leaving endpoint, when the last
 // endpoint of a service leaves.
 func TestLastEndpointThatAnnouncesLeaving(t *testing.T) {
