lease: attempts that the store refuses are spaced

Cause: the short interval is that of checks of the local copy, and it also followed failed calls. Now at least 0.5 s follow these. TestRefusedAttemptsAreSpaced failed before (over 25 reads in 10 s).

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -183,15 +183,22 @@
 			l.Log.Info("lock lost", zap.String("key", l.Key), zap.Int64("fence", h.Fence))
 			continue
 		}
+		delay := l.retryInterval()
 		if !errors.Is(err, ErrHeld) {
 			l.Log.Warn("lock not acquired", zap.String("key", l.Key), zap.Error(err))
+			delay = max(delay, failureDelay)
 		}
-		wait.Sleep(ctx, l.retryInterval())
+		wait.Sleep(ctx, delay)
 	}
 }
 
-// localCheckInterval is the time between two checks of the local copy.
-const localCheckInterval = 100 * time.Millisecond
+const (
+	// localCheckInterval is the time between two checks of the local copy.
+	localCheckInterval = 100 * time.Millisecond
+	// failureDelay is the least time before an attempt that follows a failed call to the
+	// service. Each attempt takes up to three calls.
+	failureDelay = 500 * time.Millisecond
+)
 
 // retryInterval returns the time between two attempts to acquire the lock. It is
 // short with a local copy, whose check needs no call to the service.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,3 +117,34 @@
 		wg.Wait()
 	})
 }
+
+// countingKV counts the reads of a key-value service.
+type countingKV struct {
+	infra.KV
+	reads *atomic.Int64
+}
+
+func (c countingKV) Get(ctx context.Context, key string) (infra.Pair, error) {
+	c.reads.Add(1)
+	return c.KV.Get(ctx, key)
+}
+
+// Guards against a flood of calls to a key-value service that refuses them, from every
+// process whose local copy shows the lock as free.
+func TestRefusedAttemptsAreSpaced(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet.Fleet) {
+		is := is.New(t)
+		l := lock(t, f, "a")
+		var reads atomic.Int64
+		l.KV, l.Free = countingKV{l.KV, &reads}, func() bool { return true }
+		f.KV.SetFaults(kv.Faults{Down: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { l.Run(ctx, func(context.Context, *lease.Held) {}) })
+		time.Sleep(10 * time.Second)
+		is.True(reads.Load() >= 10)
+		is.True(reads.Load() <= 25)
+		cancel()
+		wg.Wait()
+	})
+}
