gateway: requests that are open at the end of a planned stop are answered

Other operators' report: at the end of the grace, requests that had been passed on were cut with no answer, among them requests that may not be repeated. Here requests that come after the first 3 s of the grace are refused at once unless they end in time by their own deadline. But one accepted before the stop or in its first 3 s, with a longer run than the rest of the grace, was cut when the process ended.

Cause: nothing ended open requests; the process did, and its connections with it. Now they are ended 0.7 s before the end of the grace: 504 (which promises nothing) if the endpoint may have run them, 503 if not; a stream that has begun breaks off as before. The outcome is logged as stopped.

TestLongRequestIsAnsweredAtEndOfStop failed before (neither request had an answer when the grace ended).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -284,6 +284,8 @@
 		return x.noEndpoint(err)
 	case x.r.Context().Err() != nil:
 		return &Refusal{Status: http.StatusBadGateway, Outcome: "caller_left", Err: err}
+	case errors.Is(context.Cause(x.ctx), errStopped):
+		return &Refusal{Status: http.StatusGatewayTimeout, Outcome: "stopped", Err: err}
 	case errors.Is(err, context.DeadlineExceeded) || x.ctx.Err() != nil:
 		return &Refusal{Status: http.StatusGatewayTimeout, Outcome: "timeout", Err: err}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,8 @@
 	crashes  crashDetector
 	draining atomic.Bool
 	// closing is when the process ends; nil while no end is set.
-	closing atomic.Pointer[time.Time]
+	closing  atomic.Pointer[time.Time]
+	stopping stopping
 	// open counts the requests in progress.
 	open atomic.Int64
 }
@@ -142,8 +143,8 @@
 		// can't know whether it ran.
 		ctx = context.WithoutCancel(ctx)
 	}
-	var cancel context.CancelFunc
-	x.ctx, cancel = context.WithDeadline(ctx, x.deadline)
+	var cancel func()
+	x.ctx, cancel = g.stopping.withEnd(ctx, x.deadline)
 	defer cancel()
 	x.forward()
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -121,6 +121,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.outcome = "caller_left"
+	case errors.Is(context.Cause(x.ctx), errStopped):
+		x.outcome = "stopped"
 	case errors.Is(err, context.DeadlineExceeded), x.ctx.Err() != nil:
 		x.outcome = "timeout"
 	default:
--- /dev/null
+++ b/gateway/stopping.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// errStopped is the cause of the end of requests that are open when the process ends.
+var errStopped = errors.New("gateway stops")
+
+// stopping ends the open requests when the process is about to end, so that their callers
+// get an answer rather than a closed connection. The zero value is ready for use.
+type stopping struct {
+	once   sync.Once
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// context returns a context that ends when the open requests must end.
+func (s *stopping) context() context.Context {
+	s.once.Do(func() { s.ctx, s.cancel = context.WithCancel(context.Background()) })
+	return s.ctx
+}
+
+// end ends the open requests.
+func (s *stopping) end() {
+	s.context()
+	s.cancel()
+}
+
+// withEnd returns a context that ends at a deadline and, with the cause errStopped, when
+// the open requests must end. The caller must call cancel.
+func (s *stopping) withEnd(ctx context.Context, deadline time.Time) (out context.Context, cancel func()) {
+	ctx, stop := context.WithCancelCause(ctx)
+	detach := context.AfterFunc(s.context(), func() { stop(errStopped) })
+	out, cancelDeadline := context.WithDeadline(ctx, deadline)
+	return out, func() {
+		detach()
+		cancelDeadline()
+		stop(nil)
+	}
+}
+
+// EndRequests ends the open requests. Callers to whom nothing was sent yet get an answer:
+// 503 if their request has not run, else 504. Connections of partial responses break.
+func (g *Gateway) EndRequests() { g.stopping.end() }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -38,8 +38,10 @@
 	// memoryLimitShare is the share of the process's memory limit that is set as
 	// the Go runtime's soft limit.
 	memoryLimitShare = 0.7
-	// shutdownMargin is how long before SIGKILL the last requests are aborted.
+	// shutdownMargin is how long before SIGKILL the last requests are ended.
 	shutdownMargin = 700 * time.Millisecond
+	// finalAnswerTime is the time in which ended requests are answered.
+	finalAnswerTime = 300 * time.Millisecond
 	// engineBaseMs is the time to first token of an idle engine in milliseconds, as
 	// observed by a gateway without agents.
 	engineBaseMs = 30
@@ -214,15 +216,23 @@
 	p.log.Info("draining", zap.Duration("delay", p.settings.DrainDelay), zap.Int64("open", p.gateway.Open()))
 	time.Sleep(p.settings.DrainDelay)
 	p.gateway.SetClosing(end)
-	for p.gateway.Open() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
-	}
+	p.waitForRequests(end)
+	p.gateway.EndRequests()
+	end = end.Add(finalAnswerTime)
+	p.waitForRequests(end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := p.server.Shutdown(ctx)
 	p.log.Info("stop", zap.Duration("drained_in", time.Since(started)), zap.Int64("open", p.gateway.Open()), zap.Error(err))
 }
 
+// waitForRequests waits until no request is open, but not beyond a time.
+func (p *gatewayProcess) waitForRequests(until time.Time) {
+	for p.gateway.Open() > 0 && time.Now().Before(until) {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // coordinator returns the rollout coordinator, which sends orders to engines.
 func (p *gatewayProcess) coordinator() *rollout.Coordinator {
 	return &rollout.Coordinator{
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -32,6 +32,7 @@
 	stopStartTime  = 20 * time.Second
 	stopConfig     = `{"version":1,"routes":[
  {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":2},
+ {"name":"long","host":"h","prefix":"/book/long/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":3}],
  "services":[{"name":"s"}],"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":["key"]}]}`
 )
@@ -192,3 +193,50 @@
 	is.True(counts.answered.Load() > served) // also while it drains
 	is.True(time.Since(start)-stalls.total() < stopGrace)
 }
+
+// Guards against requests that are cut off without an answer at the end of a planned stop,
+// among them some that must not be repeated: they were accepted before or during the stop
+// and their endpoint is still at work.
+func TestLongRequestIsAnsweredAtEndOfStop(t *testing.T) {
+	is := is.New(t)
+	addr, runs, stop, wait := startGateway(t)
+	ctx, cancel := context.WithTimeout(t.Context(), stopGrace) // then the process is killed
+	defer cancel()
+	call := func(id string) (int, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/book/long/1", strings.NewReader("body"))
+		if err != nil {
+			return 0, err
+		}
+		req.Host = "h"
+		for name, value := range map[string]string{"Request-Id": id, "Credential": "key", "Deadline-Ms": "20000"} {
+			req.Header.Set("Citrontiller-"+name, value)
+		}
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			return 0, err
+		}
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		return resp.StatusCode, err
+	}
+	results := make(chan int, 2)
+	send := func(id string) {
+		status, err := call(id)
+		if err != nil {
+			t.Errorf("request %s has no complete answer: %v", id, err)
+		}
+		results <- status
+	}
+	go send("before")
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	go send("during")
+	time.Sleep(stopDrainDelay + 200*time.Millisecond)
+	status, err := call("late") // can't end in time: refused at once
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(runs.Count("late"), 0)
+	is.Equal([]int{<-results, <-results}, []int{http.StatusGatewayTimeout, http.StatusGatewayTimeout})
+	is.Equal([]int{runs.Count("before"), runs.Count("during")}, []int{1, 1})
+	wait()
+}
