soak: stores that hang, and stores that return in an older state

The store hangs (calls get no response, those that wait included, also afterwards), or returns in an earlier state, which the operator and the endpoints then write again. At the end every gateway must accept the newest credential and no earlier one.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -187,8 +187,14 @@
 // restart lists a new incarnation of an endpoint, which announces nothing.
 func (s *system) restart(e *endpoint) {
 	e.Announce(platformtest.Announcement{})
+	e.boot.Add(1)
+	s.list(e)
+}
+
+// list stores the list entry of an endpoint.
+func (s *system) list(e *endpoint) {
 	s.store.Put("servers/"+e.ID, map[string]any{"service": "s", "address": e.proxy.Addr().String(), "zone": "z", "slots": 8,
-		"state": "ready", "born": e.boot.Add(1)})
+		"state": "ready", "born": e.boot.Load()})
 }
 
 // system is the gateways under test with the stand-ins and proxies around them.
@@ -200,8 +206,10 @@
 	endpoints    []*endpoint
 	processes    []*process
 	runs         *platformtest.Runs
-	failures     atomic.Int64
-	served       atomic.Int64
+	// version is that of the newest configuration.
+	version  atomic.Int64
+	failures atomic.Int64
+	served   atomic.Int64
 	// lastServed is the time of the last complete response in Unix nanoseconds.
 	lastServed atomic.Int64
 }
@@ -211,12 +219,54 @@
 	s.t.Errorf(format, args...)
 }
 
-// configText is the gateways' configuration, a format with its version.
+// configText is the gateways' configuration, a format with its version and with the version
+// in one of its credentials.
 const configText = `{"version":%d,"routes":[
  {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":3},
  {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,"service":"s","max_attempts":2,"resumable":true}],
- "services":[{"name":"s"}],"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":["key"]}]}`
+ "services":[{"name":"s"}],"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":["key","key-%d"]}]}`
+
+// putConfig stores a configuration, as the operator does.
+func (s *system) putConfig(version int64) {
+	s.version.Store(version)
+	s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, version, version)))
+}
+
+// rewrite stores what the operator and the endpoints had written, as they do after the
+// store was restored from an older copy.
+func (s *system) rewrite() {
+	s.putConfig(s.version.Load())
+	for _, e := range s.endpoints {
+		s.list(e)
+	}
+}
+
+// checkCredentials checks that the newest configuration is in force at every gateway: it
+// accepts that configuration's credential and none of an earlier one.
+func (s *system) checkCredentials() {
+	newest := s.version.Load()
+	for _, p := range s.processes {
+		for _, version := range []int64{newest, newest - 1} {
+			req, err := http.NewRequest(http.MethodGet, "http://"+p.listenAddr+"/read/x", nil)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			req.Host = "h"
+			req.Header.Set("Citrontiller-Request-Id", fmt.Sprint("check-", p.name, version))
+			req.Header.Set("Citrontiller-Credential", fmt.Sprint("key-", version))
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err != nil {
+				s.fail("gateway %s doesn't answer after the faults: %v", p.name, err)
+				continue
+			}
+			_ = resp.Body.Close()
+			if refused := resp.StatusCode == http.StatusUnauthorized; refused != (version != newest) {
+				s.fail("gateway %s answers %d to the credential of version %d, the newest is %d", p.name, resp.StatusCode, version, newest)
+			}
+		}
+	}
+}
 
 // rawJSON is JSON text that is marshalled unchanged.
 type rawJSON string
@@ -227,7 +277,7 @@
 	s := &system{t: t, rng: rand.New(rand.NewPCG(uint64(seed), 1)), store: platformtest.NewStore(), runs: &platformtest.Runs{}}
 	store := httptest.NewServer(s.store)
 	t.Cleanup(store.Close)
-	s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, 1)))
+	s.putConfig(1)
 	for i := range endpoints {
 		e := &endpoint{Endpoint: &platformtest.Endpoint{ID: fmt.Sprintf("i-%d", i), Runs: s.runs, RefuseProbability: 0.05, BreakProbability: 0.03}}
 		srv := httptest.NewServer(e)
@@ -326,14 +376,14 @@
 
 // injectFault injects a random fault, which it removes after a random time, and
 // returns a description.
-func (s *system) injectFault(version int) string {
+func (s *system) injectFault(version int64) string {
 	p := s.processes[s.rng.IntN(len(s.processes))]
 	storeProxy := s.storeProxies[s.rng.IntN(len(s.storeProxies))]
 	e := s.endpoints[s.rng.IntN(len(s.endpoints))]
 	endpointProxy := e.proxy
 	length := time.Duration(200+s.rng.IntN(1500)) * time.Millisecond
 	later := func(f func()) { time.AfterFunc(length, f) }
-	switch s.rng.IntN(12) {
+	switch s.rng.IntN(14) {
 	case 0:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.name
@@ -376,8 +426,19 @@
 		e.Announce(platformtest.Announcement{Pause: length})
 		later(func() { e.Announce(platformtest.Announcement{}) })
 		return e.ID + " asks for pauses"
+	case 11:
+		s.store.SetHanging(true)
+		later(func() { s.store.SetHanging(false) })
+		return "store hangs"
+	case 12:
+		restore := s.store.Snapshot()
+		later(func() {
+			restore()
+			time.AfterFunc(length/4, s.rewrite)
+		})
+		return "store returns to the state of now"
 	default:
-		s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, version)))
+		s.putConfig(version)
 		p.signal(syscall.SIGHUP)
 		return "new configuration, SIGHUP " + p.name
 	}
@@ -404,10 +465,11 @@
 	time.Sleep(time.Second)
 	for end := time.Now().Add(*duration); time.Now().Before(end); {
 		// The number of requests grows, so it serves as the configuration version.
-		t.Log(time.Now().Format("05.000"), s.injectFault(int(next.Load())+2))
+		t.Log(time.Now().Format("05.000"), s.injectFault(next.Load()+2))
 		time.Sleep(time.Duration(100+s.rng.IntN(500)) * time.Millisecond)
 	}
 	time.Sleep(settleTime)
+	s.checkCredentials()
 	before, arrivals := s.served.Load(), s.arrivals()
 	time.Sleep(time.Second)
 	after := s.served.Load()
@@ -452,9 +514,10 @@
 
 // Guards against a non-idempotent request that runs twice, a false "not run", a
 // wrong or mixed-up response, and gateways that stay unavailable, all under
-// overlapping faults: kills, pauses, stalled and reset connections, store outages,
-// configuration changes, and endpoints that announce that they leave, take few requests or
-// want none; and against endpoints that are left out afterwards.
+// overlapping faults: kills, pauses, stalled and reset connections, store outages, stores
+// that hang or return in an older state, configuration changes, and endpoints that announce that they leave, take few requests or
+// want none; and against endpoints that are left out afterwards, and gateways in which an
+// older configuration is in force.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "citrontiller")
 	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/citrontiller").CombinedOutput(); err != nil {
