soak: a restored store returns to the state of the last such fault

Returning to the state of a second ago lost few revisions. Now each restore goes back to the one before, the first to the start.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -206,6 +206,9 @@
 	endpoints    []*endpoint
 	processes    []*process
 	runs         *platformtest.Runs
+	// restore returns the store to an earlier state. Only the goroutine that injects faults
+	// uses it.
+	restore func()
 	// version is that of the newest configuration.
 	version  atomic.Int64
 	failures atomic.Int64
@@ -299,6 +302,7 @@
 			t.Fatal(err)
 		}
 		s.processes = append(s.processes, p)
+		s.restore = s.store.Snapshot()
 		p.start(t)
 		t.Cleanup(p.stop)
 	}
@@ -431,12 +435,11 @@
 		later(func() { s.store.SetHanging(false) })
 		return "store hangs"
 	case 12:
-		restore := s.store.Snapshot()
-		later(func() {
-			restore()
-			time.AfterFunc(length/4, s.rewrite)
-		})
-		return "store returns to the state of now"
+		restore := s.restore
+		s.restore = s.store.Snapshot()
+		restore()
+		time.AfterFunc(length/4, s.rewrite)
+		return "store returns to the state of the last such fault, or of the start"
 	default:
 		s.putConfig(version)
 		p.signal(syscall.SIGHUP)
