gatewayd: requests that arrive while the listener closes are served

Now the server is shut down first and waits for its requests as before; only those that outlast it are ended.

--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,7 +10,8 @@
 
 // drain fails the readiness check and keeps serving for the drain delay, so that
 // the load balancer can detect it. Then it accepts only requests that end in time,
-// until none is open or shutdownMargin before SIGKILL is reached.
+// until none is open or shutdownMargin before SIGKILL is reached. Requests that are still
+// open then are ended.
 func (p *gatewayProcess) drain() {
 	started := time.Now()
 	end := started.Add(p.hostSettings.Grace - shutdownMargin)
@@ -17,19 +19,20 @@
 	p.log.Info("draining", zap.Duration("delay", p.settings.DrainDelay), zap.Int64("open", p.gateway.Open()))
 	time.Sleep(p.settings.DrainDelay)
 	p.gateway.SetClosing(end)
-	p.waitForRequests(end)
-	p.gateway.EndRequests()
-	end = end.Add(finalAnswerTime)
-	p.waitForRequests(end)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	err := p.server.Shutdown(ctx)
+	for p.gateway.Open() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPollInterval)
+	}
+	err := p.shutDownServer(end)
+	if errors.Is(err, context.DeadlineExceeded) {
+		p.gateway.EndRequests()
+		err = p.shutDownServer(end.Add(finalAnswerTime))
+	}
 	p.log.Info("stop", zap.Duration("drained_in", time.Since(started)), zap.Int64("open", p.gateway.Open()), zap.Error(err))
 }
 
-// waitForRequests waits until no request is open, but not beyond a time.
-func (p *gatewayProcess) waitForRequests(until time.Time) {
-	for p.gateway.Open() > 0 && time.Now().Before(until) {
-		time.Sleep(drainPollInterval)
-	}
+// shutDownServer stops to accept requests and waits for the open ones until a time.
+func (p *gatewayProcess) shutDownServer(until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return p.server.Shutdown(ctx)
 }
