peer: era and number of a revision are sent apart

Combined revisions in the messages between gateways would have stranded those of an earlier release during an update of the fleet: their copies would have gone to a revision that the store doesn't have and listed it without end. Found by reading before any landing. Now the old fields hold the store's own numbers and new ones the era; a request without an era means the present one.

--- a/peer/changes.go
+++ b/peer/changes.go
@@ -63,7 +63,7 @@
 			err = fmt.Errorf("%w: %w", ErrNoPeer, cerr)
 			continue
 		}
-		return changes(reply), reply.Revision, reply.Complete, nil
+		return changes(reply), infra.Revision(reply.Era, reply.Revision), reply.Complete, nil
 	}
 	return nil, 0, false, err
 }
@@ -72,14 +72,14 @@
 func requestChanges(ctx context.Context, c pb.PeerClient, after int64, wait time.Duration) (*pb.ChangesReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return c.Changes(ctx, &pb.ChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+	return c.Changes(ctx, &pb.ChangesRequest{After: infra.RevisionNumber(after), Era: infra.Era(after), WaitMs: wait.Milliseconds()})
 }
 
 // changes converts the changes of a reply to events.
 func changes(reply *pb.ChangesReply) []infra.Event {
 	events := make([]infra.Event, 0, len(reply.Changes))
 	for _, ch := range reply.Changes {
-		events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: ch.Revision}, Deleted: ch.Deleted,
+		events = append(events, infra.Event{Pair: infra.Pair{Key: ch.Key, Value: ch.Value, Revision: infra.Revision(ch.Era, ch.Revision)}, Deleted: ch.Deleted,
 			RemoveIn: time.Duration(ch.RemoveInMs) * time.Millisecond})
 	}
 	return events
--- a/peer/client.go
+++ b/peer/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -206,7 +207,7 @@
 			return err
 		}
 		s.setHeard(l, kind == streamEvents)
-		l.revision.Store(max(b.Revision, l.revision.Load()))
+		l.revision.Store(max(infra.Revision(b.Era, b.Revision), l.revision.Load()))
 		s.handleBatch(l, b, time.Now())
 	}
 }
@@ -232,7 +233,7 @@
 		s.receiver.PlanReceived(decodePlan(b.Plan), sameRegion)
 	}
 	if b.Revision > 0 {
-		s.receiver.RevisionReceived(b.Revision)
+		s.receiver.RevisionReceived(infra.Revision(b.Era, b.Revision))
 	}
 	if d := (Digest{decodeSummaries(b.Summaries), decodeHoldings(b.Holdings)}); !d.Empty() {
 		s.receiver.DigestReceived(d, sameRegion)
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/route"
@@ -105,7 +106,7 @@
 		return
 	}
 	b := o.pending
-	b.Revision = revision
+	b.Era, b.Revision = infra.Era(revision), infra.RevisionNumber(revision)
 	o.pending, o.sentRevision = &pb.Batch{}, revision
 	o.deliver(b)
 }
--- a/peer/readers.go
+++ b/peer/readers.go
@@ -51,7 +51,7 @@
 	if reply.Lost {
 		return nil, 0, false, errReaderLost
 	}
-	return changes(reply), reply.Revision, reply.Complete, nil
+	return changes(reply), infra.Revision(reply.Era, reply.Revision), reply.Complete, nil
 }
 
 // reader returns the reader that this process follows, or nil when it is a reader
--- a/peer/server.go
+++ b/peer/server.go
@@ -168,7 +168,8 @@
 // initialBatch returns the first batch for a follower: the copy's revision, the known
 // versions and what endpoints have announced.
 func (s *Server) initialBatch() *pb.Batch {
-	b := &pb.Batch{Revision: s.replica.Revision(), Leaving: encodeIncarnations(s.announcements.LeavingEndpoints()),
+	revision := s.replica.Revision()
+	b := &pb.Batch{Era: infra.Era(revision), Revision: infra.RevisionNumber(revision), Leaving: encodeIncarnations(s.announcements.LeavingEndpoints()),
 		RateLimits: encodeRateLimits(s.announcements.RateLimits(), time.Now())}
 	s.targets.Each(func(want catalog.Target, named time.Time) {
 		b.Targets = append(b.Targets, &pb.Target{Model: want.Model, Version: want.Version, NamedMs: named.UnixMilli()})
@@ -180,10 +181,20 @@
 // change.
 func (s *Server) Changes(ctx context.Context, r *pb.ChangesRequest) (*pb.ChangesReply, error) {
 	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxChangesWait)
-	events, revision, complete := s.replica.Since(ctx, r.After, wait)
-	reply := &pb.ChangesReply{Revision: revision, Complete: complete, Lost: s.replica.Lost()}
+	events, revision, complete := s.replica.Since(ctx, s.requestedRevision(r), wait)
+	reply := &pb.ChangesReply{Era: infra.Era(revision), Revision: infra.RevisionNumber(revision), Complete: complete, Lost: s.replica.Lost()}
 	for _, ev := range events {
-		reply.Changes = append(reply.Changes, &pb.Change{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Deleted: ev.Deleted, RemoveInMs: ev.RemoveIn.Milliseconds()})
+		reply.Changes = append(reply.Changes, &pb.Change{Key: ev.Key, Value: ev.Value, Era: infra.Era(ev.Revision), Revision: infra.RevisionNumber(ev.Revision), Deleted: ev.Deleted, RemoveInMs: ev.RemoveIn.Milliseconds()})
 	}
 	return reply, nil
 }
+
+// requestedRevision returns the revision after which a peer asks for changes. A peer of a
+// release that doesn't know eras means the present one.
+func (s *Server) requestedRevision(r *pb.ChangesRequest) int64 {
+	era := r.Era
+	if era == 0 {
+		era = infra.Era(s.replica.Revision())
+	}
+	return infra.Revision(era, r.After)
+}
