gatewayd, gateway, infra: one decoder and one writer of blocks, one place that records leaving

Blocks were decoded in three places and written by two functions that differed only in what they started from. MarkLeaving and rememberLeaving set the same mark each on its own. The contract of infra.KV claimed for all drivers what only the platform's does: the one for etcd knows of no restores.

--- a/gateway/announced.go
+++ b/gateway/announced.go
@@ -49,12 +49,9 @@
 func (d *Directory) MarkLeaving(i catalog.Incarnation, source string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a := d.announced(i)
-	if a.leaving {
+	if !d.setLeaving(i) {
 		return false
 	}
-	a.leaving = true
-	d.announcements.Add(i, a)
 	d.log.Info("endpoint announces leaving", zap.String("endpoint", i.ID), zap.String("boot", i.BootID), zap.String("address", i.Address),
 		zap.String("source", source))
 	if r := d.listed(i); r != nil {
@@ -69,9 +66,19 @@
 	if r.State != infra.Leaving || r.BootID == "" {
 		return // without a boot id, its next incarnation couldn't be told apart
 	}
-	a := d.announced(r.Incarnation())
+	d.setLeaving(r.Incarnation())
+}
+
+// setLeaving records that an incarnation leaves. It returns false if that was known. The
+// caller holds mu.
+func (d *Directory) setLeaving(i catalog.Incarnation) bool {
+	a := d.announced(i)
+	if a.leaving {
+		return false
+	}
 	a.leaving = true
-	d.announcements.Add(r.Incarnation(), a)
+	d.announcements.Add(i, a)
+	return true
 }
 
 // Pause records that an incarnation of an endpoint wants no requests from this process
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -73,7 +73,8 @@
 )
 
 // Pair is a key with its value and the store revision of its last change. Revisions never
-// go back, also when the service is restored from an older copy; see Revision.
+// go back, also when a service that counts its restores is restored from an older copy;
+// see Revision.
 type Pair struct {
 	Key      string
 	Value    []byte
@@ -92,9 +93,10 @@
 // KV is the key-value service. Values are at most 1 MB. Every call counts against the
 // service's rate limit; an open watch counts as one call. Errors are of type *Error.
 //
-// The service may be restored from an older copy. Then a call that names a revision of
-// before returns ErrConflict, a watch from such a revision ends, and a lease of before is
-// reported as expired, because the service may have given its id to another process.
+// The service may be restored from an older copy. The driver of a service that counts its
+// restores then returns ErrConflict for a call that names a revision of before, ends a
+// watch from such a revision, and reports a lease of before as expired, because the service
+// may have given its id to another process. The driver for etcd knows of no restores.
 type KV interface {
 	// Get returns the pair of a key, or ErrNotFound if the key does not exist.
 	Get(ctx context.Context, key string) (Pair, error)
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -79,8 +79,9 @@
 }
 
 // storeBlock writes a block to the store, so that it outlives this process and reaches
-// gateways that start later. It retries until the block ends.
-func (p quarantineObserver) storeBlock(b quarantine.Block) {
+// gateways that start later. It retries until the block ends or another gateway has written
+// it.
+func (p *gatewayProcess) storeBlock(b quarantine.Block) {
 	ctx, cancel := context.WithDeadline(context.Background(), b.Until)
 	defer cancel()
 	value, err := json.Marshal(blockRecord{Service: b.Service, Part: b.ID, UntilMs: b.Until.UnixMilli(), Crashes: b.Crashes})
@@ -88,12 +89,7 @@
 		p.log.Error("cannot encode block", zap.String("part", b.ID), zap.Error(err))
 		return
 	}
-	p.storeBlockValue(ctx, blockKey(b.Part), value)
-}
-
-// storeBlockValue writes the value of a blocked part's key until that succeeds, another
-// gateway has written the key or ctx ends.
-func (p *gatewayProcess) storeBlockValue(ctx context.Context, key string, value []byte) {
+	key := blockKey(b.Part)
 	for ctx.Err() == nil {
 		known := p.mirror.StoredRevision(key)
 		_, err := p.store.CompareAndSwap(ctx, key, known, value, 0)
@@ -108,15 +104,23 @@
 	}
 }
 
+// decodeBlock decodes the value of a blocked part's key.
+func decodeBlock(value []byte) (quarantine.Block, error) {
+	var r blockRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return quarantine.Block{}, fmt.Errorf("decode block: %w", err)
+	}
+	return quarantine.Block{Part: quarantine.Part{Service: r.Service, ID: r.Part}, Crashes: r.Crashes, Until: time.UnixMilli(r.UntilMs)}, nil
+}
+
 // retainLost reports whether a pair that a restored store lacks stays in force: a block that
 // hasn't ended. Only gateways write blocks.
 func retainLost(pair infra.Pair) bool {
 	if !strings.HasPrefix(pair.Key, blockPrefix) {
 		return false
 	}
-	var r blockRecord
-	err := json.Unmarshal(pair.Value, &r)
-	return err == nil && time.Now().Before(time.UnixMilli(r.UntilMs))
+	b, err := decodeBlock(pair.Value)
+	return err == nil && time.Now().Before(b.Until)
 }
 
 // onStoreRestored writes again what a restored store has lost of this system's own keys:
@@ -131,24 +135,16 @@
 		return
 	}
 	for _, pair := range lost {
+		b, err := decodeBlock(pair.Value)
+		if err != nil {
+			p.log.Warn("cannot decode block", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
+			continue
+		}
 		p.log.Info("writing again a block that the store lost", zap.String("key", pair.Key))
-		go p.storeLostBlock(pair)
+		go p.storeBlock(b)
 	}
 }
 
-// storeLostBlock writes a block again that the store has lost. It retries until the block
-// ends.
-func (p *gatewayProcess) storeLostBlock(pair infra.Pair) {
-	var r blockRecord
-	if err := json.Unmarshal(pair.Value, &r); err != nil {
-		p.log.Warn("cannot decode block", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
-		return
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(r.UntilMs))
-	defer cancel()
-	p.storeBlockValue(ctx, pair.Key, pair.Value)
-}
-
 // applyStoredBlock applies a change of a blocked part's key. The removal of a key ends the
 // block of the part that it held.
 func (p *gatewayProcess) applyStoredBlock(ev infra.Event) {
@@ -156,12 +152,11 @@
 		p.unblock(ev.Key)
 		return
 	}
-	var r blockRecord
-	if err := json.Unmarshal(ev.Value, &r); err != nil {
+	b, err := decodeBlock(ev.Value)
+	if err != nil {
 		p.log.Warn("cannot decode block", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision), zap.Error(err))
 		return
 	}
-	b := quarantine.Block{Part: quarantine.Part{Service: r.Service, ID: r.Part}, Crashes: r.Crashes, Until: time.UnixMilli(r.UntilMs)}
 	p.blockedKeys.Store(ev.Key, b.Part)
 	p.applyBlock(b)
 	time.AfterFunc(time.Until(b.Until), func() { p.removeExpiredBlock(ev.Pair) })
