review: case 2, a resumed stream leaves the engine before at work

The engine in trouble sends bytes without end after two events; the gateway closes that connection only when the whole request has ended.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 
 var cases = map[string]play{
 	"repeated-booking": repeatedBooking,
+	"endless-stream":   endlessStream,
 }
 
 func main() {
