--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 type play func(s *system) (broken string, err error)
 
 var cases = map[string]play{
+	"deadly-prompt":    deadlyPrompt,
 	"repeated-booking": repeatedBooking,
 	"endless-stream":   endlessStream,
 }
