--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,9 +33,10 @@
 type play func(s *system) (broken string, err error)
 
 var cases = map[string]play{
-	"deadly-prompt":    deadlyPrompt,
-	"repeated-booking": repeatedBooking,
-	"endless-stream":   endlessStream,
+	"deadly-prompt":      deadlyPrompt,
+	"repeated-booking":   repeatedBooking,
+	"unanswered-request": unansweredRequest,
+	"endless-stream":     endlessStream,
 }
 
 func main() {
