--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 
 var cases = map[string]play{
 	"deadly-prompt":      deadlyPrompt,
+	"stalled-rollout":    stalledRollout,
 	"repeated-booking":   repeatedBooking,
 	"unanswered-request": unansweredRequest,
 	"endless-stream":     endlessStream,
