httpclient: only final responses are returned; a 101 that nobody asked for ends the call

Cause: for a 101 with an Upgrade header net/http hands out the connection itself as the body, and its transport no longer watches the request's context. Nothing ended the read. Class: a wait on an endpoint that nothing ends. A status outside 100 to 599 held requests until their timeout, or could not be written.

Ruled out: a deadline that isn't applied to other bodies (TestBodyEndsWithContext passes on the old code), a fault of bookings alone (all four kinds hung).

The check is in the transport that all calls to endpoints, the store and the platform's services share, so that a new caller can't forget it. Such a response is a failed attempt of unknown outcome and its connection is closed.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -132,6 +132,33 @@
 	}
 }
 
+// Guards against a response that answers no request, such as a 101 that nobody asked for:
+// its reader would wait past the deadline for the rest of the connection, or the caller
+// would take what follows for another protocol.
+func TestStatusThatAnswersNoRequest(t *testing.T) {
+	for _, status := range []string{"101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x", "101 Switching Protocols", "099 None", "600 None", "999 None"} {
+		for path, repeatable := range map[string]bool{"/book/1": false, "/read/1": true, "/draft/1": false, "/tag/1": true} {
+			t.Run(status[:3]+path, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t)
+				f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\nStamp: s\r\n\r\n", status, readRequest(r))
+					_, _ = io.Copy(io.Discard, r) // until the caller closes
+				})
+				start := time.Now()
+				code, _ := f.callID(t, path, "x")
+				is.Equal(code, http.StatusBadGateway)             // it may have run
+				is.True(time.Since(start) < 900*time.Millisecond) // before the route's timeout
+				if repeatable {
+					f.add(t, "e1", []responder{ok("own\n\n")})
+					code, _ = f.callID(t, path, "x")
+					is.Equal(code, http.StatusOK)
+				}
+			})
+		}
+	}
+}
+
 // endlessEvent sends the beginning of an event and then bytes without end, until the
 // caller closes.
 func endlessEvent(w http.ResponseWriter, r *http.Request) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 	"github.com/citrontiller/citrontiller/internal/selection"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -106,7 +107,7 @@
 	t.Helper()
 	log := zap.NewNop()
 	members, tracker := member.NewTracker(), route.NewTracker()
-	transport := &http.Transport{DisableCompression: true}
+	transport := &httpclient.Transport{Transport: &http.Transport{DisableCompression: true}}
 	t.Cleanup(transport.CloseIdleConnections)
 	f := &fleet{gateway: &Gateway{Config: &catalog.ActiveConfig{}, Members: members, Tracker: tracker, Directory: NewDirectory(members, tracker, log),
 		Scheduler: selection.New(log), Targets: &rollout.Targets{}, Codec: testCodec{}, ShortIdle: transport, LongIdle: transport,
--- a/internal/gatewayd/connections.go
+++ b/internal/gatewayd/connections.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 )
 
 const (
@@ -41,24 +43,24 @@
 
 // newTransport returns a transport for endpoints that closes connections whose
 // peer stops responding. idle is how long unused connections are kept.
-func newTransport(idle time.Duration) *http.Transport {
+func newTransport(idle time.Duration) *httpclient.Transport {
 	return newKeepAliveTransport(idle, keepAliveInterval, keepAliveCount)
 }
 
 // newStoreTransport returns a transport for the store. A long poll sends nothing
 // while it waits, so only keep-alive probes distinguish an unreachable store from
 // one without changes.
-func newStoreTransport() *http.Transport {
+func newStoreTransport() *httpclient.Transport {
 	return newKeepAliveTransport(storeIdleTimeout, storeProbeInterval, storeProbeCount)
 }
 
 // newKeepAliveTransport returns a transport that closes a connection after the
 // given number of unanswered keep-alive probes.
-func newKeepAliveTransport(idle, interval time.Duration, probes int) *http.Transport {
+func newKeepAliveTransport(idle, interval time.Duration, probes int) *httpclient.Transport {
 	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: interval, Count: probes}}
-	return &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: idle,
-		MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	return &httpclient.Transport{Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: idle,
+		MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0, MaxResponseHeaderBytes: maxResponseHeaderBytes}}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT of a connection to unackedTimeout.
--- a/operator/entries.go
+++ b/operator/entries.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 )
 
 // EntryFlags are the flags of the commands that query the operator APIs of entries.
@@ -49,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Timeout: entryTimeout}
+	client := &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{}}, Timeout: entryTimeout}
 	out := make([]entryResponse[T], len(addresses))
 	var g errgroup.Group
 	for i, base := range addresses {
--- a/plugins/etcd/etcd.go
+++ b/plugins/etcd/etcd.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 	"github.com/citrontiller/citrontiller/internal/retryafter"
 	"github.com/citrontiller/citrontiller/kernel"
 )
@@ -49,7 +50,7 @@
 	if d.timeout <= 0 {
 		d.timeout = 2 * time.Second
 	}
-	d.client = &http.Client{Transport: &http.Transport{DialContext: s.DialContext(), MaxIdleConnsPerHost: 16}}
+	d.client = &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), MaxIdleConnsPerHost: 16}}}
 	d.log = s.Logger()
 	return nil
 }
--- a/plugins/httpsd/httpsd.go
+++ b/plugins/httpsd/httpsd.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 	"github.com/citrontiller/citrontiller/kernel"
 )
 
@@ -70,7 +71,7 @@
 		d.timeout = time.Second
 	}
 	d.log = s.Logger()
-	d.client = &http.Client{Transport: &http.Transport{DialContext: s.DialContext()}}
+	d.client = &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext()}}}
 	return nil
 }
 
--- a/plugins/weights/weights.go
+++ b/plugins/weights/weights.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 	"github.com/citrontiller/citrontiller/internal/retryafter"
 	"github.com/citrontiller/citrontiller/kernel"
 )
@@ -49,7 +50,7 @@
 	if d.timeout = s.Timeout; d.timeout <= 0 {
 		d.timeout = defaultTimeout
 	}
-	d.client = &http.Client{Transport: &http.Transport{DialContext: s.DialContext()}}
+	d.client = &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext()}}}
 	return nil
 }
 
