quarantine: all parts of a prompt are remembered; blocks rest on complete evidence

Cause: of a prompt's parts the first 32 were remembered. A deadly one behind them was never a suspect, so the crashes counted against the sound parts before it. Behind it: four crashes between two responses blocked parts although the tracker knew that its evidence was cut, and nothing ended a block that didn't end the crashes. Class: a verdict on evidence that was cut to a fixed number.

Ruled out: a comparison that the deadly part loses, and sound responses that clear too late; both would not depend on the position, and part 32 held where part 33 broke.

Parts are known by hashes of 8 bytes, so that all of them fit: a request's headers bound them. Suspects are bounded by 16,384; beyond that the weakest evidence yields and its crashes prove nothing. A part that explains the crashes of another one's block and later ones ends it. One log line a report; 8 bytes a suspect to peers, each part once a crash. Messages of an earlier release are understood, but it doesn't understand ours: beside this release its gateways learn of blocks only.

Tests that failed before: TestDeadlyPartOfLongPromptIsBlocked at 40, 300 and 1,000 parts (503 for sound requests). New: TestDeadlyPartOfLongPrompt, TestIncompleteEvidenceBlocksNothing, TestBlockEndsWhenAnotherPartExplainsMore, TestSupersededBlockIsRemoved, TestManySuspectsAreDecidedFast. TestSuspectsAreBounded now fills the table with long prompts; Report and Cleared carry keys in place of names, so tests build them from keys.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,7 +109,9 @@
 	// availableIn is the time until an endpoint takes the request, if the last choice found
 	// none; 0 when it is not known.
 	availableIn time.Duration
-	// quarantine is the last decision on the parts of the prompt.
+	// parts are the parts of the prompt that other requests may share, nil before they are
+	// needed, and quarantine is the last decision on them.
+	parts      []quarantine.Part
 	quarantine quarantine.Decision
 	// endpoint is the id of the endpoint last chosen. reason and score are the reason
 	// and the score in milliseconds of the last decision; see route.Decision.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,10 +25,8 @@
 	// trialWait is how long a request that was at a crashed endpoint waits to be sent
 	// again: the crash has to be known everywhere, and a trial may be in progress.
 	trialWait = 400 * time.Millisecond
-	// maxQuarantineParts bounds the parts of a prompt that are remembered, maxPartIDBytes
-	// the length of their ids.
-	maxQuarantineParts = 32
-	maxPartIDBytes     = 64
+	// maxPartIDBytes bounds the ids of parts in log lines and in the store.
+	maxPartIDBytes = 64
 	// crashProbeTimeout bounds the probe of an endpoint whose connection broke.
 	crashProbeTimeout = 300 * time.Millisecond
 	// aliveTime is how long an endpoint counts as alive after a probe.
@@ -37,26 +34,27 @@
 )
 
 // enterQuarantine asks whether the request may be sent. The last part of a prompt belongs
-// to the request alone and can't be recognized in another one.
+// to the request alone and can't be recognized in another one. All others are checked:
+// each may crash endpoints, and the size of the request's headers bounds their number.
 func (x *exchange) enterQuarantine() quarantine.Decision {
 	shared := x.info.PromptParts[:max(0, len(x.info.PromptParts)-1)]
 	if x.g.Quarantine == nil || len(shared) == 0 {
 		return quarantine.Decision{}
 	}
-	parts := make([]quarantine.Part, 0, min(len(shared), maxQuarantineParts))
-	for _, p := range shared[:cap(parts)] {
-		parts = append(parts, quarantine.Part{Service: x.service, ID: boundedID(p.ID)})
+	if x.parts == nil {
+		for _, p := range shared {
+			x.parts = append(x.parts, quarantine.Part{Service: x.service, ID: boundedID(p.ID)})
+		}
 	}
-	return x.g.Quarantine.Enter(parts, time.Now())
+	return x.g.Quarantine.Enter(x.parts, time.Now())
 }
 
-// boundedID returns the id of a part to remember: a hash in place of a long id, and a copy
-// that doesn't keep the caller's headers in memory.
+// boundedID returns the id of a part, or a hash in place of a long id.
 func boundedID(id string) string {
 	if len(id) > maxPartIDBytes {
 		return fmt.Sprintf("xxh64:%016x", xxhash.Sum64String(id))
 	}
-	return strings.Clone(id)
+	return id
 }
 
 // quarantined returns the refusal of a request that was not sent because of a part of its
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -22,9 +22,10 @@
 // noObserver is a quarantine.Observer of a gateway without peers.
 type noObserver struct{}
 
-func (noObserver) CrashObserved(quarantine.Report) {}
-func (noObserver) PartCleared(quarantine.Part)     {}
-func (noObserver) PartBlocked(quarantine.Block)    {}
+func (noObserver) CrashObserved(quarantine.Report, []quarantine.Part) {}
+func (noObserver) PartsCleared([]quarantine.Key, []quarantine.Part)   {}
+func (noObserver) PartBlocked(quarantine.Block)                       {}
+func (noObserver) PartReleased(quarantine.Part)                       {}
 
 // fragileEndpoint is an endpoint that crashes when it starts the response to a request
 // whose prompt has the part "deadly".
@@ -194,3 +195,41 @@
 	is.Equal(suspects, 0)
 	is.Equal(blocked, 0)
 }
+
+// longPrompt returns n parts, one of them deadly unless its index is negative, and one of
+// the request's own.
+func longPrompt(n, deadly int, own string) string {
+	var parts []string
+	for i := range n {
+		parts = append(parts, fmt.Sprint("turn", i))
+	}
+	if deadly >= 0 {
+		parts[deadly] = "deadly"
+	}
+	return strings.Join(append(parts, own), " ")
+}
+
+// Guards against a part far behind in a long prompt that isn't remembered: it crashes one
+// endpoint after the other, and the sound parts before it are blocked in its place.
+func TestDeadlyPartOfLongPromptIsBlocked(t *testing.T) {
+	for _, tc := range []struct{ parts, deadly int }{{40, 35}, {300, 250}, {1000, 900}} {
+		t.Run(fmt.Sprintf("part %d of %d", tc.deadly+1, tc.parts), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.gateway.Quarantine = quarantine.New(noObserver{})
+			var endpoints []*fragileEndpoint
+			for i := range 12 {
+				endpoints = append(endpoints, f.addFragile(t, fmt.Sprint("i-", i)))
+			}
+			for i := range 8 {
+				f.callParts(t, "/tag/1", fmt.Sprint("bad", i), longPrompt(tc.parts, tc.deadly, fmt.Sprint("own", i)))
+				time.Sleep(250 * time.Millisecond) // a trial may start again
+				sound, _ := f.callParts(t, "/tag/1", fmt.Sprint("good", i), longPrompt(tc.parts, -1, fmt.Sprint("own", i)))
+				is.Equal(sound, http.StatusOK)
+			}
+			is.Equal(crashedCount(endpoints), 2) // the first, and that of the trial
+			_, blocked := f.gateway.Quarantine.Counts()
+			is.Equal(blocked, 1)
+		})
+	}
+}
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -47,18 +47,31 @@
 type quarantineObserver struct{ *gatewayProcess }
 
 // CrashObserved implements quarantine.Observer.
-func (p quarantineObserver) CrashObserved(r quarantine.Report) {
+func (p quarantineObserver) CrashObserved(r quarantine.Report, named []quarantine.Part) {
+	trials := 0
 	for _, s := range r.Suspects {
-		p.log.Warn("prompt part suspected", zap.String("service", s.Service), zap.String("part", s.ID), zap.Bool("trial", s.Trial),
-			zap.String("endpoint", r.Crash.Endpoint), zap.String("boot", r.Crash.BootID))
+		if s.Trial {
+			trials++
+		}
 	}
+	p.log.Warn("prompt parts suspected", zap.String("endpoint", r.Crash.Endpoint), zap.String("boot", r.Crash.BootID), zap.Int("suspects", len(r.Suspects)),
+		zap.Int("trials", trials), zap.String("parts", partList(named)))
 	p.peerServer.PublishSuspicion(peer.Suspicion{Reports: []quarantine.Report{r}})
 }
 
-// PartCleared implements quarantine.Observer.
-func (p quarantineObserver) PartCleared(part quarantine.Part) {
-	p.log.Info("prompt part cleared", zap.String("service", part.Service), zap.String("part", part.ID))
-	p.peerServer.PublishSuspicion(peer.Suspicion{Cleared: []quarantine.Part{part}})
+// PartsCleared implements quarantine.Observer.
+func (p quarantineObserver) PartsCleared(keys []quarantine.Key, named []quarantine.Part) {
+	p.log.Info("prompt parts cleared", zap.Int("cleared", len(keys)), zap.String("parts", partList(named)))
+	p.peerServer.PublishSuspicion(peer.Suspicion{Cleared: keys})
+}
+
+// partList returns parts as service/id, separated by commas.
+func partList(parts []quarantine.Part) string {
+	var out []string
+	for _, p := range parts {
+		out = append(out, p.Service+"/"+p.ID)
+	}
+	return strings.Join(out, ",")
 }
 
 // PartBlocked implements quarantine.Observer.
@@ -69,6 +82,17 @@
 	go p.storeBlock(b)
 }
 
+// PartReleased implements quarantine.Observer. The other gateways end the block when they
+// learn of the one that supersedes it.
+func (p quarantineObserver) PartReleased(part quarantine.Part) {
+	p.logReleased(part)
+	go p.removeBlock(part)
+}
+
+func (p *gatewayProcess) logReleased(part quarantine.Part) {
+	p.log.Warn("prompt part no longer blocked, another part explains its crashes", zap.String("service", part.Service), zap.String("part", part.ID))
+}
+
 // crashList returns the crashes as endpoint/boot, separated by commas.
 func crashList(crashes []quarantine.Crash) string {
 	var out []string
@@ -90,7 +114,7 @@
 		return
 	}
 	key := blockKey(b.Part)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && p.quarantine.IsBlocked(b.Part, time.Now()) {
 		known := p.mirror.StoredRevision(key)
 		_, err := p.store.CompareAndSwap(ctx, key, known, value, 0)
 		if err == nil {
@@ -104,6 +128,27 @@
 	}
 }
 
+// maxRemoveAttempts bounds the attempts to remove the key of a block that another part has
+// superseded. A key that stays ends with the block; gateways that start later ignore it.
+const maxRemoveAttempts = 5
+
+// removeBlock removes the key of a block that has ended early.
+func (p *gatewayProcess) removeBlock(part quarantine.Part) {
+	key := blockKey(part)
+	for range maxRemoveAttempts {
+		time.Sleep(blockRetryDelay) // the write of the key may be in progress
+		known := p.mirror.StoredRevision(key)
+		if known == 0 {
+			continue
+		}
+		err := p.store.Delete(context.Background(), key, known)
+		if err == nil {
+			return
+		}
+		p.log.Info("superseded block not removed", zap.String("key", key), zap.Error(err))
+	}
+}
+
 // decodeBlock decodes the value of a blocked part's key.
 func decodeBlock(value []byte) (quarantine.Block, error) {
 	var r blockRecord
@@ -165,7 +210,11 @@
 // applyBlock applies a block that another gateway has decided, and reports whether it was
 // new.
 func (p *gatewayProcess) applyBlock(b quarantine.Block) bool {
-	if !p.quarantine.ApplyBlock(b) {
+	fresh, released := p.quarantine.ApplyBlock(b)
+	for _, part := range released {
+		p.logReleased(part)
+	}
+	if !fresh {
 		return false
 	}
 	p.log.Info("prompt part blocked by another gateway", zap.String("service", b.Service), zap.String("part", b.ID), zap.Time("until", b.Until))
--- a/internal/gatewayd/quarantine_test.go
+++ b/internal/gatewayd/quarantine_test.go
@@ -78,11 +78,11 @@
 	part := quarantine.Part{Service: "s", ID: "deadly"}
 	report := func(endpoint string, trial bool) {
 		peerReceiver{p}.SuspicionReceived(peer.Suspicion{Reports: []quarantine.Report{{Crash: quarantine.Crash{Endpoint: endpoint, BootID: "1"},
-			Suspects: []quarantine.Suspect{{Part: part, Trial: trial}}}}}, true)
+			Suspects: []quarantine.Suspect{{Key: part.Key(), Trial: trial}}}}}, true)
 	}
 	report("i-1", false)
 	is.Equal(p.quarantine.Enter([]quarantine.Part{part}, time.Now()).Verdict, quarantine.Wait)
-	peerReceiver{p}.SuspicionReceived(peer.Suspicion{Cleared: []quarantine.Part{part}}, true)
+	peerReceiver{p}.SuspicionReceived(peer.Suspicion{Cleared: []quarantine.Key{part.Key()}}, true)
 	is.Equal(p.quarantine.Enter([]quarantine.Part{part}, time.Now()).Verdict, quarantine.Allowed)
 	peerReceiver{p}.SuspicionReceived(peer.Suspicion{Blocks: []quarantine.Block{{Part: part, Until: time.Now().Add(time.Minute)}}}, true)
 	is.Equal(p.quarantine.Enter([]quarantine.Part{part}, time.Now()).Verdict, quarantine.Blocked)
--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -103,3 +104,34 @@
 	is.True(next.Fence > held.Fence) // engines refuse orders with a lower fencing token
 	is.True(infra.Era(next.Fence) > infra.Era(held.Fence))
 }
+
+// Guards against a sound part that is blocked again from the store, by gateways that start
+// later, after another part was found to explain its crashes.
+func TestSupersededBlockIsRemoved(t *testing.T) {
+	is := is.New(t)
+	g := newRestorableGateway(t)
+	crashed := func(ids []string, at time.Time, n int) {
+		g.quarantine.Enter(partsOf(ids...), at).Pass.Crashed(quarantine.Crash{Endpoint: fmt.Sprint("i-", n), BootID: "1"}, at)
+	}
+	start := time.Now().Add(-time.Minute)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	crashed([]string{"deadly", "sound"}, at(0), 1)
+	crashed([]string{"deadly", "sound"}, at(1), 2)
+	is.Equal(g.quarantine.Enter(partsOf("deadly", "sound"), at(2)).Part.ID, "sound") // the deepest
+	sound, deadly := partsOf("sound")[0], partsOf("deadly")[0]
+	g.waitFor("block of the sound part", func() bool { return g.mirror.StoredRevision(blockKey(sound)) > 0 })
+	crashed([]string{"deadly", "other"}, at(3), 3)
+	is.Equal(g.quarantine.Enter(partsOf("deadly", "other"), at(4)).Part.ID, "deadly")
+	g.waitFor("block of the deadly part", func() bool { return g.stored(blockKey(deadly)) })
+	g.waitFor("end of the sound part's block", func() bool { return !g.stored(blockKey(sound)) })
+	is.Equal(g.quarantine.Enter(partsOf("sound"), time.Now()).Verdict, quarantine.Allowed)
+}
+
+// partsOf returns the parts of a prompt.
+func partsOf(ids ...string) []quarantine.Part {
+	var out []quarantine.Part
+	for _, id := range ids {
+		out = append(out, quarantine.Part{Service: "s", ID: id})
+	}
+	return out
+}
--- a/peer/suspicion.go
+++ b/peer/suspicion.go
@@ -10,7 +10,7 @@
 // Suspicion is what gateways tell each other of parts of prompts that crash endpoints.
 type Suspicion struct {
 	Reports []quarantine.Report
-	Cleared []quarantine.Part
+	Cleared []quarantine.Key
 	Blocks  []quarantine.Block
 }
 
@@ -33,8 +33,8 @@
 	for _, r := range s.Reports {
 		b.Crashes = append(b.Crashes, encodeReport(r))
 	}
-	for _, p := range s.Cleared {
-		b.Cleared = append(b.Cleared, encodePart(p))
+	for _, k := range s.Cleared {
+		b.ClearedKeys = append(b.ClearedKeys, uint64(k))
 	}
 	for _, block := range s.Blocks {
 		out := &pb.BlockedPart{Part: encodePart(block.Part), RemainingMs: block.Until.Sub(now).Milliseconds()}
@@ -52,8 +52,11 @@
 	for _, r := range b.Crashes {
 		s.Reports = append(s.Reports, decodeReport(r))
 	}
+	for _, k := range b.ClearedKeys {
+		s.Cleared = append(s.Cleared, quarantine.Key(k))
+	}
 	for _, p := range b.Cleared {
-		s.Cleared = append(s.Cleared, decodePart(p))
+		s.Cleared = append(s.Cleared, decodePart(p).Key())
 	}
 	for _, block := range b.Blocked {
 		out := quarantine.Block{Part: decodePart(block.Part), Until: now.Add(time.Duration(block.RemainingMs) * time.Millisecond)}
@@ -77,15 +80,25 @@
 func encodeReport(r quarantine.Report) *pb.CrashReport {
 	out := &pb.CrashReport{Endpoint: r.Crash.Endpoint, BootId: r.Crash.BootID}
 	for _, s := range r.Suspects {
-		out.Suspects = append(out.Suspects, &pb.Suspect{Part: encodePart(s.Part), Trial: s.Trial})
+		if s.Trial {
+			out.TrialKeys = append(out.TrialKeys, uint64(s.Key))
+		} else {
+			out.SuspectKeys = append(out.SuspectKeys, uint64(s.Key))
+		}
 	}
 	return out
 }
 
 func decodeReport(r *pb.CrashReport) quarantine.Report {
 	out := quarantine.Report{Crash: quarantine.Crash{Endpoint: r.Endpoint, BootID: r.BootId}}
+	for _, k := range r.TrialKeys {
+		out.Suspects = append(out.Suspects, quarantine.Suspect{Key: quarantine.Key(k), Trial: true})
+	}
+	for _, k := range r.SuspectKeys {
+		out.Suspects = append(out.Suspects, quarantine.Suspect{Key: quarantine.Key(k)})
+	}
 	for _, s := range r.Suspects {
-		out.Suspects = append(out.Suspects, quarantine.Suspect{Part: decodePart(s.Part), Trial: s.Trial})
+		out.Suspects = append(out.Suspects, quarantine.Suspect{Key: decodePart(s.Part).Key(), Trial: s.Trial})
 	}
 	return out
 }
--- a/peer/suspicion_test.go
+++ b/peer/suspicion_test.go
@@ -18,11 +18,15 @@
 	part := quarantine.Part{Service: "s", ID: "p"}
 	crash := quarantine.Crash{Endpoint: "i-1", BootID: "7"}
 	in := Suspicion{
-		Reports: []quarantine.Report{{Crash: crash, Suspects: []quarantine.Suspect{{Part: part, Trial: true}, {Part: quarantine.Part{Service: "s", ID: "q"}}}}},
-		Cleared: []quarantine.Part{part},
+		Reports: []quarantine.Report{{Crash: crash, Suspects: []quarantine.Suspect{{Key: part.Key(), Trial: true}, {Key: quarantine.Part{Service: "s", ID: "q"}.Key()}}}},
+		Cleared: []quarantine.Key{part.Key()},
 		Blocks:  []quarantine.Block{{Part: part, Crashes: []quarantine.Crash{crash}, Until: now.Add(time.Minute)}},
 	}
 	is.Equal(decodeSuspicion(in.batch(now), now), in)
+	earlier := &pb.Batch{Crashes: []*pb.CrashReport{{Endpoint: "i-1", BootId: "7", Suspects: []*pb.Suspect{{Part: encodePart(part), Trial: true}}}},
+		Cleared: []*pb.PromptPart{encodePart(part)}}
+	is.Equal(decodeSuspicion(earlier, now), Suspicion{Cleared: in.Cleared,
+		Reports: []quarantine.Report{{Crash: crash, Suspects: []quarantine.Suspect{{Key: part.Key(), Trial: true}}}}}) // of an earlier release
 	malformed := &pb.Batch{Crashes: []*pb.CrashReport{{Suspects: []*pb.Suspect{{}}}}, Blocked: []*pb.BlockedPart{{}}}
 	is.True(!decodeSuspicion(malformed, now).Empty())
 }
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -58,6 +58,29 @@
 	// deadlySent holds the times at which deadly requests were sent.
 	deadlySent            []time.Time
 	sound, soundNotServed int
+	// prompt returns the parts of a request, deadly ones with a part that crashes engines.
+	prompt func(s *fleetSim, deadly bool) []Part
+}
+
+// shortPrompt is a prompt of two parts: one of few callers and one of many documents.
+func shortPrompt(s *fleetSim, deadly bool) []Part {
+	parts := prompt(fmt.Sprint("shop", s.rnd.Intn(3)), fmt.Sprint("guide", s.rnd.Intn(300)))
+	if deadly {
+		parts[1].ID = "deadly"
+	}
+	return parts
+}
+
+// conversation returns prompts of n parts that all requests of a caller share. In deadly
+// ones, one of the deadly parts replaces the part at an index.
+func conversation(n, index int, deadlyIDs ...string) func(s *fleetSim, deadly bool) []Part {
+	return func(s *fleetSim, deadly bool) []Part {
+		parts := prompt(partIDs(fmt.Sprint("shop", s.rnd.Intn(3), "-turn"), 0, n)...)
+		if deadly {
+			parts[index].ID = deadlyIDs[s.rnd.Intn(len(deadlyIDs))]
+		}
+		return parts
+	}
 }
 
 // simPeer passes what a gateway observes to the others.
@@ -66,11 +89,20 @@
 	from int
 }
 
-func (p simPeer) CrashObserved(r Report) {
+func (p simPeer) CrashObserved(r Report, _ []Part) {
 	p.others(func(t *Tracker) { t.ApplyReport(r, p.sim.now) })
 }
-func (p simPeer) PartCleared(part Part) { p.others(func(t *Tracker) { t.Clear(part) }) }
-func (p simPeer) PartBlocked(b Block)   { p.others(func(t *Tracker) { t.ApplyBlock(b) }) }
+func (p simPeer) PartsCleared(keys []Key, _ []Part) {
+	p.others(func(t *Tracker) {
+		for _, k := range keys {
+			t.Clear(k)
+		}
+	})
+}
+func (p simPeer) PartBlocked(b Block) { p.others(func(t *Tracker) { t.ApplyBlock(b) }) }
+
+// PartReleased implements Observer; the others decide by themselves.
+func (p simPeer) PartReleased(Part) {}
 
 func (p simPeer) others(do func(t *Tracker)) {
 	p.sim.in(simPeerDelay, func() {
@@ -97,10 +129,8 @@
 // send sends a request from a random gateway to a random engine that is up.
 func (s *fleetSim) send() {
 	deadly := s.rnd.Intn(simDeadlyOdds) == 0
-	parts := prompt(fmt.Sprint("shop", s.rnd.Intn(3)), fmt.Sprint("guide", s.rnd.Intn(300)))
-	if deadly {
-		parts[1].ID = "deadly"
-	} else {
+	parts := s.prompt(s, deadly)
+	if !deadly {
 		s.sound++
 	}
 	d := s.gateways[s.rnd.Intn(len(s.gateways))].Enter(parts, s.now)
@@ -203,7 +233,7 @@
 		for seed := range int64(5) {
 			t.Run(fmt.Sprintf("%d gateways, seed %d", gateways, seed), func(t *testing.T) {
 				is := is.New(t)
-				s := &fleetSim{rnd: rand.New(rand.NewSource(seed))}
+				s := &fleetSim{rnd: rand.New(rand.NewSource(seed)), prompt: shortPrompt}
 				s.run(gateways)
 				t.Logf("%d crashes, %d deadly requests sent, %d of them late; %d of %d sound requests not served",
 					len(s.crashedAt), len(s.deadlySent), s.lateSends(), s.soundNotServed, s.sound)
@@ -214,3 +244,30 @@
 		}
 	}
 }
+
+// Guards against a deadly part far behind in a long prompt that is not remembered: engines
+// go on crashing, and sound parts of the same prompt are blocked in its place.
+func TestDeadlyPartOfLongPrompt(t *testing.T) {
+	for _, tc := range []struct {
+		parts, index, gateways int
+		deadly                 []string
+	}{
+		{40, 1, 4, []string{"deadly"}}, {40, 31, 4, []string{"deadly"}}, {40, 32, 4, []string{"deadly"}}, {40, 35, 2, []string{"deadly"}},
+		{40, 20, 27, []string{"deadly"}}, {40, 35, 4, []string{"deadly1", "deadly2"}}, {300, 250, 4, []string{"deadly"}}, {longPrompt, 900, 4, []string{"deadly"}},
+	} {
+		t.Run(fmt.Sprintf("part %d of %d, %d gateways, %d deadly", tc.index+1, tc.parts, tc.gateways, len(tc.deadly)), func(t *testing.T) {
+			is := is.New(t)
+			s := &fleetSim{rnd: rand.New(rand.NewSource(1)), prompt: conversation(tc.parts, tc.index, tc.deadly...)}
+			s.run(tc.gateways)
+			t.Logf("%d crashes, %d deadly requests sent, %d of them late; %d of %d sound requests not served",
+				len(s.crashedAt), len(s.deadlySent), s.lateSends(), s.soundNotServed, s.sound)
+			is.True(s.lateSends() <= simLateSends)
+			is.True(len(s.crashedAt) < simEngines/2)            // most engines live
+			is.True(s.soundNotServed < s.sound*3/simDeadlyOdds) // all share the suspects
+			for _, q := range s.gateways {
+				_, blocked := q.Counts()
+				is.Equal(blocked, len(tc.deadly))
+			}
+		})
+	}
+}
--- a/quarantine/pass.go
+++ b/quarantine/pass.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Verdict is the decision on a request.
 type Verdict int
@@ -33,69 +30,70 @@
 type Pass struct {
 	tracker *Tracker
 	parts   []Part
+	keys    []Key
 	sentAt  time.Time
 	// trials holds the parts that were suspects at sentAt.
-	trials map[Part]bool
+	trials []Key
 	ended  bool
 }
 
-// Enter decides whether a request whose prompt has the given parts may be sent now.
+// Enter decides whether a request whose prompt has the given parts may be sent now. The
+// caller must not change parts while the pass is in use.
 func (t *Tracker) Enter(parts []Part, now time.Time) Decision {
-	d, blocks := t.enter(parts, now)
+	d, blocks, released := t.enter(parts, now)
 	for _, b := range blocks {
 		t.observer.PartBlocked(b)
 	}
+	for _, p := range released {
+		t.observer.PartReleased(p)
+	}
 	return d
 }
 
-// enter is Enter; it also returns the blocks that it has decided.
-func (t *Tracker) enter(parts []Part, now time.Time) (Decision, []Block) {
+// enter is Enter; it also returns the blocks that it has decided and ended.
+func (t *Tracker) enter(parts []Part, now time.Time) (Decision, []Block, []Part) {
+	pass := &Pass{tracker: t, parts: parts, keys: make([]Key, len(parts)), sentAt: now}
+	for i, p := range parts {
+		pass.keys[i] = p.Key()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	blocks := t.decide(parts, now)
-	pass := &Pass{tracker: t, parts: parts, sentAt: now, trials: map[Part]bool{}}
+	blocks, released := t.decide(pass, now)
 	verdict := Decision{Pass: pass}
-	for _, p := range parts {
-		if until, ok := t.blockedUntil(p, now); ok {
-			return Decision{Verdict: Blocked, Part: p, Until: until}, blocks
+	for i, k := range pass.keys {
+		if b, ok := t.blockOf(k, now); ok {
+			return Decision{Verdict: Blocked, Part: parts[i], Until: b.Until}, blocks, released
 		}
-		s, ok := t.suspects.Get(p)
+		s, ok := t.suspects[k]
 		if !ok {
 			continue
 		}
 		if s.busy(now) {
-			verdict = Decision{Verdict: Wait, Part: p}
+			verdict = Decision{Verdict: Wait, Part: parts[i]}
 		}
-		pass.trials[p] = true
+		pass.trials = append(pass.trials, k)
 	}
 	if verdict.Verdict == Allowed {
-		for p := range pass.trials {
-			s, _ := t.suspects.Peek(p)
-			s.trial = pass
+		for _, k := range pass.trials {
+			t.suspects[k].trial = pass
 		}
 	}
-	return verdict, blocks
+	return verdict, blocks, released
 }
 
 // decide blocks those of the parts that are guilty, the last one first; the caller holds
 // mu.
-func (t *Tracker) decide(parts []Part, now time.Time) []Block {
-	var blocks []Block
-	for i, p := range slices.Backward(parts) {
-		s, ok := t.suspects.Peek(p)
-		if !ok || now.Sub(s.crashedAt) < settleTime || !t.guilty(p, s, parts[:i]) {
-			continue
+func (t *Tracker) decide(p *Pass, now time.Time) (blocks []Block, released []Part) {
+	for len(t.suspects) > 0 {
+		i := t.suspects.guilty(p.keys, &t.started, now)
+		if i < 0 {
+			break
 		}
-		b := Block{Part: p, Crashes: s.crashes, Until: now.Add(BlockTime)}
-		t.block(b)
+		b := Block{Part: p.parts[i].clone(), Crashes: t.suspects[p.keys[i]].all(), Until: now.Add(BlockTime)}
+		released = append(released, t.block(b)...)
 		blocks = append(blocks, b)
 	}
-	return blocks
-}
-
-// busy reports whether no trial may start yet.
-func (s *suspect) busy(now time.Time) bool {
-	return s.trial != nil && now.Sub(s.trial.sentAt) < trialTime || now.Sub(s.crashedAt) < settleTime
+	return blocks, released
 }
 
 // Started reports that the endpoint has started the response and has not crashed: the
@@ -103,42 +101,61 @@
 func (p *Pass) Started(now time.Time) {
 	t := p.tracker
 	t.mu.Lock()
-	var cleared []Part
+	var cleared []Key
+	var named []Part
 	if !p.ended {
-		for _, part := range p.parts {
-			t.started.Add(part, now)
-			if t.suspects.Remove(part) {
-				cleared = append(cleared, part)
+		for i, k := range p.keys {
+			t.started.add(k, now)
+			if !t.suspects.remove(k) {
+				continue
 			}
+			cleared = append(cleared, k)
+			named = appendNamed(named, p.parts[i])
 		}
 		p.ended = true
 	}
 	t.mu.Unlock()
-	for _, part := range cleared {
-		t.observer.PartCleared(part)
+	if len(cleared) > 0 {
+		t.observer.PartsCleared(cleared, named)
 	}
 }
 
 // Crashed reports that the endpoint crashed before it started the response, or while it
 // did. Parts of which another response has started since the request was sent are no
-// suspects.
+// suspects, and those that are known to have been in the crash are not reported again.
 func (p *Pass) Crashed(c Crash, now time.Time) {
 	t := p.tracker
 	t.mu.Lock()
 	r, changed := Report{Crash: c}, false
+	var named []Part
 	if !p.ended {
-		for _, part := range p.parts {
-			if at, ok := t.started.Peek(part); !ok || at.Before(p.sentAt) {
-				r.Suspects = append(r.Suspects, Suspect{Part: part, Trial: p.trials[part]})
+		trials := p.trials // in the order of keys
+		for i, k := range p.keys {
+			trial := len(trials) > 0 && trials[0] == k
+			if trial {
+				trials = trials[1:]
+			}
+			if t.started.since(k, p.sentAt) || t.suspects.inCrash(k, c) {
+				continue
 			}
+			r.Suspects = append(r.Suspects, Suspect{Key: k, Trial: trial})
+			named = appendNamed(named, p.parts[i])
 		}
-		changed = t.apply(r, now)
+		changed = t.suspects.apply(r, &t.started, now)
 		p.end()
 	}
 	t.mu.Unlock()
 	if changed {
-		t.observer.CrashObserved(r)
+		t.observer.CrashObserved(r, named)
+	}
+}
+
+// appendNamed appends a part to those that an Observer is given by name.
+func appendNamed(named []Part, p Part) []Part {
+	if len(named) >= maxNamed {
+		return named
 	}
+	return append(named, p)
 }
 
 // End reports that the send has ended in any other way. It has no effect after Started or
@@ -162,8 +179,8 @@
 // end ends the trials of the pass; the caller holds the tracker's mu.
 func (p *Pass) end() {
 	p.ended = true
-	for part := range p.trials {
-		if s, ok := p.tracker.suspects.Peek(part); ok && s.trial == p {
+	for _, k := range p.trials {
+		if s, ok := p.tracker.suspects[k]; ok && s.trial == p {
 			s.trial = nil
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,24 +5,21 @@
 // A part of a request that was at an endpoint when it crashed is a suspect until a
 // response to another request with this part has started. Requests with a suspect are
 // sent one at a time, as trials. A part whose trials crash endpoints as well is blocked.
-// Gateways tell each other what they observe.
+// Parts are known by a hash, so that all parts of a prompt can be remembered, however many
+// it has. Gateways tell each other what they observe.
 package quarantine
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 const (
-	// minCrashes is the number of crashes from which a part is blocked: the first one
-	// makes it a suspect, the others are those of its trials.
-	minCrashes = 2
-	// undecidedCrashes is the number of crashes from which a part is blocked even if
-	// another part explains them as well.
-	undecidedCrashes = 4
 	// settleTime is the time in which all gateways report a crash. No trial starts in it.
 	settleTime = 200 * time.Millisecond
 	// trialTime is the time after which a trial without a result no longer prevents the
@@ -30,10 +27,10 @@
 	trialTime = 2 * time.Second
 	// BlockTime is how long a part is blocked. Engines may have been mended by then.
 	BlockTime = 10 * time.Minute
-	// maxSuspects, maxBlocked and maxStarted bound the parts that are remembered.
-	maxSuspects = 1024
-	maxBlocked  = 256
-	maxStarted  = 8192
+	// maxBlocked bounds the blocked parts.
+	maxBlocked = 256
+	// maxNamed bounds the parts that an Observer is given by name.
+	maxNamed = 4
 )
 
 // Part is a part of the prompts of a service.
@@ -43,6 +40,24 @@
 	ID string
 }
 
+// Key identifies a part by a hash of its service and its id.
+type Key uint64
+
+// Key returns the part's key.
+func (p Part) Key() Key {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(p.Service) // never fails
+	_, _ = d.WriteString("/")
+	_, _ = d.WriteString(p.ID)
+	return Key(d.Sum64())
+}
+
+// clone returns a copy that doesn't keep the request's headers in memory.
+func (p Part) clone() Part {
+	return Part{Service: p.Service, ID: strings.Clone(p.ID)}
+}
+
 // Crash identifies the crash of an endpoint.
 type Crash struct {
 	Endpoint string `json:"endpoint"`
@@ -58,7 +73,7 @@
 
 // Suspect is a part in a report.
 type Suspect struct {
-	Part
+	Key Key
 	// Trial is true if the part was a suspect when the request was sent.
 	Trial bool
 }
@@ -66,21 +81,23 @@
 // Block is a decision to block a part.
 type Block struct {
 	Part
-	// Crashes are those from which it was decided; empty if unknown.
+	// Crashes are those that the part explains; empty if unknown.
 	Crashes []Crash
 	// Until is when the block ends.
 	Until time.Time
 }
 
 // Observer learns what this process has observed or decided. Its methods must not block
-// and must not call the Tracker.
+// and must not call the Tracker. Of many parts it is given the first ones by name.
 type Observer interface {
 	// CrashObserved is called with a report of this process.
-	CrashObserved(r Report)
-	// PartCleared is called when a response to a request with a suspect has started.
-	PartCleared(p Part)
+	CrashObserved(r Report, named []Part)
+	// PartsCleared is called when a response to a request with suspects has started.
+	PartsCleared(keys []Key, named []Part)
 	// PartBlocked is called when this process has decided to block a part.
 	PartBlocked(b Block)
+	// PartReleased is called when a decision of this process has ended the block of a part.
+	PartReleased(p Part)
 }
 
 // Tracker holds the suspects and the blocked parts. It is safe for concurrent use.
@@ -89,155 +106,107 @@
 	observer Observer
 
 	mu       sync.Mutex
-	suspects *lru.Cache[Part, *suspect]
-	blocked  *lru.Cache[Part, time.Time]
+	suspects suspects
+	blocked  *lru.Cache[Key, Block]
 	// started holds when a response to a request with a part last started.
-	started *lru.Cache[Part, time.Time]
-}
-
-// suspect is the evidence against a part since a response to it last started.
-type suspect struct {
-	crashes []Crash
-	// crashedAt is the time of the last report.
-	crashedAt time.Time
-	// trial is the request on trial, nil for none.
-	trial *Pass
+	started startTable
 }
 
 // New returns an empty tracker.
 func New(observer Observer) *Tracker {
-	return &Tracker{observer: observer, suspects: newCache[*suspect](maxSuspects), blocked: newCache[time.Time](maxBlocked), started: newCache[time.Time](maxStarted)}
-}
-
-// newCache returns a cache that keeps the size most recently used entries.
-func newCache[V any](size int) *lru.Cache[Part, V] {
-	c, err := lru.New[Part, V](size)
+	blocked, err := lru.New[Key, Block](maxBlocked)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return c
+	return &Tracker{observer: observer, suspects: suspects{}, blocked: blocked}
 }
 
 // Counts returns the number of suspects and of blocked parts.
 func (t *Tracker) Counts() (suspects, blocked int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects.Len(), t.blocked.Len()
+	return len(t.suspects), t.blocked.Len()
 }
 
 // ApplyReport applies a report of another process. It reports whether it was new.
 func (t *Tracker) ApplyReport(r Report, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.apply(r, now)
-}
-
-// apply records a report; the caller holds mu.
-func (t *Tracker) apply(r Report, now time.Time) bool {
-	changed := false
-	for _, reported := range r.Suspects {
-		s, known := t.suspects.Get(reported.Part)
-		switch {
-		case !known:
-			s = &suspect{}
-			t.suspects.Add(reported.Part, s)
-		case slices.Contains(s.crashes, r.Crash):
-			continue
-		case !reported.Trial:
-			// The request was sent before the part was suspected. Several endpoints may
-			// crash together for another reason, with requests that share parts.
-			continue
-		}
-		s.crashes = append(s.crashes, r.Crash)
-		s.crashedAt = now
-		changed = true
-	}
-	return changed
+	return t.suspects.apply(r, &t.started, now)
 }
 
 // Clear removes a part from the suspects, because another process has seen a response to
 // it start. It reports whether it was one.
-func (t *Tracker) Clear(p Part) bool {
+func (t *Tracker) Clear(k Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects.Remove(p)
+	return t.suspects.remove(k)
 }
 
-// ApplyBlock applies a decision of another process. It reports whether it was new.
-func (t *Tracker) ApplyBlock(b Block) bool {
+// ApplyBlock applies a decision of another process. It reports whether it was new, and
+// returns the parts whose blocks it has ended.
+func (t *Tracker) ApplyBlock(b Block) (fresh bool, released []Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	until, known := t.blocked.Peek(b.Part)
-	if known && !b.Until.After(until) {
-		return false
+	old, known := t.blocked.Peek(b.Part.Key())
+	if known && !b.Until.After(old.Until) || t.isExplained(b) {
+		return false, nil
 	}
-	t.block(b)
-	return !known
+	return !known, t.block(b)
 }
 
 // Unblock ends the block of a part.
 func (t *Tracker) Unblock(p Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.blocked.Remove(p)
-}
-
-// block blocks a part and clears others of the crashes that it explains. A part with as
-// much evidence stays a suspect: if its next trial crashes an endpoint as well, it is
-// blocked too. The caller holds mu.
-func (t *Tracker) block(b Block) {
-	t.blocked.Add(b.Part, b.Until)
-	t.suspects.Remove(b.Part)
-	for _, p := range t.suspects.Keys() {
-		s, _ := t.suspects.Peek(p)
-		unexplained := slices.DeleteFunc(slices.Clone(s.crashes), func(c Crash) bool { return slices.Contains(b.Crashes, c) })
-		switch {
-		case len(unexplained) > 0:
-			s.crashes = unexplained
-		case len(s.crashes) >= minCrashes:
-			s.crashes = s.crashes[:1]
-		default:
-			t.suspects.Remove(p)
+	t.blocked.Remove(p.Key())
+}
+
+// IsBlocked reports whether a part is blocked.
+func (t *Tracker) IsBlocked(p Part, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.blockOf(p.Key(), now)
+	return ok
+}
+
+// block blocks a part and clears others of the crashes that it explains. It returns the
+// parts whose blocks end, because the part explains their crashes and a later one, which
+// they didn't prevent. The caller holds mu.
+func (t *Tracker) block(b Block) (released []Part) {
+	key := b.Part.Key()
+	for _, k := range t.blocked.Keys() {
+		other, _ := t.blocked.Peek(k)
+		if k != key && b.supersedes(other) {
+			t.blocked.Remove(k)
+			released = append(released, other.Part)
 		}
 	}
+	t.blocked.Add(key, b)
+	t.suspects.remove(key)
+	t.suspects.explain(b.Crashes)
+	return released
 }
 
-// blockedUntil returns when the block of a part ends, or false if it is not blocked. The
-// caller holds mu.
-func (t *Tracker) blockedUntil(p Part, now time.Time) (time.Time, bool) {
-	until, ok := t.blocked.Get(p)
-	if ok && !now.Before(until) {
-		t.blocked.Remove(p)
-		return time.Time{}, false
-	}
-	return until, ok
+// isExplained reports whether the block of another part supersedes b. The caller holds mu.
+func (t *Tracker) isExplained(b Block) bool {
+	return slices.ContainsFunc(t.blocked.Values(), func(other Block) bool { return other.Part != b.Part && other.supersedes(b) })
 }
 
-// guilty reports whether a suspect is to be blocked: its trials crashed endpoints, and no
-// other suspect explains the last crash as well, except for the parts of the same prompt
-// before it, which more requests share. The caller holds mu.
-func (t *Tracker) guilty(p Part, s *suspect, before []Part) bool {
-	if len(s.crashes) < minCrashes || len(s.crashes) >= undecidedCrashes {
-		return len(s.crashes) >= undecidedCrashes
-	}
-	last := s.crashes[len(s.crashes)-1]
-	for _, q := range t.suspects.Keys() {
-		other, _ := t.suspects.Peek(q)
-		if q == p || !slices.Contains(other.crashes, last) || t.likelier(p, s, q, other) {
-			continue
-		}
-		if !slices.Contains(before, q) || t.likelier(q, other, p, s) {
-			return false
-		}
+// supersedes reports whether b's part explains all crashes of another block and more.
+func (b Block) supersedes(other Block) bool {
+	if len(other.Crashes) == 0 || len(b.Crashes) <= len(other.Crashes) {
+		return false
 	}
-	return true
+	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return !slices.Contains(b.Crashes, c) })
 }
 
-// likelier reports whether p rather than q has caused the crash that they share: p was in
-// more crashes, or no response to it is known to have started before. The caller holds mu.
-func (t *Tracker) likelier(p Part, s *suspect, q Part, other *suspect) bool {
-	if len(s.crashes) != len(other.crashes) {
-		return len(s.crashes) > len(other.crashes)
+// blockOf returns the block of a part, or false if it is not blocked. The caller holds mu.
+func (t *Tracker) blockOf(k Key, now time.Time) (Block, bool) {
+	b, ok := t.blocked.Get(k)
+	if ok && !now.Before(b.Until) {
+		t.blocked.Remove(k)
+		return Block{}, false
 	}
-	return !t.started.Contains(p) && t.started.Contains(q)
+	return b, ok
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -10,14 +10,16 @@
 
 // recorder is an Observer that records what it is told.
 type recorder struct {
-	reports []Report
-	cleared []Part
-	blocks  []Block
+	reports  []Report
+	cleared  []Key
+	blocks   []Block
+	released []Part
 }
 
-func (r *recorder) CrashObserved(report Report) { r.reports = append(r.reports, report) }
-func (r *recorder) PartCleared(p Part)          { r.cleared = append(r.cleared, p) }
-func (r *recorder) PartBlocked(b Block)         { r.blocks = append(r.blocks, b) }
+func (r *recorder) CrashObserved(report Report, _ []Part) { r.reports = append(r.reports, report) }
+func (r *recorder) PartsCleared(keys []Key, _ []Part)     { r.cleared = append(r.cleared, keys...) }
+func (r *recorder) PartBlocked(b Block)                   { r.blocks = append(r.blocks, b) }
+func (r *recorder) PartReleased(p Part)                   { r.released = append(r.released, p) }
 
 // at returns a time of the test.
 func at(ms int) time.Time { return time.UnixMilli(1e9 + int64(ms)) }
@@ -72,7 +74,7 @@
 	d := q.Enter(prompt("shop", "guide"), at(400))
 	is.Equal(d.Verdict, Allowed)
 	d.Pass.Started(at(500))
-	is.Equal(seen.cleared, prompt("shop", "guide"))
+	is.Equal(seen.cleared, []Key{Part{"s", "shop"}.Key(), Part{"s", "guide"}.Key()})
 	is.Equal(len(seen.blocks), 0)
 	suspects, _ := q.Counts()
 	is.Equal(suspects, 0)
@@ -141,8 +143,10 @@
 func TestBlockEnds(t *testing.T) {
 	is := is.New(t)
 	q := New(&recorder{})
-	is.True(q.ApplyBlock(Block{Part: Part{"s", "a"}, Until: at(1000)}))
-	is.True(!q.ApplyBlock(Block{Part: Part{"s", "a"}, Until: at(1000)})) // known already
+	fresh, _ := q.ApplyBlock(Block{Part: Part{"s", "a"}, Until: at(1000)})
+	is.True(fresh)
+	fresh, _ = q.ApplyBlock(Block{Part: Part{"s", "a"}, Until: at(1000)})
+	is.True(!fresh) // known already
 	is.Equal(q.Enter(prompt("a"), at(999)).Verdict, Blocked)
 	is.Equal(q.Enter(prompt("a"), at(1000)).Verdict, Allowed)
 	q.ApplyBlock(Block{Part: Part{"s", "b"}, Until: at(9000)})
@@ -154,9 +158,101 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	is := is.New(t)
 	q := New(&recorder{})
-	for i := range 3 * maxSuspects {
-		crashWith(q, i, i, fmt.Sprint("p", i))
+	for i := range 3 * maxSuspects / longPrompt {
+		crashWith(q, i, i, partIDs("p", i*longPrompt, longPrompt)...)
 	}
 	suspects, _ := q.Counts()
 	is.Equal(suspects, maxSuspects)
 }
+
+// longPrompt is about the number of parts that fit 16 KiB of headers.
+const longPrompt = 1024
+
+// partIDs returns n ids of parts.
+func partIDs(prefix string, from, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprint(prefix, from+i))
+	}
+	return out
+}
+
+// Guards against a block that rests on crashes of which suspects were forgotten: one of
+// those may have caused them, and the parts that happen to be remembered are sound.
+func TestIncompleteEvidenceBlocksNothing(t *testing.T) {
+	is := is.New(t)
+	var seen recorder
+	q := New(&seen)
+	for i := range 2 * undecidedCrashes {
+		crashWith(q, i, 1000*i, "sound", "guide")
+		// The crash ends other requests as well, and has more suspects than are remembered.
+		for j := range 1 + maxSuspects/longPrompt {
+			q.ApplyReport(Report{Crash: crash(i), Suspects: reported(partIDs(fmt.Sprint(i, "-", j, "-"), 0, longPrompt))}, at(1000*i+150))
+		}
+	}
+	is.Equal(q.Enter(prompt("sound", "guide"), at(1e5)).Verdict, Allowed)
+	is.Equal(len(seen.blocks), 0)
+}
+
+// reported returns parts as they are reported.
+func reported(ids []string) []Suspect {
+	var out []Suspect
+	for _, p := range prompt(ids...) {
+		out = append(out, Suspect{Key: p.Key()})
+	}
+	return out
+}
+
+// Guards against a sound part that stays blocked although crashes went on: the part that
+// explains those and its own ends its block, also at other gateways.
+func TestBlockEndsWhenAnotherPartExplainsMore(t *testing.T) {
+	is := is.New(t)
+	var seen recorder
+	q := New(&seen)
+	crashWith(q, 1, 0, "shop", "deadly", "a")
+	crashWith(q, 2, 1000, "shop", "deadly", "a")
+	is.Equal(q.Enter(prompt("shop", "deadly", "a"), at(2000)).Part, Part{"s", "a"}) // the deepest
+	q.Enter(prompt("shop", "guide"), at(2000)).Pass.Started(at(2100))
+	crashWith(q, 3, 3000, "shop", "deadly", "b")
+	is.Equal(q.Enter(prompt("shop", "deadly", "b"), at(4000)).Part, Part{"s", "deadly"})
+	is.Equal(seen.released, prompt("a"))
+	is.Equal(q.Enter(prompt("shop", "a"), at(4000)).Verdict, Allowed)
+
+	var other recorder
+	peer := New(&other)
+	_, _ = peer.ApplyBlock(seen.blocks[0])
+	_, released := peer.ApplyBlock(seen.blocks[1])
+	is.Equal(released, prompt("a"))
+	fresh, _ := peer.ApplyBlock(seen.blocks[0]) // read from the store late
+	is.True(!fresh)
+	is.Equal(peer.Enter(prompt("shop", "a"), at(4000)).Verdict, Allowed)
+}
+
+// Guards against decisions that take long while many parts are suspects: all requests wait
+// for them.
+func TestManySuspectsAreDecidedFast(t *testing.T) {
+	is := is.New(t)
+	q := New(&recorder{})
+	for i := range maxSuspects / longPrompt {
+		ids := partIDs(fmt.Sprint(i, "-"), 0, longPrompt)
+		for n := range undecidedCrashes - 1 { // parts of different prompts explain them as well
+			q.ApplyReport(Report{Crash: crash(n), Suspects: trials(ids)}, at(1000*n))
+		}
+	}
+	const entries = 20
+	parts := prompt(partIDs("0-", 0, longPrompt)...)
+	start := time.Now()
+	for i := range entries {
+		is.Equal(q.Enter(parts, at(10000+i)).Verdict == Blocked, false)
+	}
+	is.True(time.Since(start) < entries*50*time.Millisecond)
+}
+
+// trials returns parts as they are reported of a trial.
+func trials(ids []string) []Suspect {
+	out := reported(ids)
+	for i := range out {
+		out[i].Trial = true
+	}
+	return out
+}
