--- a/quarantine/started.go
+++ b/quarantine/started.go
@@ -2,35 +2,64 @@
 
 import "time"
 
-// startSlots is the number of parts of which a startTable remembers the last start, a power
-// of two.
-const startSlots = 1 << 15
+const (
+	// startSets and startWays are the dimensions of a startTable. startSets is a power of two.
+	startSets = 1 << 13
+	startWays = 4
+)
 
-// startTable remembers when responses to requests with a part last started. Parts whose
-// keys share a slot displace each other. The zero value is empty; it takes memory with the
-// first part.
-type startTable struct{ slots []startSlot }
+// startTable remembers when responses to requests with a part last started. It is a
+// set-associative cache: of the parts whose keys share a set, the last startWays that
+// started are remembered. The zero value is empty; it takes memory with the first part.
+type startTable struct{ sets [][startWays]start }
 
-type startSlot struct {
+// start is the last start of a part.
+type start struct {
 	key Key
-	// at is in Unix nanoseconds.
+	// at is in Unix nanoseconds, 0 for none.
 	at int64
 }
 
 // add records a start.
 func (s *startTable) add(k Key, now time.Time) {
-	if s.slots == nil {
-		s.slots = make([]startSlot, startSlots)
+	if s.sets == nil {
+		s.sets = make([][startWays]start, startSets)
 	}
-	s.slots[k%startSlots] = startSlot{k, now.UnixNano()}
+	set := &s.sets[k%startSets]
+	slot := 0
+	for i := range set {
+		if set[i].key == k {
+			slot = i
+			break
+		}
+		if set[i].at < set[slot].at {
+			slot = i
+		}
+	}
+	set[slot] = start{k, now.UnixNano()}
+}
+
+// last returns the last start of a part, false if none is remembered.
+func (s *startTable) last(k Key) (start, bool) {
+	if s.sets == nil {
+		return start{}, false
+	}
+	for _, e := range s.sets[k%startSets] {
+		if e.key == k && e.at != 0 {
+			return e, true
+		}
+	}
+	return start{}, false
 }
 
 // contains reports whether a start of the part is remembered.
 func (s *startTable) contains(k Key) bool {
-	return s.slots != nil && s.slots[k%startSlots].key == k
+	_, ok := s.last(k)
+	return ok
 }
 
 // since reports whether a start of the part at or after a time is remembered.
 func (s *startTable) since(k Key, from time.Time) bool {
-	return s.contains(k) && s.slots[k%startSlots].at >= from.UnixNano()
+	e, ok := s.last(k)
+	return ok && e.at >= from.UnixNano()
 }
