gateway: held responses and request bodies share memory budgets

Cause: a bound for each request (64 KiB of a head, 256 KiB of a whole response, 1 MiB of an event, 4 MiB of a body), none for their sum. Class: a resource bounded per item, while the number of items isn't.

Two budgets, taken from memory_mb: an eighth for responses that are held back, a fifth for request bodies. When the first is spent, the endpoint whose responses hold the most yields, its largest response first: a failed attempt, continued elsewhere. Its memory is used by others once it has been dropped. A body that doesn't fit is refused before it is read, 503 with Retry-After. A caller who doesn't read its response yields too.

Ruled out: garbage alone (the peak was above the limit with a lower soft limit too).

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -10,12 +8,8 @@
 	"github.com/citrontiller/citrontiller/catalog"
 )
 
-const (
-	// defaultTimeout applies to requests without a deadline; the route's timeout still caps it.
-	defaultTimeout = 30 * time.Second
-	// defaultMaxBodyBytes bounds request bodies when the configuration sets no limit.
-	defaultMaxBodyBytes = 4 << 20
-)
+// defaultTimeout applies to requests without a deadline; the route's timeout still caps it.
+const defaultTimeout = 30 * time.Second
 
 // accept decodes the request, finds its route and account, and reads its body.
 // The error is a *Refusal.
@@ -78,23 +72,3 @@
 	}
 	return d
 }
-
-// readBody reads the request body, at most limit bytes of it.
-func (x *exchange) readBody(limit int64) error {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
-	}
-	var err error
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
-	case err != nil:
-		return &Refusal{Status: http.StatusBadRequest, Outcome: "body_incomplete", Err: err}
-	}
-	return nil
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/internal/memory"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/quarantine"
 )
@@ -59,6 +60,8 @@
 	reusedConn bool
 	// firstByteAt is the arrival of the body's first byte, zero before it.
 	firstByteAt time.Time
+	// held is the account of the bytes that are held back.
+	held *memory.Buffer
 	// harmless is true once the quarantine knows that the endpoint has borne the request.
 	harmless bool
 }
@@ -83,6 +86,7 @@
 func (p *response) close() {
 	p.cancel()
 	_ = p.resp.Body.Close() // the rest of the body is not needed
+	p.held.Release()
 	p.attempt.Close(time.Now())
 	p.pass.End()
 }
@@ -119,7 +123,8 @@
 		c.attempt.Failed(time.Now())
 		return nil, x.recordFailure(&attemptError{failure: f, endpoint: c.endpoint.ID, err: err})
 	}
-	p := &response{choice: c, resp: resp, cancel: cancel, start: start, incarnation: incarnation, reusedConn: reused.Load()}
+	p := &response{choice: c, resp: resp, cancel: cancel, start: start, incarnation: incarnation, reusedConn: reused.Load(),
+		held: x.g.Responses.Buffer(c.endpoint.ID, cancel)}
 	if err := x.check(p); err != nil {
 		p.close()
 		return nil, x.recordFailure(err)
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/citrontiller/citrontiller/internal/memory"
+)
+
+const (
+	// defaultMaxBodyBytes bounds request bodies when the configuration sets no limit.
+	defaultMaxBodyBytes = 4 << 20
+	// firstBodyBytes is the first buffer for a body of unknown length.
+	firstBodyBytes = 4 << 10
+)
+
+// readBody reads the request body, at most limit bytes of it.
+// Bodies share a memory budget; a request whose body doesn't fit is refused. The error is a
+// *Refusal.
+func (x *exchange) readBody(limit int64) error {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
+	}
+	x.bodyAccount = x.g.Bodies.Buffer("", nil)
+	err := x.readAllBody(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
+	case errors.Is(err, memory.ErrSpent):
+		return x.unavailable("body_memory", err)
+	}
+	return &Refusal{Status: http.StatusBadRequest, Outcome: "body_incomplete", Err: err}
+}
+
+// readAllBody reads the body to its end. Its memory is accounted for before it is taken, at
+// once if the length is known.
+func (x *exchange) readAllBody(body io.Reader) error {
+	size := x.r.ContentLength
+	if size >= 0 {
+		if err := x.bodyAccount.TryGrow(size); err != nil {
+			return err
+		}
+		x.body = make([]byte, size)
+		_, err := io.ReadFull(body, x.body)
+		return err
+	}
+	for {
+		if len(x.body) == cap(x.body) {
+			grown := max(2*cap(x.body), firstBodyBytes)
+			if err := x.bodyAccount.TryGrow(int64(grown - cap(x.body))); err != nil {
+				return err
+			}
+			x.body = append(make([]byte, 0, grown), x.body...)
+		}
+		n, err := body.Read(x.body[len(x.body):cap(x.body)])
+		x.body = x.body[:len(x.body)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/internal/memory"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/quarantine"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -42,6 +43,9 @@
 	StandingQueues admit.StandingQueueDetector
 	// Quarantine keeps requests that crash endpoints from being sent; nil for none.
 	Quarantine *quarantine.Tracker
+	// Responses bounds the bytes of responses that are held back, Bodies those of callers'
+	// request bodies; nil for no bound.
+	Responses, Bodies *memory.Budget
 	// OnLeaving is called with each endpoint that announces in a response that it leaves;
 	// nil for no call. It must not block.
 	OnLeaving func(catalog.Incarnation)
@@ -88,6 +92,8 @@
 	account *catalog.Account
 	service string
 	body    []byte
+	// bodyAccount is the account of body, nil before it is read.
+	bodyAccount *memory.Buffer
 	// configVersion is the version of the configuration that applies.
 	configVersion int64
 	arrived       time.Time
@@ -132,6 +138,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	defer x.finish()
+	defer func() { x.bodyAccount.Release() }()
 	if g.Draining() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/internal/memory"
 )
 
 const (
@@ -33,10 +34,12 @@
 // relayWhole buffers up to maxBufferedBytes of the response before it returns any
 // of it.
 func (x *exchange) relayWhole(p *response) error {
-	body, err := io.ReadAll(io.LimitReader(p.resp.Body, maxBufferedBytes))
-	if err != nil {
+	held := heldBytes{account: p.held, max: maxBufferedBytes}
+	defer held.free()
+	if err := held.readAll(p.resp.Body, p.resp.ContentLength); err != nil {
 		return x.truncated(p, err)
 	}
+	whole := len(held.b) < maxBufferedBytes
 	if p.resp.StatusCode >= 500 && x.allowRetry(unknown) {
 		// If no retry is allowed, the caller gets the endpoint's own response.
 		p.attempt.Failed(time.Now())
@@ -45,19 +48,20 @@
 	}
 	x.recordFirstByte(p)
 	h := x.copyHeaders(p)
-	if int64(len(body)) < maxBufferedBytes {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
+	if whole {
+		h.Set("Content-Length", strconv.Itoa(len(held.b)))
 	}
 	x.writeHead(p)
 	x.outcome = "answered"
-	if _, err := x.w.Write(body); err != nil {
-		x.outcome = "caller_left"
+	size := len(held.b)
+	if !x.writeHeld(p, held.b) {
 		return nil
 	}
-	if int64(len(body)) == maxBufferedBytes {
+	held.free()
+	if !whole {
 		x.copyRest(p)
 	}
-	p.attempt.End(0, int64(len(body)), time.Now())
+	p.attempt.End(0, int64(size), time.Now())
 	p.reportHarmless()
 	return nil
 }
@@ -80,6 +84,9 @@
 // truncated records a response that ended early, before the caller received any
 // of it. It returns the *attemptError.
 func (x *exchange) truncated(p *response, err error) error {
+	if p.held.Revoked() {
+		err = memory.ErrSpent
+	}
 	if x.r.Context().Err() == nil {
 		p.attempt.Failed(time.Now())
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -22,6 +22,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/gateway"
+	"github.com/citrontiller/citrontiller/internal/memory"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/internal/selection"
 	"github.com/citrontiller/citrontiller/lease"
@@ -38,6 +39,10 @@
 	// memoryLimitShare is the share of the process's memory limit that is set as
 	// the Go runtime's soft limit.
 	memoryLimitShare = 0.7
+	// responseMemoryShare and bodyMemoryShare are the shares of the process's memory limit
+	// that responses which are held back and callers' request bodies may take.
+	responseMemoryShare = 0.125
+	bodyMemoryShare     = 0.2
 	// shutdownMargin is how long before SIGKILL the last requests are ended.
 	shutdownMargin = 700 * time.Millisecond
 	// finalAnswerTime is the time in which ended requests are answered.
@@ -120,6 +125,7 @@
 		// The platform's retry ratio applies to all processes together. Each gateway
 		// retries at most half that share of its own requests.
 		Budget: admit.NewBudget(hostSettings.RetryPercent / 2), Quarantine: p.quarantine, Log: log,
+		Responses: memoryShare(hostSettings.MemoryBytes, responseMemoryShare), Bodies: memoryShare(hostSettings.MemoryBytes, bodyMemoryShare),
 	}
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "citrontiller_log_lines_dropped_total", Help: "Log lines that found the queue full."},
 		func() float64 { return float64(droppedLines()) }))
@@ -127,6 +133,8 @@
 		gauge("blocked_prompt_parts", "Prompt parts that are not sent because they crash endpoints.", func() int { _, n := p.quarantine.Counts(); return n }),
 		gauge("leaving_endpoints", "Listed endpoints that have announced that they leave.", func() int { return len(p.gateway.Directory.LeavingEndpoints()) }),
 		gauge("rate_limited_endpoints", "Listed endpoints that have announced a rate limit.", func() int { return len(p.gateway.Directory.RateLimits()) }),
+		gauge("held_response_bytes", "Bytes of responses that are held back.", func() int { return int(p.gateway.Responses.Used()) }),
+		gauge("request_body_bytes", "Bytes of callers' request bodies.", func() int { return int(p.gateway.Bodies.Used()) }),
 		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -145,6 +153,15 @@
 	return p
 }
 
+// memoryShare returns a budget of a share of the process's memory limit, nil if there is no
+// limit.
+func memoryShare(limitBytes int64, share float64) *memory.Budget {
+	if limitBytes <= 0 {
+		return nil
+	}
+	return memory.NewBudget(int64(float64(limitBytes) * share))
+}
+
 // gauge returns a gauge of a count.
 func gauge(name, help string, count func() int) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_" + name, Help: help}, func() float64 { return float64(count()) })
--- /dev/null
+++ b/internal/memory/budget_test.go
@@ -0,0 +1,106 @@
+package memory
+
+import (
+	"errors"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// hold returns a buffer of n bytes that is dropped as soon as it is revoked.
+func hold(is *is.I, b *Budget, group string, n int64) (u *Buffer, revoked *atomic.Bool) {
+	revoked = &atomic.Bool{}
+	u = b.Buffer(group, func() {
+		revoked.Store(true)
+		go u.Release()
+	})
+	is.NoErr(u.Grow(n))
+	return u, revoked
+}
+
+// Guards against buffers that yield although another group holds more: what one endpoint
+// sends without end must not end the responses of others.
+func TestGroupThatHoldsMostYields(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(100)
+	_, small := hold(is, b, "faulty", 20)
+	_, large := hold(is, b, "faulty", 40)
+	sound, soundRevoked := hold(is, b, "sound", 30)
+	is.NoErr(sound.Grow(15)) // 105: the largest buffer of the faulty group yields
+	is.True(large.Load())
+	is.True(!small.Load() && !soundRevoked.Load())
+	is.Equal(b.Used(), int64(65))
+	last := b.Buffer("faulty", func() {})
+	is.Equal(last.Grow(80), ErrSpent) // it is itself the one to yield
+	is.True(!soundRevoked.Load())
+	is.Equal(b.Used(), int64(65))
+}
+
+// Guards against a buffer that grows after it was revoked, or that takes memory whose owner
+// hasn't dropped it yet.
+func TestRevokedMemoryIsNotUsedTwice(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(100)
+	dropped := make(chan struct{})
+	faulty := b.Buffer("faulty", func() { close(dropped) })
+	is.NoErr(faulty.Grow(90))
+	grown := make(chan error)
+	sound := b.Buffer("sound", func() {})
+	go func() { grown <- sound.Grow(30) }()
+	<-dropped
+	is.True(faulty.Revoked())
+	is.Equal(faulty.Grow(1), ErrSpent)
+	select {
+	case <-grown:
+		t.Fatal("memory is used twice")
+	case <-time.After(20 * time.Millisecond):
+	}
+	faulty.Release()
+	is.NoErr(<-grown)
+	is.Equal(b.Used(), int64(30))
+}
+
+// Guards against a request that takes its memory from others, though it can be refused.
+func TestTryGrowRevokesNobody(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(100)
+	_, revoked := hold(is, b, "", 90)
+	u := b.Buffer("", nil)
+	is.True(errors.Is(u.TryGrow(11), ErrSpent))
+	is.NoErr(u.TryGrow(10))
+	u.Release()
+	is.True(!revoked.Load())
+	is.Equal(b.Used(), int64(90))
+}
+
+// Guards against a budget that is exceeded, not given back, or that blocks its users, when
+// many buffers grow at once.
+func TestBudgetHoldsUnderConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	const limit = 1000
+	b := NewBudget(limit)
+	var exceeded atomic.Bool
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewSource(int64(i)))
+			for range 200 {
+				gone := make(chan struct{})
+				u := b.Buffer([]string{"a", "b", "c"}[i%3], func() { close(gone) })
+				for u.Grow(int64(1+rnd.Intn(60))) == nil {
+					exceeded.CompareAndSwap(false, b.Used() > limit+40*60) // those that wait for room count too
+				}
+				u.Release()
+			}
+		})
+	}
+	start := time.Now()
+	wg.Wait()
+	is.True(!exceeded.Load())
+	is.Equal(b.Used(), int64(0))
+	is.True(time.Since(start) < maxDropTime) // nobody has waited for a buffer that was not dropped
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,6 +46,8 @@
 	settleTime = 6 * time.Second
 	// graceTime is the gateways' grace_s setting, the time between SIGTERM and SIGKILL.
 	graceTime = 8 * time.Second
+	// soakMemoryMB is the gateways' memory_mb setting.
+	soakMemoryMB = 200
 )
 
 // proxy is a loopback TCP proxy that can reset, delay and stall its connections.
@@ -153,6 +155,9 @@
 	go func() {
 		_ = cmd.Wait() // a killed process returns an error
 		_ = log.Close()
+		if status := cmd.ProcessState.ExitCode(); status > 0 {
+			t.Errorf("gateway %s ended by itself with status %d", p.name, status)
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if !p.stopped {
@@ -276,7 +281,8 @@
 
 func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
 
-func newSystem(t *testing.T, binary string, seed int) *system {
+// newSystem starts a number of gateways with a limit of memory in MB.
+func newSystem(t *testing.T, binary string, seed, gateways, memoryMB int) *system {
 	s := &system{t: t, rng: rand.New(rand.NewPCG(uint64(seed), 1)), store: platformtest.NewStore(), runs: &platformtest.Runs{}}
 	store := httptest.NewServer(s.store)
 	t.Cleanup(store.Close)
@@ -290,14 +296,14 @@
 		s.restart(e)
 	}
 	dir := t.TempDir()
-	for i := range *gateways {
+	for i := range gateways {
 		storeProxy := newProxy(t, store.Listener.Addr().String())
 		s.storeProxies = append(s.storeProxies, storeProxy)
 		p := &process{name: fmt.Sprintf("g%d", i), listenAddr: testaddr.Reserve(t), readyAddr: testaddr.Reserve(t), binary: binary}
 		p.settingsPath, p.logPath = filepath.Join(dir, p.name+".yaml"), filepath.Join(dir, p.name+".log")
 		text := fmt.Sprintf("node: %s\nip: 127.0.0.1\nzone: z\nregion: r\nzones: {z: r}\nlisten: {front: %q, ready: %q, control: %q}\n"+
-			"limits: {memory_mb: 200}\nbounds: {grace_s: %d, version_ms: 12000, retry_budget_ratio: 0.2}\nplatform: {address: %q}\n",
-			p.name, p.listenAddr, p.readyAddr, testaddr.Reserve(t), int(graceTime.Seconds()), storeProxy.Addr())
+			"limits: {memory_mb: %d}\nbounds: {grace_s: %d, version_ms: 12000, retry_budget_ratio: 0.2}\nplatform: {address: %q}\n",
+			p.name, p.listenAddr, p.readyAddr, testaddr.Reserve(t), memoryMB, int(graceTime.Seconds()), storeProxy.Addr())
 		if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -387,7 +393,7 @@
 	endpointProxy := e.proxy
 	length := time.Duration(200+s.rng.IntN(1500)) * time.Millisecond
 	later := func(f func()) { time.AfterFunc(length, f) }
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(15) {
 	case 0:
 		p.signal(syscall.SIGKILL)
 		return "kill " + p.name
@@ -440,6 +446,11 @@
 		restore()
 		time.AfterFunc(length/4, s.rewrite)
 		return "store returns to the state of the last such fault, or of the start"
+	case 13:
+		fault := platformtest.Fault(1 + s.rng.IntN(int(platformtest.Faults)-1))
+		e.SetFault(fault)
+		later(func() { e.SetFault(platformtest.NoFault) })
+		return e.ID + " answers wrongly: " + fault.String()
 	default:
 		s.putConfig(version)
 		p.signal(syscall.SIGHUP)
@@ -451,7 +462,7 @@
 // served again afterwards.
 func runSeed(t *testing.T, binary string, seed int) {
 	is := is.New(t)
-	s := newSystem(t, binary, seed)
+	s := newSystem(t, binary, seed, *gateways, soakMemoryMB)
 	t.Cleanup(func() {
 		if t.Failed() {
 			s.saveLogs(seed)
@@ -483,6 +494,11 @@
 	}
 	cancel()
 	wg.Wait()
+	for _, p := range s.processes {
+		if peak := p.peakMemoryMB(t); peak >= soakMemoryMB {
+			s.fail("gateway %s has taken %d MB of memory", p.name, peak)
+		}
+	}
 	t.Logf("seed %d: %d requests, %d served, %d in the last second", seed, next.Load(), after, after-before)
 	is.True(after-before > 50) // served again after the faults
 	is.Equal(s.failures.Load(), int64(0))
@@ -519,13 +535,10 @@
 // wrong or mixed-up response, and gateways that stay unavailable, all under
 // overlapping faults: kills, pauses, stalled and reset connections, store outages, stores
 // that hang or return in an older state, configuration changes, and endpoints that announce that they leave, take few requests or
-// want none; and against endpoints that are left out afterwards, and gateways in which an
+// want none, or answer without end or with a status that answers nothing; and against endpoints that are left out afterwards, and gateways in which an
 // older configuration is in force.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "citrontiller")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/citrontiller").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildGateway(t)
 	for _, seed := range regressionSeeds {
 		t.Run(fmt.Sprint("regression ", seed), func(t *testing.T) { runSeed(t, binary, seed) })
 	}
@@ -534,3 +547,12 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { t.Parallel(); runSeed(t, binary, seed) })
 	}
 }
+
+// buildGateway builds the program and returns its path.
+func buildGateway(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "citrontiller")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/citrontiller").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
