gateway: a failure without a length and an end is a failed attempt

Cause: a response that is cut at its deadline is no evidence against its endpoint, and whatever exceeded 256 KiB was relayed. A response other than 2xx that tells no length and exceeds 256 KiB now is a failed attempt at once: sound failures are short or tell their length. A success without a length beyond 1 MiB, or an event beyond that, still lasts until the deadline, since slow but sound streams must not be cut, but then counts against its endpoint.

TestEndlessFailureIsAFailedAttempt failed before (responses broke off at the timeout).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,6 +62,8 @@
 	firstByteAt time.Time
 	// held is the account of the bytes that are held back.
 	held *memory.Buffer
+	// endless is true if the response shows no sign of an end.
+	endless bool
 	// harmless is true once the quarantine knows that the endpoint has borne the request.
 	harmless bool
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -26,6 +26,9 @@
 	events int
 	bytes  int64
 
+	// sinceEvent counts the bytes since the end of the last event.
+	sinceEvent int64
+
 	buf [streamReadBytes]byte
 	// held holds the events that were returned last, in relayed bytes, and the beginning of
 	// one whose end has not arrived.
@@ -112,6 +115,10 @@
 // record counts the events of a chunk and, if they are whole, records the last one's id.
 func (s *eventStream) record(chunk []byte) {
 	s.events += bytes.Count(chunk, eventSeparator)
+	s.sinceEvent += int64(len(chunk))
+	if end := bytes.LastIndex(chunk, eventSeparator); end >= 0 {
+		s.sinceEvent = int64(len(chunk) - end - len(eventSeparator))
+	}
 	if !s.wholeEvents || len(chunk) == 0 {
 		return
 	}
@@ -158,5 +165,5 @@
 	s.held.free()
 	s.held = heldBytes{account: p.held, max: maxEventBytes + streamReadBytes}
 	s.framed, s.received = framed(p.resp), false
-	s.relayed, s.tail, s.afterID = 0, s.tail[:0], s.lastID
+	s.relayed, s.sinceEvent, s.tail, s.afterID = 0, 0, s.tail[:0], s.lastID
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -66,6 +66,41 @@
 	}
 }
 
+// Guards against an endpoint whose failures never end and that is chosen again and again:
+// each request to it lasted until its deadline, which was no evidence against it.
+func TestEndlessFailureIsAFailedAttempt(t *testing.T) {
+	endless := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(http.StatusNotFound)
+		for filler, err := make([]byte, 64<<10), error(nil); err == nil; {
+			_, err = w.Write(filler)
+		}
+	}
+	for path, want := range map[string]int{"/read/1": http.StatusOK, "/tag/1": http.StatusOK, "/book/1": http.StatusBadGateway} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, []responder{endless})
+			start := time.Now()
+			status, _ := f.callID(t, path, "alone")
+			is.Equal(status, http.StatusBadGateway)
+			is.True(time.Since(start) < 900*time.Millisecond) // before the route's timeout
+			_, _ = f.callID(t, path, "again")
+			f.add(t, "e1", []responder{ok("own\n\n")})
+			for i := range 8 {
+				status, _ = f.callID(t, path, fmt.Sprint("r", i))
+				is.True(status == http.StatusOK || status == want)
+			}
+			n := 0
+			for _, id := range f.arrivals[2:] {
+				if id == "e0" {
+					n++
+				}
+			}
+			is.True(n <= 1) // it is left out, but for a probe
+		})
+	}
+}
+
 // Guards against request bodies that together fill the memory of the process: what doesn't
 // fit is refused at once, as not run, and accepted when there is room again.
 func TestBodiesShareMemory(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,10 +19,17 @@
 	// maxBufferedBytes bounds the part of a response that is read before any of it
 	// is returned, so that a request whose response is truncated can be retried.
 	maxBufferedBytes = 256 << 10
+	// maxUnframedBytes is the size from which a response that tells no length, and hasn't ended
+	// at the deadline, counts against its endpoint.
+	maxUnframedBytes = 1 << 20
 	// streamReadBytes is the buffer size for reading a stream.
 	streamReadBytes = 4 << 10
 )
 
+// errEndlessFailure means that a response other than a success tells no length and exceeds
+// maxBufferedBytes.
+var errEndlessFailure = fmt.Errorf("failure without a length exceeds %d bytes", maxBufferedBytes)
+
 // relay returns an endpoint's response to the caller. An error is an
 // *attemptError and means that the caller has received nothing yet.
 func (x *exchange) relay(p *response) error {
@@ -40,6 +48,9 @@
 		return x.truncated(p, err)
 	}
 	whole := len(held.b) < maxBufferedBytes
+	if !whole && p.resp.StatusCode/100 != 2 && p.resp.ContentLength < 0 {
+		return x.truncated(p, errEndlessFailure)
+	}
 	if p.resp.StatusCode >= 500 && x.allowRetry(unknown) {
 		// If no retry is allowed, the caller gets the endpoint's own response.
 		p.attempt.Failed(time.Now())
@@ -76,7 +87,9 @@
 
 // copyRest relays what exceeds maxBufferedBytes.
 func (x *exchange) copyRest(p *response) {
-	if _, err := io.Copy(x.w, p.resp.Body); err != nil {
+	n, err := io.Copy(x.w, p.resp.Body)
+	if err != nil {
+		p.endless = p.resp.ContentLength < 0 && n > maxUnframedBytes
 		x.abort(p, err)
 	}
 }
@@ -132,6 +145,9 @@
 		x.outcome = "stopped"
 	case errors.Is(err, context.DeadlineExceeded), x.ctx.Err() != nil:
 		x.outcome = "timeout"
+		if p.endless {
+			p.attempt.Failed(time.Now())
+		}
 	default:
 		p.attempt.Failed(time.Now())
 		x.observeBreak(p)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,7 @@
 			current = next
 		}
 		current.checkHarmless()
+		current.endless = s.sinceEvent > maxEventBytes
 		chunk, err = s.next(current.resp.Body)
 		if current.firstByteAt.IsZero() && len(chunk) > 0 {
 			current.firstByteAt = time.Now()
