gateway: callers' bodies end at the deadline, writes to callers 15 s after it

A caller who never finished its body held its memory and a request for good: nothing ended the read. One who didn't read held its response in the same way.

The body gets until the request's deadline, then 408 (not run). Writes get 15 s more, so that ready answers are delivered late. TestSlowBodyEndsAtDeadline failed before.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/citrontiller/citrontiller/internal/memory"
 )
@@ -15,7 +17,7 @@
 	firstBodyBytes = 4 << 10
 )
 
-// readBody reads the request body, at most limit bytes of it.
+// readBody reads the request body, at most limit bytes of it, until the request's deadline.
 // Bodies share a memory budget; a request whose body doesn't fit is refused. The error is a
 // *Refusal.
 func (x *exchange) readBody(limit int64) error {
@@ -26,15 +28,20 @@
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
 	}
 	x.bodyAccount = x.g.Bodies.Buffer("", nil)
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetReadDeadline(x.deadline) // a connection that doesn't support it has none
 	err := x.readAllBody(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = rc.SetReadDeadline(time.Time{}) // as above; else it bounds what the server reads to reuse the connection
 		return nil
 	case errors.As(err, &tooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
 	case errors.Is(err, memory.ErrSpent):
 		return x.unavailable("body_memory", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Refusal{Status: http.StatusRequestTimeout, Outcome: "body_timeout", Err: err}
 	}
 	return &Refusal{Status: http.StatusBadRequest, Outcome: "body_incomplete", Err: err}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,10 @@
 	"github.com/citrontiller/citrontiller/route"
 )
 
+// lateWriteTime is how long after its request's deadline a caller may take to read the
+// response.
+const lateWriteTime = 15 * time.Second
+
 // Gateway is the HTTP handler for callers' requests. Its exported fields are set
 // before the first request.
 type Gateway struct {
@@ -155,6 +159,9 @@
 	var cancel func()
 	x.ctx, cancel = g.stopping.withEnd(ctx, x.deadline)
 	defer cancel()
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(x.deadline.Add(lateWriteTime))  // a connection that doesn't support it has none
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }() // as above
 	x.forward()
 }
 
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -147,6 +148,25 @@
 	return resp, string(text), err
 }
 
+// Guards against callers who take for ever to send their bodies, which are held in memory.
+func TestSlowBodyEndsAtDeadline(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, []responder{ok("whole")})
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	start := time.Now()
+	_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: h\r\nId: slow\r\nKey: k\r\nContent-Length: 900\r\n\r\nb")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(start.Add(5 * time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+	is.True(time.Since(start) < 1500*time.Millisecond) // the route's timeout is a second
+	is.Equal(f.sends(), 0)
+}
+
 // smallBuffers is a listener whose connections hold little that their peers don't read.
 type smallBuffers struct{ net.Listener }
 
