rollout, gatewayd: a call that hangs holds neither the rollout nor the end of the process

bounded drops the result of a call that has not returned 100 ms after its context has ended, and the process ends 150 ms before SIGKILL whatever the coordinator does.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -45,6 +45,8 @@
 	bodyMemoryShare     = 0.2
 	// shutdownMargin is how long before SIGKILL the last requests are ended.
 	shutdownMargin = 700 * time.Millisecond
+	// exitMargin is how long before SIGKILL the process ends, whatever still runs.
+	exitMargin = 150 * time.Millisecond
 	// finalAnswerTime is the time in which ended requests are answered.
 	finalAnswerTime = 300 * time.Millisecond
 	// engineBaseMs is the time to first token of an idle engine in milliseconds, as
@@ -211,12 +213,23 @@
 	go p.serve(probeListener, &http.Server{Handler: p.probeMux, ReadHeaderTimeout: headerTimeout})
 	go p.serve(callerListener, p.server)
 	<-ctx.Done()
+	stopped := time.Now()
 	p.drain()
 	stop()
-	<-coordinatorDone // the lock is released by then
+	p.awaitCoordinator(coordinatorDone, stopped.Add(p.hostSettings.Grace-exitMargin))
 	return nil
 }
 
+// awaitCoordinator waits until the rollout coordinator has released the lock, but not past a
+// time: the process must end by itself before it is killed, and the lease ends anyway.
+func (p *gatewayProcess) awaitCoordinator(done <-chan struct{}, until time.Time) {
+	select {
+	case <-done:
+	case <-time.After(time.Until(until)):
+		p.log.Warn("rollout coordinator has not stopped in time")
+	}
+}
+
 func (p *gatewayProcess) serve(l net.Listener, s *http.Server) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error("server stopped", zap.String("address", l.Addr().String()), zap.Error(err))
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -240,3 +240,13 @@
 	is.Equal([]int{runs.Count("before"), runs.Count("during")}, []int{1, 1})
 	wait()
 }
+
+// Guards against a process that doesn't end after SIGTERM because the rollout coordinator
+// waits for a call that hangs.
+func TestEndDoesNotWaitForHangingCoordinator(t *testing.T) {
+	is := is.New(t)
+	p := newProcess(Settings{}, platform.Settings{Name: "g0", Region: "r"}, zap.NewNop(), func() int64 { return 0 })
+	start := time.Now()
+	p.awaitCoordinator(make(chan struct{}), start.Add(50*time.Millisecond))
+	is.True(time.Since(start) < 2*time.Second)
+}
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -70,7 +70,7 @@
 func (u *update) state(ctx context.Context) (State, error) {
 	for try := 1; ; try++ {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		st, err := u.engines.State(call, u.order.Endpoint, u.order.Address)
+		st, err := bounded(call, func() (State, error) { return u.engines.State(call, u.order.Endpoint, u.order.Address) })
 		cancel()
 		if err == nil {
 			return st, nil
@@ -94,7 +94,7 @@
 	o.Expected = &accepted
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := u.engines.Load(call, o)
+	reply, err := bounded(call, func() (Reply, error) { return u.engines.Load(call, o) })
 	u.log.Info("order", zap.String("endpoint", o.Endpoint), zap.String("model", o.Model), zap.Int64("version", o.Version),
 		zap.Int64("fence", o.Fence), zap.Int64("accepted_before", accepted), zap.String("reply", string(reply)), zap.Error(err))
 	if reply == Stale {
