httpclient: no transport to endpoints sends a request twice by itself

Cause: net/http repeats requests that it takes for idempotent if it can provide the body again. The gateway prevented that request by request and had forgotten this form. Now the transport that all endpoint clients share does so for all: the second connection that is assigned to a request is closed before anything is written to it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,8 +93,7 @@
 	p.pass.End()
 }
 
-// requestBody hides the reader's other methods, so that the transport can't
-// retry the request by itself: every send counts against the limits.
+// requestBody hides the reader's other methods, which the transport doesn't need.
 type requestBody struct{ io.Reader }
 
 func (requestBody) Close() error { return nil }
@@ -165,8 +164,6 @@
 		Host: x.r.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	if len(x.body) > 0 {
 		out.Body, out.ContentLength = requestBody{bytes.NewReader(x.body)}, int64(len(x.body))
-	} else if x.r.Method == http.MethodGet || x.r.Method == http.MethodHead || x.r.Method == http.MethodOptions {
-		out.Body = requestBody{bytes.NewReader(nil)}
 	}
 	return out.WithContext(ctx)
 }
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -110,6 +110,36 @@
 	}
 }
 
+// Guards against a booking that runs twice: when its answer was lost on a kept connection,
+// the transport sent it again by itself, as it does without a body and with such a header.
+func TestBookingWithoutBodyRunsOnce(t *testing.T) {
+	for _, header := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		t.Run(header, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			var runs atomic.Int64
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+				for id := readRequest(r); id != ""; id = readRequest(r) {
+					if id == "lost" {
+						runs.Add(1)
+						return
+					}
+					_, _ = io.WriteString(c, answer(id))
+				}
+			})
+			for _, id := range []string{"first", "second", "lost"} {
+				req := f.request(t, http.MethodPost, "/book/1", id, "")
+				req.Header.Set(header, "k")
+				resp, err := f.open(req)
+				is.NoErr(err)
+				_ = resp.Body.Close()
+				is.Equal(resp.StatusCode == http.StatusBadGateway, id == "lost")
+			}
+			is.Equal(runs.Load(), int64(1))
+		})
+	}
+}
+
 // Guards against bytes that are no answer, with and without an end: the process goes
 // on, and a request that may be repeated is answered by another endpoint.
 func TestBytesThatAreNoAnswer(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,8 @@
 	Codec     Codec
 	// ShortIdle keeps idle connections for a short time only. It carries requests
 	// that must not run twice: the longer a connection is idle, the likelier its
-	// endpoint has closed it. LongIdle carries all other requests.
+	// endpoint has closed it. LongIdle carries all other requests. Neither may send a
+	// request twice by itself.
 	ShortIdle, LongIdle http.RoundTripper
 	// Region is the region of this host.
 	Region string
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 	t.Helper()
 	log := zap.NewNop()
 	members, tracker := member.NewTracker(), route.NewTracker()
-	transport := &httpclient.Transport{Transport: &http.Transport{DisableCompression: true}}
+	transport := &httpclient.Transport{Transport: &http.Transport{DisableCompression: true}, SendOnce: true}
 	t.Cleanup(transport.CloseIdleConnections)
 	f := &fleet{gateway: &Gateway{Config: &catalog.ActiveConfig{}, Members: members, Tracker: tracker, Directory: NewDirectory(members, tracker, log),
 		Scheduler: selection.New(log), Targets: &rollout.Targets{}, Codec: testCodec{}, ShortIdle: transport, LongIdle: transport,
--- a/internal/gatewayd/connections.go
+++ b/internal/gatewayd/connections.go
@@ -44,7 +44,9 @@
 // newTransport returns a transport for endpoints that closes connections whose
 // peer stops responding. idle is how long unused connections are kept.
 func newTransport(idle time.Duration) *httpclient.Transport {
-	return newKeepAliveTransport(idle, keepAliveInterval, keepAliveCount)
+	t := newKeepAliveTransport(idle, keepAliveInterval, keepAliveCount)
+	t.SendOnce = true // each send counts against the limits of its request
+	return t
 }
 
 // newStoreTransport returns a transport for the store. A long poll sends nothing
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -22,6 +22,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/gateway"
+	"github.com/citrontiller/citrontiller/internal/httpclient"
 	"github.com/citrontiller/citrontiller/internal/memory"
 	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/internal/selection"
@@ -242,7 +243,7 @@
 		KV: p.store,
 		Lock: &lease.Lock{KV: p.store, Key: rollout.LockKey, Holder: p.hostSettings.Name, TTL: p.settings.LeaseTTL, Clock: bootTime,
 			Free: p.mayAcquireLock, Log: p.log},
-		Client:  &platform.EngineClient{Client: &http.Client{Transport: newTransport(longIdleTimeout)}, Holder: p.hostSettings.Name},
+		Client:  &platform.EngineClient{Client: httpclient.NewClient(newTransport(longIdleTimeout)), Holder: p.hostSettings.Name},
 		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.mirror.StoredRevision,
 		OnPlan: p.announcePlan, Strategy: rollout.Strategy(p.settings.RolloutStrategy), ShareDivisor: p.settings.RolloutShare, Log: p.log,
 	}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -9,7 +9,12 @@
 
 // Transport is an http.Transport that returns final responses only. Their bodies end with
 // the request's context. It is safe for concurrent use.
-type Transport struct{ *http.Transport }
+type Transport struct {
+	*http.Transport
+	// SendOnce makes a request fail where http.Transport would send it again by itself, as
+	// it does on kept connections that break, depending on its method, headers and body.
+	SendOnce bool
+}
 
 // StatusError reports a response whose status answers no request.
 type StatusError struct{ Status int }
@@ -23,7 +28,11 @@
 // connection itself as the body, which neither the request's context nor the transport
 // closes any more. Requests don't ask for another protocol.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	send := t.Transport.RoundTrip
+	if t.SendOnce && mayBeRepeated(req) {
+		send = t.sendOnce
+	}
+	resp, err := send(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,7 +60,7 @@
 					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n", head)
 				}
 			})
-			transport := &Transport{&http.Transport{}}
+			transport := &Transport{Transport: &http.Transport{}, SendOnce: true}
 			defer transport.CloseIdleConnections()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
@@ -87,7 +89,7 @@
 					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", head)
 				}
 			})
-			transport := &Transport{&http.Transport{}}
+			transport := &Transport{Transport: &http.Transport{}, SendOnce: true}
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
 			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/", nil)
@@ -101,3 +103,69 @@
 		})
 	}
 }
+
+// Guards against a request that the transport sends again by itself after a kept connection
+// broke: it runs twice, and neither limits nor budgets know.
+func TestRequestIsSentOnce(t *testing.T) {
+	for name, build := range map[string]func() *http.Request{
+		"idempotency key":          func() *http.Request { return newRequest(http.MethodPost, "Idempotency-Key", nil) },
+		"other idempotency key":    func() *http.Request { return newRequest(http.MethodPost, "X-Idempotency-Key", nil) },
+		"GET":                      func() *http.Request { return newRequest(http.MethodGet, "A", nil) },
+		"TRACE":                    func() *http.Request { return newRequest(http.MethodTrace, "A", nil) },
+		"body that can be reread":  func() *http.Request { return newRequest(http.MethodPut, "Idempotency-Key", strings.NewReader("b")) },
+		"empty body that is known": func() *http.Request { return newRequest(http.MethodPost, "Idempotency-Key", http.NoBody) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int64
+			addr, _ := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if req.URL.Path == "/lost" {
+						requests.Add(1)
+						_ = c.Close() // the answer is lost
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			transport := &Transport{Transport: &http.Transport{}, SendOnce: true}
+			defer transport.CloseIdleConnections()
+			send := func(req *http.Request, path string) (string, error) {
+				req.URL.Host, req.URL.Path = addr, path
+				resp, err := transport.RoundTrip(req)
+				if err != nil {
+					return "", err
+				}
+				defer resp.Body.Close()
+				text, err := io.ReadAll(resp.Body)
+				return string(text), err
+			}
+			for range 2 { // leaves a connection that is in use again
+				text, err := send(newRequest(http.MethodGet, "A", nil), "/")
+				is.NoErr(err)
+				is.Equal(text, "ok")
+			}
+			_, err := send(build(), "/lost")
+			is.True(err != nil)
+			is.Equal(requests.Load(), int64(1))
+			text, err := send(build(), "/") // the transport is as good as before
+			is.NoErr(err)
+			is.Equal(text, "ok")
+		})
+	}
+}
+
+// newRequest returns a request with a header.
+func newRequest(method, header string, body io.Reader) *http.Request {
+	req, err := http.NewRequest(method, "http://host/", body)
+	if err != nil {
+		panic(err) // the arguments are constant
+	}
+	req.Header.Set(header, "k")
+	return req
+}
--- a/plugins/internal/exchange/exchange.go
+++ b/plugins/internal/exchange/exchange.go
@@ -52,8 +52,8 @@
 
 // New returns a client that opens connections with the dialer of the settings.
 func New(s kernel.Settings) *Client {
-	pooled := &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), MaxIdleConnsPerHost: 64, DisableCompression: true}}
-	unpooled := &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), DisableKeepAlives: true, DisableCompression: true}}
+	pooled := &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), MaxIdleConnsPerHost: 64, DisableCompression: true}, SendOnce: true}
+	unpooled := &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), DisableKeepAlives: true, DisableCompression: true}, SendOnce: true}
 	return &Client{pooled: &http.Client{Transport: pooled, CheckRedirect: returnRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: returnRedirect}}
 }
