gateway: a response that is given up is closed before another endpoint continues

Cause: the response was closed with the whole request. After most errors net/http has closed the connection, but not where the error is the gateway's own: too large an event, a continuation that begins again, memory that had to yield.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,7 +84,7 @@
 	p.harmless = true
 }
 
-// close ends the attempt and releases its connection.
+// close ends the attempt and releases its connection. It may be called again.
 func (p *response) close() {
 	p.cancel()
 	_ = p.resp.Body.Close() // the rest of the body is not needed
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -153,3 +154,37 @@
 		}
 	}
 }
+
+// Guards against an endpoint that works on while another one continues its stream: the
+// gateway gives up a response without end, which doesn't end its connection by itself.
+func TestGivenUpResponseIsClosed(t *testing.T) {
+	is := is.New(t)
+	const workedOn = 400 * time.Millisecond
+	f := newFleet(t)
+	closed := make(chan struct{})
+	for i := range 2 {
+		f.addRaw(t, fmt.Sprint("e", i), func(c net.Conn, r *bufio.Reader, _ int) {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nStamp: s\r\nId: "+req.Header.Get("Id")+"\r\n\r\n")
+			if req.Header.Get("Last-Event") == "" {
+				_, _ = io.WriteString(c, delivered+strings.Repeat("x", maxEventBytes+2*streamReadBytes))
+				_, _ = io.Copy(io.Discard, r) // until the caller closes
+				close(closed)
+				return
+			}
+			select {
+			case <-closed:
+			case <-time.After(workedOn):
+				t.Error("the endpoint before still works on the request")
+			}
+			_, _ = io.WriteString(c, "id: 3\ndata: c\n\n")
+		})
+	}
+	body, complete := f.readStream(t)
+	is.Equal(body, delivered+"id: 3\ndata: c\n\n")
+	is.True(complete)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,7 +100,11 @@
 	}
 	p.attempt.Failed(time.Now())
 	x.observeBreak(p)
-	_ = x.recordFailure(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: cause}) // recordFailure logs it
+	// recordFailure logs the error.
+	_ = x.recordFailure(&attemptError{failure: unknown, endpoint: p.endpoint.ID, err: cause})
+	// The endpoint must not work on while another one continues.
+	s.held.free()
+	p.close()
 	for x.allowRetry(unknown) {
 		c, ok := x.waitForEndpoint()
 		if !ok {
