gateway: of the endpoints listed at an address, only the one that started last is used

Cause: an engine had started again at its address under another id; after a drill the entry of its predecessor was listed again, seemed idle, and got 82 requests that its successor refused with 421. Class: an address taken for the identity of the process behind it.

Ruled out: requests to the listed engine (5 in 8 s), calls of the rollout.

TestEndpointWithSuccessorAtItsAddressIsNotUsed failed before.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -35,6 +35,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointRecord
+	byAddress addressIndex
 	// kvCapacityTokens is the capacity of an engine's KV cache memory in tokens, by
 	// service.
 	kvCapacityTokens map[string]int64
@@ -58,11 +59,13 @@
 	catalog.Endpoint
 	load           Load
 	weightsVersion int64
+	// superseded is true while an endpoint that started later is listed at the same address.
+	superseded bool
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory(members *member.Tracker, tracker *route.Tracker, log *zap.Logger) *Directory {
-	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, updating: map[string]bool{},
+	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, byAddress: addressIndex{}, updating: map[string]bool{},
 		plans: map[string]rollout.Plan{}, announcements: newAnnouncements()}
 }
 
@@ -74,15 +77,21 @@
 	old := d.endpoints[e.ID]
 	r := &endpointRecord{Endpoint: e, weightsVersion: highestVersion(e.Weights)}
 	if old != nil && old.BootID == e.BootID {
-		r.load = old.load
+		r.load, r.superseded = old.load, old.superseded
 	}
 	d.endpoints[e.ID] = r
+	if old != nil && old.Address != e.Address {
+		d.byAddress.remove(old.Address, e.ID)
+		d.updateSuperseded(old.Address)
+	}
+	d.byAddress.add(e.Address, e.ID)
 	d.rememberLeaving(r)
 	if old == nil || old.State != e.State || old.BootID != e.BootID || old.weightsVersion != r.weightsVersion {
 		d.log.Info("endpoint", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("state", string(e.State)),
 			zap.String("address", e.Address), zap.String("boot", e.BootID), zap.Int64("weights", r.weightsVersion), zap.Int64("revision", revision))
 	}
 	d.publish(r)
+	d.updateSuperseded(e.Address)
 	d.report(r)
 	if old == nil || old.Incarnation() != r.Incarnation() {
 		d.applyAnnouncements(r)
@@ -104,10 +113,13 @@
 func (d *Directory) Remove(id string, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ok := d.endpoints[id]; !ok {
+	r, ok := d.endpoints[id]
+	if !ok {
 		return
 	}
 	delete(d.endpoints, id)
+	d.byAddress.remove(r.Address, id)
+	d.updateSuperseded(r.Address)
 	d.log.Info("endpoint gone", zap.String("endpoint", id), zap.Int64("revision", revision))
 	d.members.RemoveHost(id)
 	d.schedulePrune()
@@ -169,7 +181,7 @@
 	h := r.Host
 	switch {
 	case h.State != infra.Live:
-	case d.announced(r.Incarnation()).leaving:
+	case r.superseded, d.announced(r.Incarnation()).leaving:
 		h.State = infra.Leaving
 	case d.updating[r.ID]:
 		h.State = infra.Updating
@@ -239,7 +251,7 @@
 	var out []rollout.Engine
 	for id, r := range d.endpoints {
 		if _, ok := r.Weights[model]; ok {
-			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !d.announced(r.Incarnation()).leaving, Running: r.load.Running})
+			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !r.superseded && !d.announced(r.Incarnation()).leaving, Running: r.load.Running})
 		}
 	}
 	return out
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -84,3 +85,42 @@
 	d.SetUpdating(nil)
 	is.Equal(states(), []member.State{member.Ready})
 }
+
+// Guards against requests to an endpoint that has ended, because its entry is still listed,
+// or again after the store was restored, beside that of its successor at the same address:
+// the successor refuses them, beyond the limit that it has announced.
+func TestEndpointWithSuccessorAtItsAddressIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	members := member.NewTracker()
+	d := NewDirectory(members, route.NewTracker(), zap.NewNop())
+	ready := func() (ids []string) {
+		for _, e := range members.Service("s") {
+			if e.State == member.Ready {
+				ids = append(ids, e.ID)
+			}
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	put := func(i int, boot, address string) {
+		e := listedEndpoint(i)
+		e.BootID, e.Address = boot, address
+		d.Put(e, 1)
+	}
+	put(1, "1000", "192.0.2.1:80")
+	put(2, "2000", "192.0.2.1:80")
+	put(3, "500", "192.0.2.3:80")
+	is.Equal(ready(), []string{"i-2", "i-3"})
+	put(1, "1000", "192.0.2.1:80") // listed again
+	is.Equal(ready(), []string{"i-2", "i-3"})
+	d.Remove("i-1", 2)
+	put(1, "1000", "192.0.2.1:80")
+	is.Equal(ready(), []string{"i-2", "i-3"})
+	put(2, "2000", "192.0.2.2:80") // the entry that was there was wrong
+	is.Equal(ready(), []string{"i-1", "i-2", "i-3"})
+	put(2, "2000", "192.0.2.1:80")
+	d.Remove("i-2", 3)
+	is.Equal(ready(), []string{"i-1", "i-3"})
+	put(4, "odd", "192.0.2.1:80") // its start is not known
+	is.Equal(ready(), []string{"i-1", "i-3", "i-4"})
+}
