rollout, mirror: the time in which the store was being restored doesn't count toward a deadline

Cause: the age of a named version counted toward its deadline while the store was being restored and nobody could bring engines to it, so that nearly all engines were left out from 12 s after the naming on. The users' bound counts only while the store is stable.

Ruled out: the quarantine (it refuses as many as have the deadly part), the rate limits alone (few refusals under the same limits before).

After a restore the age counts from contact_ms after the last response before it, or from when the process learned of it, whichever is first; both are earlier than the bound's own start.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -146,6 +146,7 @@
 	p.gateway.RegionsApart = p.peers.RegionsApart
 	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval,
 		Retain: retainLost, OnRestore: p.onStoreRestored, OnChange: p.onStoreChange, Log: log})
+	p.gateway.Targets.UnsettledUntil = func() time.Time { return p.mirror.UnsettledUntil(hostSettings.SettleTime) }
 	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, p.gateway.Directory, log)
 	p.gateway.OnRateLimit = p.peerServer.PublishRateLimit
 	p.gateway.OnLeaving = func(i catalog.Incarnation) { p.peerServer.PublishLeaving([]catalog.Incarnation{i}) }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -95,8 +95,12 @@
 	respondedAt time.Time
 	// resumedAt is the time of the first response after the last outage.
 	resumedAt time.Time
-	// restoredAt is when the copy learned that the service had been restored.
-	restoredAt time.Time
+	// restoredAt is when the copy learned that the service had been restored, and
+	// contactBefore the time of the last response before that.
+	restoredAt, contactBefore time.Time
+	// gapFrom and gapUntil are the ends of the last time without responses that exceeded
+	// outageThreshold.
+	gapFrom, gapUntil time.Time
 	// lost is true between a failed read of the service and the next response.
 	lost bool
 	// removed maps recently removed keys to the revisions of their removal. It may
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -78,6 +78,9 @@
 	if lost && !m.respondedAt.IsZero() && gap > outageThreshold {
 		m.resumedAt = now
 	}
+	if !m.respondedAt.IsZero() && gap > outageThreshold {
+		m.gapFrom, m.gapUntil = m.respondedAt, now
+	}
 	m.respondedAt, m.lost = now, false
 	rev := m.revision
 	m.mu.Unlock()
--- a/mirror/restored.go
+++ b/mirror/restored.go
@@ -20,10 +20,38 @@
 	}
 	m.resumedAt = time.Now()
 	m.restoredAt = m.resumedAt
+	m.contactBefore = m.lastContactBefore(m.resumedAt)
 	m.Log.Warn("store restored from an older copy", zap.String("source", string(r.source)), zap.Int64("from", before), zap.Int64("revision", r.revision))
 	return true
 }
 
+// lastContactBefore returns the time of the last response before a restore that is noticed
+// now. Responses may have come between the end of the outage and the notice. The caller
+// holds mu.
+func (m *Mirror) lastContactBefore(now time.Time) time.Time {
+	if now.Sub(m.gapUntil) < catchUpTimeout {
+		return m.gapFrom
+	}
+	return m.respondedAt
+}
+
+// UnsettledUntil returns a time until which the service was not settled, settleTime after
+// its last restore, the zero time if it never was restored. The restore itself isn't seen:
+// it came after the last response before it, so the result may be too early, but is never
+// too late.
+func (m *Mirror) UnsettledUntil(settleTime time.Duration) time.Time {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.restoredAt.IsZero() {
+		return time.Time{}
+	}
+	until := m.contactBefore.Add(settleTime)
+	if m.restoredAt.Before(until) {
+		return m.restoredAt
+	}
+	return until
+}
+
 // retained reports whether a pair of an earlier era stays in the copy though the service
 // lacks its key.
 func (m *Mirror) retained(p infra.Pair, era int64) bool {
--- a/mirror/restored_test.go
+++ b/mirror/restored_test.go
@@ -46,6 +46,39 @@
 	}
 }
 
+// Guards against a time of unrest after a restore that is taken to last longer than it did,
+// as by a process that learns of it late: bounds of time would be exceeded.
+func TestUnrestEndsWithTheRestore(t *testing.T) {
+	const settleTime = 4 * time.Second
+	for _, length := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 9 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &hangingStore{fakeStore: newFakeStore()}
+			s.put("a", "1")
+			restore := s.snapshot()
+			s.put("a", "2")
+			m, stop := start(s, Options{PollWait: 4 * time.Second})
+			defer synctest.Wait()
+			defer stop()
+			time.Sleep(3 * time.Second)
+			is.True(m.UnsettledUntil(settleTime).IsZero())
+			lost := time.Now()
+			s.away.Store(true)
+			time.Sleep(length)
+			restore()
+			restored := time.Now()
+			s.away.Store(false)
+			s.put("a", "3")
+			time.Sleep(configApplyTime)
+			is.Equal(value(m, "a"), "3")
+			until := m.UnsettledUntil(settleTime)
+			is.True(!until.After(restored.Add(settleTime)))
+			is.True(!until.Before(lost.Add(-settleTime))) // polls wait up to 4 s
+			is.True(!until.After(time.Now()))
+		})
+	}
+}
+
 // Guards against endpoints that are dropped at once because the restored store is older
 // than their registration, and against those that stay though they don't register again.
 func TestEndpointsMayRegisterAgainAfterRestore(t *testing.T) {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -330,6 +330,26 @@
 	is.Equal(required, int64(3))
 }
 
+// Guards against refusals of all requests because a rollout could not go on while the store
+// was being restored: that time doesn't count toward the deadline.
+func TestDeadlineCountsFromSettledStore(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	settled := now.Add(6 * time.Second)
+	targets := &Targets{Deadline: 12 * time.Second, UnsettledUntil: func() time.Time { return settled }}
+	targets.SetIfNewer(catalog.Target{Model: model, Version: 2}, now)
+	required, preferred := targets.Version(model, now.Add(17*time.Second))
+	is.Equal(required, int64(0))
+	is.Equal(preferred, int64(2))
+	required, _ = targets.Version(model, now.Add(18*time.Second))
+	is.Equal(required, int64(2))
+	targets.SetIfNewer(catalog.Target{Model: model, Version: 3}, now.Add(10*time.Second)) // after the restore
+	required, _ = targets.Version(model, now.Add(21*time.Second))
+	is.Equal(required, int64(2))
+	required, _ = targets.Version(model, now.Add(22*time.Second))
+	is.Equal(required, int64(3))
+}
+
 // Guards against a process that uses its own start time as the time at which a
 // version was named, because it read the plan before the version.
 func TestTargetTimeKnownBeforeVersion(t *testing.T) {
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -26,6 +26,9 @@
 	// Deadline is the age of a version from which older weights must not serve
 	// requests; 0 means that they always may.
 	Deadline time.Duration
+	// UnsettledUntil returns a time before which no version's age counts toward the deadline,
+	// because the store that names them was being restored; nil for none.
+	UnsettledUntil func() time.Time
 
 	mu sync.Mutex
 	// models maps each model to its targets in ascending order of version.
@@ -140,6 +143,10 @@
 // Version returns the minimum version that may serve a request to a model, and
 // the version that is preferred; 0 means any.
 func (t *Targets) Version(model string, now time.Time) (required, preferred int64) {
+	var settled time.Time
+	if t.UnsettledUntil != nil {
+		settled = t.UnsettledUntil()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.models[model] {
@@ -147,7 +154,7 @@
 		if age > preferAfter {
 			preferred = v.version
 		}
-		if t.Deadline > 0 && age > t.Deadline-requireMargin {
+		if t.Deadline > 0 && min(age, now.Sub(settled)) > t.Deadline-requireMargin {
 			required = v.version
 		}
 	}
