--- a/gateway/events.go
+++ b/gateway/events.go
@@ -116,8 +116,10 @@
 func (s *eventStream) record(chunk []byte) {
 	s.events += bytes.Count(chunk, eventSeparator)
 	s.sinceEvent += int64(len(chunk))
-	if end := bytes.LastIndex(chunk, eventSeparator); end >= 0 {
-		s.sinceEvent = int64(len(chunk) - end - len(eventSeparator))
+	for _, end := range eventEnds {
+		if i := bytes.LastIndex(chunk, end); i >= 0 {
+			s.sinceEvent = min(s.sinceEvent, int64(len(chunk)-i-len(end)))
+		}
 	}
 	if !s.wholeEvents || len(chunk) == 0 {
 		return
