--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,8 +60,8 @@
 	reusedConn bool
 	// firstByteAt is the arrival of the body's first byte, zero before it.
 	firstByteAt time.Time
-	// held is the account of the bytes that are held back.
-	held *memory.Buffer
+	// reservation is that of the bytes that are held back.
+	reservation *memory.Reservation
 	// endless is true if the response shows no sign of an end.
 	endless bool
 	// harmless is true once the quarantine knows that the endpoint has borne the request.
@@ -88,7 +88,7 @@
 func (p *response) close() {
 	p.cancel()
 	_ = p.resp.Body.Close() // the rest of the body is not needed
-	p.held.Release()
+	p.reservation.Release()
 	p.attempt.Close(time.Now())
 	p.pass.End()
 }
@@ -125,7 +125,7 @@
 		return nil, x.recordFailure(&attemptError{failure: f, endpoint: c.endpoint.ID, err: err})
 	}
 	p := &response{choice: c, resp: resp, cancel: cancel, start: start, incarnation: incarnation, reusedConn: reused.Load(),
-		held: x.g.Responses.Buffer(c.endpoint.ID, cancel)}
+		reservation: x.g.Responses.Reserve(c.endpoint.ID, cancel)}
 	if err := x.check(p); err != nil {
 		p.close()
 		return nil, x.recordFailure(err)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -27,7 +27,7 @@
 	if x.r.ContentLength > limit {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: "body_too_large"}
 	}
-	x.bodyAccount = x.g.Bodies.Buffer("", nil)
+	x.bodyReservation = x.g.Bodies.Reserve("", nil)
 	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(x.deadline) // a connection that doesn't support it has none
 	err := x.readAllBody(http.MaxBytesReader(x.w, x.r.Body, limit))
@@ -51,7 +51,7 @@
 func (x *exchange) readAllBody(body io.Reader) error {
 	size := x.r.ContentLength
 	if size >= 0 {
-		if err := x.bodyAccount.TryGrow(size); err != nil {
+		if err := x.bodyReservation.TryGrow(size); err != nil {
 			return err
 		}
 		x.body = make([]byte, size)
@@ -61,7 +61,7 @@
 	for {
 		if len(x.body) == cap(x.body) {
 			grown := max(2*cap(x.body), firstBodyBytes)
-			if err := x.bodyAccount.TryGrow(int64(grown - cap(x.body))); err != nil {
+			if err := x.bodyReservation.TryGrow(int64(grown - cap(x.body))); err != nil {
 				return err
 			}
 			x.body = append(make([]byte, 0, grown), x.body...)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -165,7 +165,7 @@
 // one.
 func (s *eventStream) begin(p *response) {
 	s.held.free()
-	s.held = heldBytes{account: p.held, max: maxEventBytes + streamReadBytes}
+	s.held = heldBytes{reservation: p.reservation, max: maxEventBytes + streamReadBytes}
 	s.framed, s.received = framed(p.resp), false
 	s.relayed, s.sinceEvent, s.tail, s.afterID = 0, 0, s.tail[:0], s.lastID
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,8 +97,8 @@
 	account *catalog.Account
 	service string
 	body    []byte
-	// bodyAccount is the account of body, nil before it is read.
-	bodyAccount *memory.Buffer
+	// bodyReservation is the memory of body, nil before it is read.
+	bodyReservation *memory.Reservation
 	// configVersion is the version of the configuration that applies.
 	configVersion int64
 	arrived       time.Time
@@ -143,7 +143,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	defer x.finish()
-	defer func() { x.bodyAccount.Release() }()
+	defer func() { x.bodyReservation.Release() }()
 	if g.Draining() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -36,8 +36,8 @@
 // heldBytes are bytes of a response that can't be relayed yet. They share the memory budget
 // of all responses.
 type heldBytes struct {
-	b       []byte
-	account *memory.Buffer
+	b           []byte
+	reservation *memory.Reservation
 	// max bounds len(b).
 	max int
 }
@@ -49,7 +49,7 @@
 		return nil
 	}
 	grown := allocateHeld(need)
-	if err := h.account.Grow(int64(cap(grown) - cap(h.b))); err != nil {
+	if err := h.reservation.Grow(int64(cap(grown) - cap(h.b))); err != nil {
 		freeHeld(grown)
 		return err
 	}
@@ -80,7 +80,7 @@
 func (h *heldBytes) free() {
 	freeHeld(h.b)
 	h.b = nil
-	h.account.Release()
+	h.reservation.Release()
 }
 
 // readAll reads until the end of a body or until max bytes are held. size is the body's
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -42,7 +42,7 @@
 // relayWhole buffers up to maxBufferedBytes of the response before it returns any
 // of it.
 func (x *exchange) relayWhole(p *response) error {
-	held := heldBytes{account: p.held, max: maxBufferedBytes}
+	held := heldBytes{reservation: p.reservation, max: maxBufferedBytes}
 	defer held.free()
 	if err := held.readAll(p.resp.Body, p.resp.ContentLength); err != nil {
 		return x.truncated(p, err)
@@ -97,7 +97,7 @@
 // truncated records a response that ended early, before the caller received any
 // of it. It returns the *attemptError.
 func (x *exchange) truncated(p *response, err error) error {
-	if p.held.Revoked() {
+	if p.reservation.Revoked() {
 		err = memory.ErrSpent
 	}
 	if x.r.Context().Err() == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,8 +71,8 @@
 	if len(chunk) == 0 {
 		return true
 	}
-	p.held.OnRevoke(x.breakConnection)
-	defer p.held.OnRevoke(p.cancel)
+	p.reservation.OnRevoke(x.breakConnection)
+	defer p.reservation.OnRevoke(p.cancel)
 	_, err := x.w.Write(chunk)
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
@@ -81,7 +81,7 @@
 		return true
 	}
 	x.outcome = "caller_left"
-	if p.held.Revoked() {
+	if p.reservation.Revoked() {
 		x.outcome = "caller_slow"
 	}
 	return false
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -23,7 +23,7 @@
 	// used are the bytes of all buffers. revoked are those of buffers whose owners have been
 	// told to drop them.
 	used, revoked int64
-	buffers       map[*Buffer]struct{}
+	reservations  map[*Reservation]struct{}
 	// changed is closed and replaced when a buffer shrinks or is revoked.
 	changed chan struct{}
 }
@@ -33,7 +33,7 @@
 
 // NewBudget returns a budget with a limit in bytes.
 func NewBudget(limit int64) *Budget {
-	return &Budget{limit: limit, buffers: map[*Buffer]struct{}{}, changed: make(chan struct{})}
+	return &Budget{limit: limit, reservations: map[*Reservation]struct{}{}, changed: make(chan struct{})}
 }
 
 // Used returns the bytes that buffers hold, including those that their owners are about to
@@ -47,10 +47,10 @@
 	return b.used
 }
 
-// Buffer is the account of one buffer. Its owner reports each growth before it allocates,
-// and releases the account when it has dropped the buffer. The owner must not use it from
+// Reservation is the share of one buffer. Its owner reports each growth before it allocates,
+// and releases the reservation when it has dropped the buffer. The owner must not use it from
 // several goroutines at once.
-type Buffer struct {
+type Reservation struct {
 	budget *Budget
 	group  string
 	bytes  int64
@@ -59,37 +59,37 @@
 	revoked bool
 }
 
-// Buffer returns the account of an empty buffer. revoke is called at most once, when the
+// Reserve returns the reservation of an empty buffer. revoke is called at most once, when the
 // buffer must yield to others. It must not block and must not use the budget; the owner
 // must then drop the buffer soon.
-func (b *Budget) Buffer(group string, revoke func()) *Buffer {
-	return &Buffer{budget: b, group: group, revoke: revoke}
+func (b *Budget) Reserve(group string, revoke func()) *Reservation {
+	return &Reservation{budget: b, group: group, revoke: revoke}
 }
 
-// Grow adds bytes to the account, after the buffers that had to yield have been dropped. It
+// Grow adds bytes to the reservation, after the buffers that had to yield have been dropped. It
 // returns ErrSpent, without adding them, if the buffer has been revoked, is itself the one to
 // yield, or the others are not dropped in time.
-func (u *Buffer) Grow(n int64) error {
-	b := u.budget
+func (r *Reservation) Grow(n int64) error {
+	b := r.budget
 	if b == nil || n <= 0 {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(u, n)
-	if b.makeRoom(u) && b.waitForRoom(u) {
+	b.add(r, n)
+	if b.makeRoom(r) && b.waitForRoom(r) {
 		return nil
 	}
-	b.add(u, -n)
+	b.add(r, -n)
 	return ErrSpent
 }
 
-// makeRoom revokes buffers until the others fit. It returns false if u is one of them; the
+// makeRoom revokes buffers until the others fit. It returns false if r is one of them; the
 // caller holds mu.
-func (b *Budget) makeRoom(u *Buffer) bool {
-	for !u.revoked && b.used-b.revoked > b.limit {
+func (b *Budget) makeRoom(r *Reservation) bool {
+	for !r.revoked && b.used-b.revoked > b.limit {
 		victim := b.victim()
-		if victim == u {
+		if victim == r {
 			return false
 		}
 		victim.revoked = true
@@ -97,12 +97,12 @@
 		victim.revoke()
 		b.notify() // the victim may itself wait for room
 	}
-	return !u.revoked
+	return !r.revoked
 }
 
 // waitForRoom waits until revoked buffers have been dropped. It returns false after
-// maxDropTime, or if u is revoked meanwhile. The caller holds mu.
-func (b *Budget) waitForRoom(u *Buffer) bool {
+// maxDropTime, or if r is revoked meanwhile. The caller holds mu.
+func (b *Budget) waitForRoom(r *Reservation) bool {
 	timeout := time.NewTimer(maxDropTime)
 	defer timeout.Stop()
 	for b.used > b.limit {
@@ -115,17 +115,17 @@
 			expired = true
 		}
 		b.mu.Lock()
-		if expired || u.revoked {
+		if expired || r.revoked {
 			return false
 		}
 	}
 	return true
 }
 
-// TryGrow adds bytes to the account if they fit. Otherwise it returns ErrSpent; no other
+// TryGrow adds bytes to the reservation if they fit. Otherwise it returns ErrSpent; no other
 // buffer yields.
-func (u *Buffer) TryGrow(n int64) error {
-	b := u.budget
+func (r *Reservation) TryGrow(n int64) error {
+	b := r.budget
 	if b == nil || n <= 0 {
 		return nil
 	}
@@ -134,24 +134,24 @@
 	if b.used+n > b.limit {
 		return ErrSpent
 	}
-	b.add(u, n)
+	b.add(r, n)
 	return nil
 }
 
 // add changes the bytes of a buffer; the caller holds mu.
-func (b *Budget) add(u *Buffer, n int64) {
-	u.bytes += n
+func (b *Budget) add(r *Reservation, n int64) {
+	r.bytes += n
 	b.used += n
-	if u.revoked {
+	if r.revoked {
 		b.revoked += n
 	}
 	if n < 0 {
 		b.notify()
 	}
-	if u.bytes > 0 {
-		b.buffers[u] = struct{}{}
+	if r.bytes > 0 {
+		b.reservations[r] = struct{}{}
 	} else {
-		delete(b.buffers, u)
+		delete(b.reservations, r)
 	}
 }
 
@@ -162,17 +162,17 @@
 }
 
 // victim returns the largest buffer of the group that holds the most; the caller holds mu.
-func (b *Budget) victim() *Buffer {
+func (b *Budget) victim() *Reservation {
 	held := map[string]int64{}
-	largest := map[string]*Buffer{}
+	largest := map[string]*Reservation{}
 	var heaviest string
-	for u := range b.buffers {
-		if u.revoked {
+	for r := range b.reservations {
+		if r.revoked {
 			continue
 		}
-		held[u.group] += u.bytes
-		if l := largest[u.group]; l == nil || u.bytes > l.bytes {
-			largest[u.group] = u
+		held[r.group] += r.bytes
+		if l := largest[r.group]; l == nil || r.bytes > l.bytes {
+			largest[r.group] = r
 		}
 	}
 	for group, n := range held {
@@ -184,34 +184,34 @@
 }
 
 // OnRevoke replaces the function that tells the owner to drop the buffer.
-func (u *Buffer) OnRevoke(revoke func()) {
-	if u.budget == nil {
+func (r *Reservation) OnRevoke(revoke func()) {
+	if r.budget == nil {
 		return
 	}
-	u.budget.mu.Lock()
-	defer u.budget.mu.Unlock()
-	u.revoke = revoke
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.revoke = revoke
 }
 
 // Revoked reports whether the buffer has been revoked.
-func (u *Buffer) Revoked() bool {
-	if u.budget == nil {
+func (r *Reservation) Revoked() bool {
+	if r.budget == nil {
 		return false
 	}
-	u.budget.mu.Lock()
-	defer u.budget.mu.Unlock()
-	return u.revoked
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return r.revoked
 }
 
-// Release empties the account. It may be called several times and on a nil Buffer; the
-// account may be used again unless the buffer was revoked.
-func (u *Buffer) Release() {
-	if u == nil || u.budget == nil {
+// Release empties the reservation. It may be called several times and on a nil Reservation; the
+// reservation may be used again unless the buffer was revoked.
+func (r *Reservation) Release() {
+	if r == nil || r.budget == nil {
 		return
 	}
-	u.budget.mu.Lock()
-	defer u.budget.mu.Unlock()
-	if u.bytes > 0 {
-		u.budget.add(u, -u.bytes)
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if r.bytes > 0 {
+		r.budget.add(r, -r.bytes)
 	}
 }
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -12,9 +12,9 @@
 )
 
 // hold returns a buffer of n bytes that is dropped as soon as it is revoked.
-func hold(is *is.I, b *Budget, group string, n int64) (u *Buffer, revoked *atomic.Bool) {
+func hold(is *is.I, b *Budget, group string, n int64) (u *Reservation, revoked *atomic.Bool) {
 	revoked = &atomic.Bool{}
-	u = b.Buffer(group, func() {
+	u = b.Reserve(group, func() {
 		revoked.Store(true)
 		go u.Release()
 	})
@@ -34,7 +34,7 @@
 	is.True(large.Load())
 	is.True(!small.Load() && !soundRevoked.Load())
 	is.Equal(b.Used(), int64(65))
-	last := b.Buffer("faulty", func() {})
+	last := b.Reserve("faulty", func() {})
 	is.Equal(last.Grow(80), ErrSpent) // it is itself the one to yield
 	is.True(!soundRevoked.Load())
 	is.Equal(b.Used(), int64(65))
@@ -46,10 +46,10 @@
 	is := is.New(t)
 	b := NewBudget(100)
 	dropped := make(chan struct{})
-	faulty := b.Buffer("faulty", func() { close(dropped) })
+	faulty := b.Reserve("faulty", func() { close(dropped) })
 	is.NoErr(faulty.Grow(90))
 	grown := make(chan error)
-	sound := b.Buffer("sound", func() {})
+	sound := b.Reserve("sound", func() {})
 	go func() { grown <- sound.Grow(30) }()
 	<-dropped
 	is.True(faulty.Revoked())
@@ -69,7 +69,7 @@
 	is := is.New(t)
 	b := NewBudget(100)
 	_, revoked := hold(is, b, "", 90)
-	u := b.Buffer("", nil)
+	u := b.Reserve("", nil)
 	is.True(errors.Is(u.TryGrow(11), ErrSpent))
 	is.NoErr(u.TryGrow(10))
 	u.Release()
@@ -90,7 +90,7 @@
 			rnd := rand.New(rand.NewSource(int64(i)))
 			for range 200 {
 				gone := make(chan struct{})
-				u := b.Buffer([]string{"a", "b", "c"}[i%3], func() { close(gone) })
+				u := b.Reserve([]string{"a", "b", "c"}[i%3], func() { close(gone) })
 				for u.Grow(int64(1+rnd.Intn(60))) == nil {
 					exceeded.CompareAndSwap(false, b.Used() > limit+40*60) // those that wait for room count too
 				}
