--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -106,3 +106,28 @@
 		is.Equal(time.Since(start), time.Duration(0)) // nobody has waited for a buffer that was not dropped
 	})
 }
+
+// Guards against a buffer that waits for room, has to yield itself meanwhile, and doesn't
+// notice: others wait for its memory.
+func TestWaitingBufferNoticesThatItMustYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := NewBudget(100)
+		kept := b.Reserve("kept", func() {}) // is revoked, and not dropped for now
+		is.NoErr(kept.Grow(60))
+		start := time.Now()
+		results := make([]error, 3)
+		var wg sync.WaitGroup
+		for i, n := range []int64{50, 45, 40} {
+			wg.Go(func() { results[i] = b.Reserve([]string{"first", "second", "third"}[i], func() {}).Grow(n) })
+			synctest.Wait()
+		}
+		is.Equal(results[0], ErrSpent) // it holds the most of the three
+		is.Equal(time.Since(start), time.Duration(0))
+		kept.Release()
+		wg.Wait()
+		is.NoErr(results[1])
+		is.NoErr(results[2])
+		is.Equal(b.Used(), int64(85))
+	})
+}
