--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -50,6 +50,15 @@
 	return e
 }
 
+// addFragiles adds n endpoints that may crash.
+func (f *fleet) addFragiles(t *testing.T, n int) []*fragileEndpoint {
+	var endpoints []*fragileEndpoint
+	for i := range n {
+		endpoints = append(endpoints, f.addFragile(t, fmt.Sprint("i-", i)))
+	}
+	return endpoints
+}
+
 func (e *fragileEndpoint) accept() {
 	for {
 		c, err := e.l.Accept()
@@ -131,10 +140,7 @@
 			is := is.New(t)
 			f := newFleet(t)
 			f.gateway.Quarantine = quarantine.New(noObserver{})
-			var endpoints []*fragileEndpoint
-			for i := range 8 {
-				endpoints = append(endpoints, f.addFragile(t, fmt.Sprint("i-", i)))
-			}
+			endpoints := f.addFragiles(t, 8)
 			status := 0
 			for i := range 8 {
 				status, _ = f.callParts(t, path, fmt.Sprint("bad", i), fmt.Sprint("shop deadly own", i))
@@ -228,10 +234,7 @@
 			is := is.New(t)
 			f := newFleet(t)
 			f.gateway.Quarantine = quarantine.New(noObserver{})
-			var endpoints []*fragileEndpoint
-			for i := range 12 {
-				endpoints = append(endpoints, f.addFragile(t, fmt.Sprint("i-", i)))
-			}
+			endpoints := f.addFragiles(t, 12)
 			for i := range 8 {
 				f.callParts(t, "/tag/1", fmt.Sprint("bad", i), longPrompt(tc.parts, tc.deadly, fmt.Sprint("own", i)))
 				time.Sleep(250 * time.Millisecond) // a trial may start again
--- a/plugins/internal/exchange/exchange.go
+++ b/plugins/internal/exchange/exchange.go
@@ -54,13 +54,9 @@
 func New(s kernel.Settings) *Client {
 	pooled := &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), MaxIdleConnsPerHost: 64, DisableCompression: true}, SendOnce: true}
 	unpooled := &httpclient.Transport{Transport: &http.Transport{DialContext: s.DialContext(), DisableKeepAlives: true, DisableCompression: true}, SendOnce: true}
-	return &Client{pooled: &http.Client{Transport: pooled, CheckRedirect: returnRedirect},
-		unpooled: &http.Client{Transport: unpooled, CheckRedirect: returnRedirect}}
+	return &Client{pooled: httpclient.NewClient(pooled), unpooled: httpclient.NewClient(unpooled)}
 }
 
-// returnRedirect makes a client return redirects instead of following them.
-func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
