gateway, process: logs tell when a request came in a planned stop

The logs couldn't tell the hypotheses apart: when the signal may have been sent (a process that didn't run notices it late), when the moment begins from which only requests that end in time are accepted, when a request was read to its last byte and passed on, and whether its connection had carried others.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -32,7 +32,11 @@
 		return x.unavailable("closing", nil)
 	}
 	x.service = x.route.Service(x.info.ID)
-	return x.readBody(c.Limits.MaxBodyBytes)
+	if err := x.readBody(c.Limits.MaxBodyBytes); err != nil {
+		return err
+	}
+	x.readAt = time.Now()
+	return nil
 }
 
 // identify sets the request's route and client account.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,6 +111,9 @@
 	resp, err := x.transport().RoundTrip(x.request(ctx, c, lastEventID))
 	if connected.Load() {
 		x.sends++
+		if x.sentAt.IsZero() {
+			x.sentAt = start
+		}
 	}
 	if err != nil {
 		cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,9 +60,10 @@
 	Metrics     *Metrics
 	Log         *zap.Logger
 
-	split    regionSplit
-	crashes  crashDetector
-	draining atomic.Bool
+	split   regionSplit
+	crashes crashDetector
+	// draining is when the process began to drain; nil before.
+	draining atomic.Pointer[time.Time]
 	// closing is when the process ends; nil while no end is set.
 	closing  atomic.Pointer[time.Time]
 	stopping stopping
@@ -71,7 +72,10 @@
 }
 
 // SetDraining makes the gateway not ready and adds "Connection: close" to responses.
-func (g *Gateway) SetDraining() { g.draining.Store(true) }
+func (g *Gateway) SetDraining() {
+	now := time.Now()
+	g.draining.Store(&now)
+}
 
 // SetClosing sets the time at which the process ends. New requests with a later
 // deadline are refused.
@@ -81,7 +85,7 @@
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
 // Draining reports whether the process is about to end.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
+func (g *Gateway) Draining() bool { return g.draining.Load() != nil }
 
 // Ready reports whether the gateway accepts new connections: it has a
 // configuration and is not draining.
@@ -101,7 +105,12 @@
 	bodyReservation *memory.Reservation
 	// configVersion is the version of the configuration that applies.
 	configVersion int64
-	arrived       time.Time
+	// keptConn is true if the caller's connection has carried other requests before.
+	keptConn bool
+	arrived  time.Time
+	// readAt is when the last byte of the request was read, sentAt when it was first passed on to
+	// an endpoint; zero before.
+	readAt, sentAt time.Time
 	// deadline is when the request times out.
 	deadline time.Time
 	// ctx ends at the deadline, or when the caller disconnects and the request may
@@ -139,7 +148,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), excluded: map[string]bool{}}
+	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), keptConn: isKept(r.Context()), excluded: map[string]bool{}}
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	defer x.finish()
@@ -177,8 +186,28 @@
 		accountName = x.account.Name
 	}
 	x.g.Metrics.done(x, total)
-	x.g.Log.Info("request", zap.String("request", x.info.ID), zap.String("route", routeName), zap.String("account", accountName),
+	fields := []zap.Field{zap.String("request", x.info.ID), zap.String("route", routeName), zap.String("account", accountName),
 		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("endpoint", x.endpoint), zap.Int("sends", x.sends),
 		zap.Float64("first_ms", float64(x.firstByte)/1e6), zap.Float64("total_ms", float64(total)/1e6),
-		zap.Float64("score_ms", x.score), zap.String("reason", x.reason), zap.Int64("config", x.configVersion))
+		zap.Float64("score_ms", x.score), zap.String("reason", x.reason), zap.Int64("config", x.configVersion)}
+	x.g.Log.Info("request", append(fields, x.stopFields()...)...)
+}
+
+// stopFields describe when a request arrived, was read to its end and was first passed on,
+// in milliseconds after the process began to drain. There are none before that.
+func (x *exchange) stopFields() []zap.Field {
+	began := x.g.draining.Load()
+	if began == nil {
+		return nil
+	}
+	fields := []zap.Field{zap.Bool("kept_connection", x.keptConn)}
+	for _, moment := range []struct {
+		name string
+		at   time.Time
+	}{{"arrived_in_stop_ms", x.arrived}, {"read_in_stop_ms", x.readAt}, {"sent_in_stop_ms", x.sentAt}} {
+		if !moment.at.IsZero() {
+			fields = append(fields, zap.Float64(moment.name, float64(moment.at.Sub(*began))/1e6))
+		}
+	}
+	return fields
 }
--- a/internal/gatewayd/connections.go
+++ b/internal/gatewayd/connections.go
@@ -75,13 +75,3 @@
 	}
 	return err
 }
-
-// bootTime returns the time of a monotonic clock that includes the time for
-// which the host is suspended.
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(err) // CLOCK_BOOTTIME exists since Linux 2.6.39
-	}
-	return time.Duration(ts.Nano())
-}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -140,8 +140,8 @@
 		gauge("request_body_bytes", "Bytes of callers' request bodies.", func() int { return int(p.gateway.Bodies.Used()) }),
 		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
-	p.server = &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		ErrorLog: zap.NewStdLog(log)}
+	p.server = &http.Server{Handler: p.gateway, ConnContext: gateway.ConnContext, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
 	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval,
@@ -203,6 +203,8 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	pulse := process.NewPulse(process.BootTime)
+	go pulse.Run(background)
 	go p.mirror.Run(background)
 	go p.register(background)
 	go p.servePeers(background, peerListener)
@@ -216,7 +218,7 @@
 	go p.serve(callerListener, p.server)
 	<-ctx.Done()
 	stopped := time.Now()
-	p.drain()
+	p.drain(process.BootTime() - pulse.Earliest())
 	stop()
 	p.awaitCoordinator(coordinatorDone, stopped.Add(p.hostSettings.Grace-exitMargin))
 	return nil
@@ -242,7 +244,7 @@
 func (p *gatewayProcess) coordinator() *rollout.Coordinator {
 	return &rollout.Coordinator{
 		KV: p.store,
-		Lock: &lease.Lock{KV: p.store, Key: rollout.LockKey, Holder: p.hostSettings.Name, TTL: p.settings.LeaseTTL, Clock: bootTime,
+		Lock: &lease.Lock{KV: p.store, Key: rollout.LockKey, Holder: p.hostSettings.Name, TTL: p.settings.LeaseTTL, Clock: process.BootTime,
 			Free: p.mayAcquireLock, Log: p.log},
 		Client:  &platform.EngineClient{Client: httpclient.NewClient(newTransport(longIdleTimeout)), Holder: p.hostSettings.Name},
 		Targets: p.gateway.Targets, List: p.gateway.Directory.Engines, PlanRevision: p.mirror.StoredRevision,
