--- /dev/null
+++ b/soak/stop_test.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// lateTime is the time after SIGTERM from which a request that is sent must not be cut.
+	lateTime = 3 * time.Second
+	// stopSendFrom and stopSendUntil bound the times after SIGTERM at which the streams of a
+	// planned stop are sent, stopSendInterval is the time between two.
+	stopSendFrom     = 2 * time.Second
+	stopSendUntil    = 4 * time.Second
+	stopSendInterval = 20 * time.Millisecond
+)
+
+// stopCase is a way in which a planned stop goes on. Its functions return at once.
+type stopCase struct {
+	name string
+	// terminate sends SIGTERM, and whatever surrounds it.
+	terminate func(p *process)
+	// bodyDelay is the time between a request's head and its last byte.
+	bodyDelay time.Duration
+}
+
+// pause stops a process for a time.
+func (p *process) pause(d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { p.signal(syscall.SIGCONT) })
+}
+
+var stopCases = []stopCase{
+	{name: "in calm", terminate: func(p *process) { p.signal(syscall.SIGTERM) }},
+	{name: "signal noticed late", terminate: func(p *process) {
+		p.pause(250 * time.Millisecond)
+		p.signal(syscall.SIGTERM)
+	}},
+	{name: "process not scheduled for a moment", terminate: func(p *process) {
+		p.signal(syscall.SIGTERM)
+		time.AfterFunc(lateTime-100*time.Millisecond, func() { p.pause(200 * time.Millisecond) })
+	}},
+	{name: "last byte long after the head", terminate: func(p *process) { p.signal(syscall.SIGTERM) }, bodyDelay: 900 * time.Millisecond},
+}
+
+// Guards against a stream that is sent later than lateTime after SIGTERM, is passed on to an
+// endpoint although it may outlast the process, and is cut at the process's end.
+func TestLateStreamIsNotCutInPlannedStop(t *testing.T) {
+	binary := buildGateway(t)
+	for _, c := range stopCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, binary, 1, 1, soakMemoryMB)
+			for _, e := range s.endpoints {
+				e.RefuseProbability, e.BreakProbability = 0, 0
+			}
+			p := s.processes[0]
+			s.sendStreams(p, 1, time.Second) // until it is ready
+			p.terminateForGood(c.terminate)
+			var wg sync.WaitGroup
+			results := make(chan stopResult, int((stopSendUntil-stopSendFrom)/stopSendInterval))
+			terminated := time.Now()
+			for i := range cap(results) {
+				wg.Go(func() {
+					time.Sleep(time.Until(terminated.Add(stopSendFrom - c.bodyDelay + time.Duration(i)*stopSendInterval)))
+					results <- sendLongStream(p.listenAddr, fmt.Sprint("late-", i), c.bodyDelay)
+				})
+			}
+			wg.Wait()
+			close(results)
+			s.checkStop(terminated, results)
+		})
+	}
+}
+
+// terminateForGood ends the process without a restart.
+func (p *process) terminateForGood(terminate func(p *process)) {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	terminate(p)
+}
+
+// stopResult is the result of a stream that is sent during a planned stop.
+type stopResult struct {
+	id string
+	// sentAt is the time just before the last byte was sent.
+	sentAt time.Time
+	// status is 0 and err set if there was no answer; err alone if it was cut.
+	status int
+	err    error
+}
+
+// sendLongStream sends a request for a stream that doesn't end, on a connection of its own, and
+// reads the answer to its end.
+func sendLongStream(address, id string, bodyDelay time.Duration) stopResult {
+	r := stopResult{id: id}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		r.sentAt, r.err = time.Now(), err
+		return r
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /stream/lasts/1h HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: key\r\n"+
+		"Citrontiller-Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n", id)
+	time.Sleep(bodyDelay)
+	r.sentAt = time.Now()
+	fmt.Fprint(conn, "b")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer resp.Body.Close()
+	r.status = resp.StatusCode
+	_, r.err = io.Copy(io.Discard, resp.Body)
+	return r
+}
+
+// checkStop checks what became of the streams of a planned stop.
+func (s *system) checkStop(terminated time.Time, results <-chan stopResult) {
+	is := is.New(s.t)
+	late, cut, refused := 0, 0, 0
+	for r := range results {
+		after := r.sentAt.Sub(terminated)
+		switch {
+		case r.status == http.StatusServiceUnavailable && s.runs.Count(r.id) > 0:
+			s.fail("%s: refused as not run, but it ran", r.id)
+		case r.status == http.StatusServiceUnavailable:
+			refused++
+		case r.err != nil && after > lateTime:
+			s.fail("%s: sent %v after SIGTERM, status %d, %d runs: %v", r.id, after, r.status, s.runs.Count(r.id), r.err)
+		case r.err != nil:
+			cut++
+		}
+		if after > lateTime {
+			late++
+		}
+	}
+	s.t.Logf("%d streams sent late; %d refused, %d cut that were sent before", late, refused, cut)
+	is.True(late > 20)
+	is.Equal(s.failures.Load(), int64(0))
+}
