gatewayd: planned stop: the moment from which only requests that end in time are taken has a margin

Callers saw streams that they had sent more than 3 s after SIGTERM cut at 7.3 s. Cause: the gateway refused requests that may outlast it from 3 s after it had noticed the signal, by a flag that a goroutine set after a sleep; the bound of the promise is 3 s after the signal was sent. A process that notices the signal late, or runs late at that moment, takes requests that it then cuts. Class: an own bound equal to that of the promise, with no room for signals, scheduling and transit, and a decision by who runs first.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	x.deadline = x.arrived.Add(x.timeout())
-	if end := x.g.closing.Load(); end != nil && x.deadline.After(*end) {
+	if !x.endsBeforeStop(x.arrived) {
 		return x.unavailable("closing", nil)
 	}
 	x.service = x.route.Service(x.info.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,32 +60,18 @@
 	Metrics     *Metrics
 	Log         *zap.Logger
 
-	split   regionSplit
-	crashes crashDetector
-	// draining is when the process began to drain; nil before.
-	draining atomic.Pointer[time.Time]
-	// closing is when the process ends; nil while no end is set.
-	closing  atomic.Pointer[time.Time]
+	split    regionSplit
+	crashes  crashDetector
 	stopping stopping
 	// open counts the requests in progress.
 	open atomic.Int64
 }
 
-// SetDraining makes the gateway not ready and adds "Connection: close" to responses.
-func (g *Gateway) SetDraining() {
-	now := time.Now()
-	g.draining.Store(&now)
-}
-
-// SetClosing sets the time at which the process ends. New requests with a later
-// deadline are refused.
-func (g *Gateway) SetClosing(end time.Time) { g.closing.Store(&end) }
-
 // Open returns the number of requests in progress.
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
 // Draining reports whether the process is about to end.
-func (g *Gateway) Draining() bool { return g.draining.Load() != nil }
+func (g *Gateway) Draining() bool { return g.stopping.plan.Load() != nil }
 
 // Ready reports whether the gateway accepts new connections: it has a
 // configuration and is not draining.
@@ -196,8 +182,8 @@
 // stopFields describe when a request arrived, was read to its end and was first passed on,
 // in milliseconds after the process began to drain. There are none before that.
 func (x *exchange) stopFields() []zap.Field {
-	began := x.g.draining.Load()
-	if began == nil {
+	stop := x.g.stopping.plan.Load()
+	if stop == nil {
 		return nil
 	}
 	fields := []zap.Field{zap.Bool("kept_connection", x.keptConn)}
@@ -206,7 +192,7 @@
 		at   time.Time
 	}{{"arrived_in_stop_ms", x.arrived}, {"read_in_stop_ms", x.readAt}, {"sent_in_stop_ms", x.sentAt}} {
 		if !moment.at.IsZero() {
-			fields = append(fields, zap.Float64(moment.name, float64(moment.at.Sub(*began))/1e6))
+			fields = append(fields, zap.Float64(moment.name, float64(moment.at.Sub(stop.Began))/1e6))
 		}
 	}
 	return fields
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -4,15 +4,39 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // errStopped is the cause of the end of requests that are open when the process ends.
 var errStopped = errors.New("gateway stops")
 
+// Stop is the plan of a planned stop.
+type Stop struct {
+	// Began is when the process was told to stop. The gateway isn't ready from then on, and
+	// its responses say "Connection: close".
+	Began time.Time
+	// CertainFrom is when the gateway begins to refuse requests whose deadline lies after End.
+	CertainFrom time.Time
+	// End is when the open requests are ended.
+	End time.Time
+}
+
+// BeginStop begins a planned stop.
+func (g *Gateway) BeginStop(plan Stop) { g.stopping.plan.Store(&plan) }
+
+// endsBeforeStop reports whether a request that came at a time may be accepted in view of
+// the process's end. The times decide, not which goroutine runs first.
+func (x *exchange) endsBeforeStop(came time.Time) bool {
+	stop := x.g.stopping.plan.Load()
+	return stop == nil || came.Before(stop.CertainFrom) || !x.deadline.After(stop.End)
+}
+
 // stopping ends the open requests when the process is about to end, so that their callers
 // get an answer rather than a closed connection. The zero value is ready for use.
 type stopping struct {
+	// plan is nil before a planned stop.
+	plan   atomic.Pointer[Stop]
 	once   sync.Once
 	ctx    context.Context
 	cancel context.CancelFunc
