gateway: planned stop: a request whose body ends late is refused, not cut

Of 50 streams whose head came in time and whose last byte came 1.5 s later, more than 3 s after SIGTERM, 25 were passed on and cut at the end of the stop. Cause: it was decided when the head had been read, and never again. Class: a decision that a later wait makes invalid. The request is judged again by the time at which its last byte was read; it has not run then, so 503 is true. 0 of 50 are cut now (case 'last byte long after the head').

Still red in TestLateStreamIsNotCutInPlannedStop: connections that are reset as the listener closes.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -36,6 +36,9 @@
 		return err
 	}
 	x.readAt = time.Now()
+	if !x.endsBeforeStop(x.readAt) {
+		return x.unavailable("closing", nil)
+	}
 	return nil
 }
 
