gatewayd: planned stop: the grace counts from the earliest time of the signal, by a clock that counts suspension

The stop was counted from when the process noticed SIGTERM, by the runtime's clock, which stands still while the host is suspended; the platform kills by its own clock, from when it sent the signal. A process that isn't running when the signal comes, or is suspended during the stop, was killed before it had answered its open requests: callers saw a closed connection, also for requests that must not be repeated.

Now the plan begins at the last time at which the process is known to have run before it noticed the signal (if it had not run for 300 ms or more), and follows the boot clock, as the lease does.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	x.deadline = x.arrived.Add(x.timeout())
-	if !x.endsBeforeStop(x.arrived) {
+	if !x.endsBeforeStop() {
 		return x.unavailable("closing", nil)
 	}
 	x.service = x.route.Service(x.info.ID)
@@ -36,7 +36,7 @@
 		return err
 	}
 	x.readAt = time.Now()
-	if !x.endsBeforeStop(x.readAt) {
+	if !x.endsBeforeStop() {
 		return x.unavailable("closing", nil)
 	}
 	return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,12 +187,13 @@
 		return nil
 	}
 	fields := []zap.Field{zap.Bool("kept_connection", x.keptConn)}
+	inStop := stop.Clock() - stop.Began
 	for _, moment := range []struct {
 		name string
 		at   time.Time
 	}{{"arrived_in_stop_ms", x.arrived}, {"read_in_stop_ms", x.readAt}, {"sent_in_stop_ms", x.sentAt}} {
 		if !moment.at.IsZero() {
-			fields = append(fields, zap.Float64(moment.name, float64(moment.at.Sub(stop.Began))/1e6))
+			fields = append(fields, zap.Float64(moment.name, float64(inStop-time.Since(moment.at))/1e6))
 		}
 	}
 	return fields
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -454,8 +454,7 @@
 func TestShutdownAcceptsShortRequestsOnly(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, []responder{ok("x")})
-	now := time.Now()
-	f.gateway.BeginStop(Stop{Began: now, CertainFrom: now, End: now.Add(1500 * time.Millisecond)})
+	f.gateway.BeginStop(Stop{Clock: func() time.Duration { return 0 }, End: 1500 * time.Millisecond})
 	resp, _, err := f.call(t, http.MethodPost, "/book/1", "b")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 200)
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -11,25 +11,32 @@
 // errStopped is the cause of the end of requests that are open when the process ends.
 var errStopped = errors.New("gateway stops")
 
-// Stop is the plan of a planned stop.
+// Stop is the plan of a planned stop. Its times are those of Clock.
 type Stop struct {
+	// Clock also counts the time for which the host is suspended: the platform ends the
+	// process by such a clock.
+	Clock func() time.Duration
 	// Began is when the process was told to stop. The gateway isn't ready from then on, and
 	// its responses say "Connection: close".
-	Began time.Time
+	Began time.Duration
 	// CertainFrom is when the gateway begins to refuse requests whose deadline lies after End.
-	CertainFrom time.Time
+	CertainFrom time.Duration
 	// End is when the open requests are ended.
-	End time.Time
+	End time.Duration
 }
 
 // BeginStop begins a planned stop.
 func (g *Gateway) BeginStop(plan Stop) { g.stopping.plan.Store(&plan) }
 
-// endsBeforeStop reports whether a request that came at a time may be accepted in view of
-// the process's end. The times decide, not which goroutine runs first.
-func (x *exchange) endsBeforeStop(came time.Time) bool {
+// endsBeforeStop reports whether a request that comes now may be accepted in view of the
+// process's end. The times decide, not which goroutine runs first.
+func (x *exchange) endsBeforeStop() bool {
 	stop := x.g.stopping.plan.Load()
-	return stop == nil || came.Before(stop.CertainFrom) || !x.deadline.After(stop.End)
+	if stop == nil {
+		return true
+	}
+	now := stop.Clock()
+	return now < stop.CertainFrom || time.Until(x.deadline) <= stop.End-now
 }
 
 // stopping ends the open requests when the process is about to end, so that their callers
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -68,9 +68,11 @@
 type gatewayProcess struct {
 	settings     Settings
 	hostSettings platform.Settings
-	log          *zap.Logger
-	gateway      *gateway.Gateway
-	server       *http.Server
+	// clock is process.BootTime, except in tests.
+	clock   func() time.Duration
+	log     *zap.Logger
+	gateway *gateway.Gateway
+	server  *http.Server
 	// callers are the connections of server, callerListener accepts them.
 	callers        callerConns
 	callerListener net.Listener
@@ -116,7 +118,7 @@
 	members, tracker := member.NewTracker(), route.NewTracker()
 	scheduler := selection.NewDirect(log)
 	scheduler.BaseMs = engineBaseMs
-	p := &gatewayProcess{settings: settings, hostSettings: hostSettings, log: log, store: platform.NewStore(hostSettings.StoreAddress, newStoreTransport()),
+	p := &gatewayProcess{settings: settings, hostSettings: hostSettings, clock: process.BootTime, log: log, store: platform.NewStore(hostSettings.StoreAddress, newStoreTransport()),
 		lockTurn: lockTurn{startedAt: time.Now()}, restored: make(chan struct{}, 1)}
 	p.quarantine = quarantine.New(quarantineObserver{p})
 	reg := prometheus.NewRegistry()
@@ -205,7 +207,7 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pulse := process.NewPulse(process.BootTime)
+	pulse := process.NewPulse(p.clock)
 	go pulse.Run(background)
 	go p.mirror.Run(background)
 	go p.register(background)
@@ -219,19 +221,19 @@
 	go p.serve(probeListener, &http.Server{Handler: p.probeMux, ReadHeaderTimeout: headerTimeout})
 	go p.serve(callerListener, p.server)
 	<-ctx.Done()
-	stopped := time.Now()
-	p.drain(process.BootTime() - pulse.Earliest())
+	began := pulse.Earliest()
+	p.drain(began)
 	stop()
-	p.awaitCoordinator(coordinatorDone, stopped.Add(p.hostSettings.Grace-exitMargin))
+	p.awaitCoordinator(coordinatorDone, began+p.hostSettings.Grace-exitMargin)
 	return nil
 }
 
 // awaitCoordinator waits until the rollout coordinator has released the lock, but not past a
 // time: the process must end by itself before it is killed, and the lease ends anyway.
-func (p *gatewayProcess) awaitCoordinator(done <-chan struct{}, until time.Time) {
+func (p *gatewayProcess) awaitCoordinator(done <-chan struct{}, until time.Duration) {
 	select {
 	case <-done:
-	case <-time.After(time.Until(until)):
+	case <-time.After(until - p.clock()):
 		p.log.Warn("rollout coordinator has not stopped in time")
 	}
 }
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/internal/process"
 	"github.com/citrontiller/citrontiller/internal/testaddr"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/platform/platformtest"
@@ -41,6 +42,11 @@
 // returns its address, the runs of requests, and functions that stop it and wait for
 // its end.
 func startGateway(t *testing.T) (addr string, runs *platformtest.Runs, stop func(), wait func()) {
+	return startGatewayByClock(t, process.BootTime)
+}
+
+// startGatewayByClock is startGateway with a clock of the test's.
+func startGatewayByClock(t *testing.T, clock func() time.Duration) (addr string, runs *platformtest.Runs, stop func(), wait func()) {
 	store, runs := platformtest.NewStore(), &platformtest.Runs{}
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
@@ -57,6 +63,7 @@
 	settings := Settings{PollWait: time.Second, DrainDelay: stopDrainDelay, LeaseTTL: 3 * time.Second, UsualUrgent: 2, UsualOther: 2,
 		OverloadUrgent: 2, OverloadOther: 2, RolloutShare: 6, RolloutStrategy: "keep"}
 	p := newProcess(settings, host, zap.NewNop(), func() int64 { return 0 })
+	p.clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- p.run(ctx) }()
@@ -202,23 +209,7 @@
 	addr, runs, stop, wait := startGateway(t)
 	ctx, cancel := context.WithTimeout(t.Context(), stopGrace) // then the process is killed
 	defer cancel()
-	call := func(id string) (int, error) {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/book/long/1", strings.NewReader("body"))
-		if err != nil {
-			return 0, err
-		}
-		req.Host = "h"
-		for name, value := range map[string]string{"Request-Id": id, "Credential": "key", "Deadline-Ms": "20000"} {
-			req.Header.Set("Citrontiller-"+name, value)
-		}
-		resp, err := http.DefaultTransport.RoundTrip(req)
-		if err != nil {
-			return 0, err
-		}
-		defer resp.Body.Close()
-		_, err = io.ReadAll(resp.Body)
-		return resp.StatusCode, err
-	}
+	call := func(id string) (int, error) { return callLong(ctx, addr, id) }
 	results := make(chan int, 2)
 	send := func(id string) {
 		status, err := call(id)
@@ -241,12 +232,54 @@
 	wait()
 }
 
+// callLong sends a request that runs until its connection closes, and returns the status of a
+// complete answer.
+func callLong(ctx context.Context, addr, id string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/book/long/1", strings.NewReader("body"))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "h"
+	for name, value := range map[string]string{"Request-Id": id, "Credential": "key", "Deadline-Ms": "20000"} {
+		req.Header.Set("Citrontiller-"+name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, err
+}
+
+// Guards against a process that counts its stop by a clock that stands still while the host
+// is suspended: the platform's doesn't, and kills it before it has answered the open requests.
+func TestStopGoesOnWhileHostIsSuspended(t *testing.T) {
+	is := is.New(t)
+	var suspended atomic.Int64
+	addr, _, stop, wait := startGatewayByClock(t, func() time.Duration { return process.BootTime() + time.Duration(suspended.Load()) })
+	result := make(chan int, 1)
+	go func() {
+		status, _ := callLong(t.Context(), addr, "open")
+		result <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	start := time.Now()
+	stop()
+	time.Sleep(50 * time.Millisecond)
+	const pause = 2 * time.Second
+	suspended.Store(int64(pause))
+	is.Equal(<-result, http.StatusGatewayTimeout)
+	is.True(time.Since(start)+pause < stopGrace)
+	wait()
+}
+
 // Guards against a process that doesn't end after SIGTERM because the rollout coordinator
 // waits for a call that hangs.
 func TestEndDoesNotWaitForHangingCoordinator(t *testing.T) {
 	is := is.New(t)
 	p := newProcess(Settings{}, platform.Settings{Name: "g0", Region: "r"}, zap.NewNop(), func() int64 { return 0 })
 	start := time.Now()
-	p.awaitCoordinator(make(chan struct{}), start.Add(50*time.Millisecond))
+	p.awaitCoordinator(make(chan struct{}), p.clock()+50*time.Millisecond)
 	is.True(time.Since(start) < 2*time.Second)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -231,6 +231,7 @@
 // in one of its credentials.
 const configText = `{"version":%d,"routes":[
  {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":2},
+ {"name":"long-book","host":"h","prefix":"/book/long/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":3},
  {"name":"long","host":"h","prefix":"/stream/lasts/","kind":"stream","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,"service":"s","max_attempts":2,"resumable":true}],
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -72,7 +72,7 @@
 			for i := range cap(results) {
 				wg.Go(func() {
 					time.Sleep(time.Until(terminated.Add(stopSendFrom - c.bodyDelay + time.Duration(i)*stopSendInterval)))
-					results <- sendLongStream(p.listenAddr, fmt.Sprint("late-", i), c.bodyDelay)
+					results <- sendLong(p.listenAddr, "/stream/lasts/1h", fmt.Sprint("late-", i), c.bodyDelay)
 				})
 			}
 			wg.Wait()
@@ -102,9 +102,9 @@
 	err    error
 }
 
-// sendLongStream sends a request for a stream that doesn't end, on a connection of its own, and
-// reads the answer to its end.
-func sendLongStream(address, id string, bodyDelay time.Duration) stopResult {
+// sendLong sends a request that outlasts the grace, on a connection of its own, and reads the
+// answer to its end.
+func sendLong(address, path, id string, bodyDelay time.Duration) stopResult {
 	r := stopResult{id: id}
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -112,8 +112,8 @@
 		return r
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "POST /stream/lasts/1h HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: key\r\n"+
-		"Citrontiller-Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n", id)
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: key\r\n"+
+		"Citrontiller-Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n", path, id)
 	time.Sleep(bodyDelay)
 	r.sentAt = time.Now()
 	fmt.Fprint(conn, "b")
@@ -154,3 +154,21 @@
 	is.True(late > 20)
 	is.Equal(s.failures.Load(), int64(0))
 }
+
+// Guards against open requests that are cut without an answer because the process was not
+// running when SIGTERM came, and counts its grace from when it noticed the signal.
+func TestLateSignalLeavesTimeForAnswers(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, buildGateway(t), 1, 1, soakMemoryMB)
+	p := s.processes[0]
+	s.sendStreams(p, 1, time.Second) // until it is ready
+	result := make(chan stopResult, 1)
+	go func() { result <- sendLong(p.listenAddr, "/book/long/1", "open", 0) }()
+	time.Sleep(500 * time.Millisecond)
+	p.terminateForGood(func(p *process) {
+		p.pause(3 * time.Second)
+		p.signal(syscall.SIGTERM)
+		time.AfterFunc(graceTime, func() { p.signal(syscall.SIGKILL) })
+	})
+	is.Equal((<-result).status, http.StatusGatewayTimeout)
+}
