gatewayd: planned stop: its times follow the grace

The margin is a tenth of the grace, at most 0.7 s; the delay ends with it. TestStopTimesFollowGrace; the times had no function of their own before, so it is new.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -44,12 +44,6 @@
 	// that responses which are held back and callers' request bodies may take.
 	responseMemoryShare = 0.125
 	bodyMemoryShare     = 0.2
-	// shutdownMargin is how long before SIGKILL the last requests are ended.
-	shutdownMargin = 700 * time.Millisecond
-	// exitMargin is how long before SIGKILL the process ends, whatever still runs.
-	exitMargin = 150 * time.Millisecond
-	// finalAnswerTime is the time in which ended requests are answered.
-	finalAnswerTime = 300 * time.Millisecond
 	// engineBaseMs is the time to first token of an idle engine in milliseconds, as
 	// observed by a gateway without agents.
 	engineBaseMs = 30
@@ -224,7 +218,7 @@
 	began := pulse.Earliest()
 	p.drain(began)
 	stop()
-	p.awaitCoordinator(coordinatorDone, began+p.hostSettings.Grace-exitMargin)
+	p.awaitCoordinator(coordinatorDone, began+p.stopTimes().exit)
 	return nil
 }
 
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -274,6 +274,22 @@
 	wait()
 }
 
+// Guards against a planned stop whose times don't follow the grace: requests that are ended
+// before the last sixth of the grace, in which they may be, or after SIGKILL.
+func TestStopTimesFollowGrace(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second, time.Minute} {
+		t.Run(grace.String(), func(t *testing.T) {
+			is := is.New(t)
+			p := &gatewayProcess{settings: Settings{DrainDelay: 3 * time.Second}, hostSettings: platform.Settings{Grace: grace}}
+			times := p.stopTimes()
+			is.True(times.certain <= times.drained && times.drained <= times.end)
+			is.True(times.end > grace*5/6+10*time.Millisecond)
+			is.True(times.end < times.answered && times.answered < times.exit && times.exit < grace)
+			is.True(times.certain <= platform.LastCuttable-500*time.Millisecond)
+		})
+	}
+}
+
 // Guards against a process that doesn't end after SIGTERM because the rollout coordinator
 // waits for a call that hangs.
 func TestEndDoesNotWaitForHangingCoordinator(t *testing.T) {
