gateway: planned stop: a response that begins during the stop says that its connection closes

Callers saw the connection closed on the request that they sent next, right after a response that was under way when SIGTERM came: 'Connection: close' was decided when a request arrived, not when its response began. Class: a decision that a later wait makes invalid. Now it's decided as the status is written. TestResponsesDuringStopCloseTheirConnections failed before. The check of the same header in TestShutdownAcceptsShortRequestsOnly says little: its caller asks for the close itself.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,9 +139,6 @@
 	defer g.open.Add(-1)
 	defer x.finish()
 	defer func() { x.bodyReservation.Release() }()
-	if g.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	if err := x.accept(); err != nil {
 		x.refuse(err)
 		return
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -92,6 +92,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := r.Outcome + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.closeIfDraining()
 	x.w.WriteHeader(r.Status)
 	_, _ = x.w.Write([]byte(text)) // the caller may have disconnected
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -111,16 +111,12 @@
 // response and returns the response's headers.
 func (x *exchange) copyHeaders(p *response) http.Header {
 	h := x.w.Header()
-	connection := h.Get("Connection")
 	for name, values := range p.resp.Header {
 		h[name] = values
 	}
 	for _, name := range hopByHopHeaders {
 		h.Del(name)
 	}
-	if connection != "" {
-		h.Set("Connection", connection)
-	}
 	if _, ok := p.resp.Header["Content-Type"]; !ok {
 		h["Content-Type"] = nil // otherwise the server guesses one
 	}
@@ -131,9 +127,18 @@
 // writeHead writes the response's status and headers.
 func (x *exchange) writeHead(p *response) {
 	x.status = p.resp.StatusCode
+	x.closeIfDraining()
 	x.w.WriteHeader(x.status)
 }
 
+// closeIfDraining tells the caller not to use the connection again if the process is about to
+// end. It is called as the status is written: the stop may have begun after the request came.
+func (x *exchange) closeIfDraining() {
+	if x.g.Draining() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // abort closes the caller's connection, so that a partial response can't look
 // complete. It panics with http.ErrAbortHandler.
 func (x *exchange) abort(p *response, err error) {
