entry: the drain closes nothing before the callers are quiet

The part that watches the connections moves from gatewayd to internal/callers, which both use. TestEntryDrainAnswersFirstRequestOfConnection failed before (unexpected EOF). The entry's wait has a bound of 10 s; its drain as a whole still has none (open).

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,11 +18,13 @@
 	// maxHeaderBytes bounds a request's headers; net/http responds 431 to larger
 	// ones.
 	maxHeaderBytes = 64 << 10
+	// maxQuietWait bounds the wait for a moment without requests at the end of a drain.
+	maxQuietWait = 10 * time.Second
 )
 
 // HTTPServer returns an HTTP server for the caller API with timeouts and limits.
 func (s *Server) HTTPServer() *http.Server {
-	return &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: s.Handler(), ConnState: s.callers.OnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // Serve runs h on l until ctx ends and every running request has finished.
@@ -54,6 +56,8 @@
 	s.draining.Store(true)
 	s.log.Info("draining", zap.Duration("delay", delay))
 	time.Sleep(delay)
+	until := time.Now().Add(maxQuietWait)
+	s.callers.AwaitQuiet(func() bool { return time.Now().After(until) })
 	err := h.Shutdown(context.Background())
 	s.log.Info("drained", zap.Error(err))
 	return err
--- a/entry/server.go
+++ b/entry/server.go
@@ -20,6 +20,7 @@
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/config"
 	"github.com/citrontiller/citrontiller/infra"
+	"github.com/citrontiller/citrontiller/internal/callers"
 	"github.com/citrontiller/citrontiller/internal/selection"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
@@ -112,12 +113,14 @@
 	backgroundCtx    context.Context
 	cancelBackground context.CancelFunc
 	running          runningRequests
-	rates            rateLimiters
-	metrics          *metrics
-	draining         atomic.Bool
-	configSync       *configSync
-	embedded         *embeddedAgents
-	rollouts         *rollouts
+	// callers are the connections of the caller API.
+	callers    callers.Conns
+	rates      rateLimiters
+	metrics    *metrics
+	draining   atomic.Bool
+	configSync *configSync
+	embedded   *embeddedAgents
+	rollouts   *rollouts
 
 	mu      sync.Mutex
 	stopped bool
--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -73,37 +73,19 @@
 	p.log.Info("stop", zap.Duration("drained_in", p.clock()-began), zap.Int64("open", p.gateway.Open()), zap.Error(err))
 }
 
-const (
-	// drainPollInterval is the time between two checks whether the callers are quiet.
-	drainPollInterval = 20 * time.Millisecond
-	// quietTime is for how long no request may have been open, and no connection have changed,
-	// until the callers are quiet.
-	quietTime = 100 * time.Millisecond
-)
-
-// awaitQuiet waits until the callers are quiet, but not past a time. The server closes what
-// it reads after its shutdown has begun, and the host what it has accepted for a listener that
-// closes. So requests that wait for this process to run must be served before: time in which
-// it didn't run doesn't count.
+// awaitQuiet waits until the callers are quiet, but not past a time of the process's clock.
 func (p *gatewayProcess) awaitQuiet(until time.Duration) {
-	quietFrom := time.Now()
-	for now := quietFrom; p.clock() < until && now.Sub(quietFrom) < quietTime; {
-		time.Sleep(drainPollInterval)
-		last := now
-		now = time.Now()
-		changedAt, settled := p.callers.quietSince()
-		if p.gateway.Open() > 0 || !settled || now.Sub(last) > 3*drainPollInterval {
-			quietFrom = now
-		} else if changedAt.After(quietFrom) {
-			quietFrom = changedAt
-		}
-	}
+	p.callers.AwaitQuiet(func() bool { return p.clock() >= until })
 }
 
+// clockPollInterval is the time between two looks at the process's clock, which the runtime's
+// timers don't follow.
+const clockPollInterval = 20 * time.Millisecond
+
 // sleepUntil waits until a time of the process's clock.
 func (p *gatewayProcess) sleepUntil(t time.Duration) {
 	for p.clock() < t {
-		time.Sleep(min(drainPollInterval, t-p.clock()))
+		time.Sleep(min(clockPollInterval, t-p.clock()))
 	}
 }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -22,6 +22,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/gateway"
+	"github.com/citrontiller/citrontiller/internal/callers"
 	"github.com/citrontiller/citrontiller/internal/httpclient"
 	"github.com/citrontiller/citrontiller/internal/memory"
 	"github.com/citrontiller/citrontiller/internal/process"
@@ -68,7 +69,7 @@
 	gateway *gateway.Gateway
 	server  *http.Server
 	// callers are the connections of server, callerListener accepts them.
-	callers        callerConns
+	callers        callers.Conns
 	callerListener net.Listener
 	// probeMux serves the load balancer's readiness checks and the metrics.
 	probeMux *http.ServeMux
@@ -137,7 +138,7 @@
 		gauge("request_body_bytes", "Bytes of callers' request bodies.", func() int { return int(p.gateway.Bodies.Used()) }),
 		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
-	p.server = &http.Server{Handler: p.gateway, ConnContext: gateway.ConnContext, ConnState: p.callers.onState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	p.server = &http.Server{Handler: p.gateway, ConnContext: gateway.ConnContext, ConnState: p.callers.OnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
--- a/standin/fleet/drain_test.go
+++ b/standin/fleet/drain_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,6 +39,27 @@
 	})
 }
 
+// Guards against a request that is read and never answered, because the drain of its entry
+// ended as its connection, open for a while, carried it.
+func TestEntryDrainAnswersFirstRequestOfConnection(t *testing.T) {
+	runInBubble(t, func(t *testing.T, f *Fleet, network *MemoryNetwork) {
+		is := is.New(t)
+		drained := f.Entries[0].Drain()
+		time.Sleep(DrainDelay - time.Second)
+		conn, err := network.Dial(t.Context(), "tcp", f.Entries[0].Address)
+		is.NoErr(err)
+		defer conn.Close()
+		time.Sleep(time.Second + 500*time.Millisecond)
+		_, err = fmt.Fprintf(conn, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		<-drained
+	})
+}
+
 // Guards against new requests on an endpoint later than 3 s after the host list or
 // its agent reports it as leaving, also while the key-value service or the host
 // list is down.
