gateway: planned stop: a request that probably can't end in time is refused at once

Most streams that are cut in a stop were sent in its first seconds, as the rule allows, and are lost for their callers all the same: a gateway that knew its end took any request for the first 3 s. Cause: it judged a request by its route's timeout, which isn't how long requests last. The refusal comes at once and is true: nothing has been sent, or the endpoint has refused it.

TestStopRefusesWhatProbablyCannotEnd and TestStopEndsRetries come with the code they test; without the new comparison in endsBeforeStop both fail.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -197,6 +197,12 @@
 	return x.g.Budget.Spend()
 }
 
+// allowResend is allowRetry for a request of which the caller has received nothing. It isn't
+// sent again if a planned stop would probably cut it: the caller may still try elsewhere.
+func (x *exchange) allowResend(f failure) bool {
+	return x.endsBeforeStop() && x.allowRetry(f)
+}
+
 // maxFailedEndpoints is the number of failed endpoints after which a request whose
 // connection failed is not retried.
 const maxFailedEndpoints = 4
@@ -216,7 +222,7 @@
 			return
 		}
 		var failed *attemptError
-		if !errors.As(err, &failed) || !failed.retryAllowed && !x.allowRetry(failed.failure) {
+		if !errors.As(err, &failed) || !failed.retryAllowed && !x.allowResend(failed.failure) {
 			x.refuse(x.refusalFor(err))
 			return
 		}
@@ -285,6 +291,9 @@
 		if err == nil && x.quarantine.Verdict != quarantine.Allowed {
 			return x.quarantined(x.quarantine)
 		}
+		if !x.endsBeforeStop() {
+			return x.unavailable("closing", err)
+		}
 		if x.overloadWait > 0 {
 			return x.overloaded()
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,9 +60,11 @@
 	Metrics     *Metrics
 	Log         *zap.Logger
 
-	split    regionSplit
-	crashes  crashDetector
-	stopping stopping
+	split regionSplit
+	// durations are those of the latest responses of each route.
+	durations admit.Durations
+	crashes   crashDetector
+	stopping  stopping
 	// open counts the requests in progress.
 	open atomic.Int64
 }
@@ -169,6 +171,9 @@
 		accountName = x.account.Name
 	}
 	x.g.Metrics.done(x, total)
+	if x.outcome == "answered" && x.status/100 == 2 || x.outcome == "timeout" {
+		x.g.durations.Observe(routeName, time.Since(x.readAt))
+	}
 	fields := []zap.Field{zap.String("request", x.info.ID), zap.String("route", routeName), zap.String("account", accountName),
 		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("endpoint", x.endpoint), zap.Int("sends", x.sends),
 		zap.Float64("first_ms", float64(x.firstByte)/1e6), zap.Float64("total_ms", float64(total)/1e6),
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,7 +51,7 @@
 	if !whole && p.resp.StatusCode/100 != 2 && p.resp.ContentLength < 0 {
 		return x.truncated(p, errEndlessFailure)
 	}
-	if p.resp.StatusCode >= 500 && x.allowRetry(unknown) {
+	if p.resp.StatusCode >= 500 && x.allowResend(unknown) {
 		// If no retry is allowed, the caller gets the endpoint's own response.
 		p.attempt.Failed(time.Now())
 		return x.recordFailure(&attemptError{failure: unknown, endpoint: p.endpoint.ID, retryAllowed: true,
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -28,15 +28,28 @@
 // BeginStop begins a planned stop.
 func (g *Gateway) BeginStop(plan Stop) { g.stopping.plan.Store(&plan) }
 
-// endsBeforeStop reports whether a request that comes now may be accepted in view of the
-// process's end. The times decide, not which goroutine runs first.
+// maxCutShare is the share of a route's requests that may be expected to be cut by a planned
+// stop; with more they are refused. A caller who is refused at once tries another gateway, one
+// whose response is cut has lost it.
+const maxCutShare = 0.1
+
+// endsBeforeStop reports whether a request may be passed on now in view of the process's
+// end. The times decide, not which goroutine runs first.
 func (x *exchange) endsBeforeStop() bool {
 	stop := x.g.stopping.plan.Load()
 	if stop == nil {
 		return true
 	}
 	now := stop.Clock()
-	return now < stop.CertainFrom || time.Until(x.deadline) <= stop.End-now
+	left := stop.End - now
+	if time.Until(x.deadline) <= left {
+		return true
+	}
+	if x.sends == 0 && now >= stop.CertainFrom {
+		return false
+	}
+	share, known := x.g.durations.ShareOver(x.route.Name, left)
+	return !known || share <= maxCutShare
 }
 
 // stopping ends the open requests when the process is about to end, so that their callers
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -13,6 +13,48 @@
 	return Stop{Clock: func() time.Duration { return now }, CertainFrom: certainFrom, End: end}
 }
 
+// Guards against a stream that a stopping process takes although nearly all streams of its
+// route last longer than the process will: its caller loses it, instead of trying elsewhere.
+func TestStopRefusesWhatProbablyCannotEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, []responder{ok("x")})
+	for range 100 {
+		f.gateway.durations.Observe("draft", time.Second)
+	}
+	f.gateway.BeginStop(stopAt(0, time.Hour, 500*time.Millisecond))
+	resp, _, err := f.call(t, http.MethodPost, "/draft/1", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Header.Get("Retry-After") != "")
+	is.Equal(len(f.arrivals), 0)
+	f.gateway.BeginStop(stopAt(0, time.Hour, 1500*time.Millisecond)) // most end in time
+	resp, _, err = f.call(t, http.MethodPost, "/draft/1", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
+// Guards against a request that is sent to another endpoint, after the first one has refused
+// it, although the process may end before the response.
+func TestStopEndsRetries(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	refuseAndStop := func(w http.ResponseWriter, r *http.Request) {
+		f.gateway.BeginStop(stopAt(0, time.Hour, 500*time.Millisecond))
+		refuseNotRun(http.StatusServiceUnavailable)(w, r)
+	}
+	for _, id := range []string{"e0", "e1"} {
+		f.add(t, id, []responder{refuseAndStop})
+	}
+	for range 100 {
+		f.gateway.durations.Observe("draft", time.Second)
+	}
+	resp, body, err := f.call(t, http.MethodPost, "/draft/1", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(body, "closing\n")
+	is.Equal(len(f.arrivals), 1)
+}
+
 // Guards against a caller who keeps a connection that the planned stop closes: its next
 // request crosses the close.
 func TestResponsesDuringStopCloseTheirConnections(t *testing.T) {
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -18,7 +18,7 @@
 	File             string        `arg:"--settings,env:CITRONTILLER_BOOT" help:"path of the platform's settings file (required)"`
 	LogLevel         string        `arg:"--log-level,env:CITRONTILLER_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 	PollWait         time.Duration `arg:"--poll-wait,env:CITRONTILLER_POLL_WAIT" default:"4s" help:"longest wait of one poll of the store for changes"`
-	DrainDelay       time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"time between failing readiness and closing the listener"`
+	DrainDelay       time.Duration `arg:"--drain-delay,env:CITRONTILLER_DRAIN_DELAY" default:"3s" help:"least time between failing readiness and closing the listener"`
 	LeaseTTL         time.Duration `arg:"--lease-ttl,env:CITRONTILLER_LEASE_TTL" default:"3s" help:"length of the lease of the process that gives engines orders"`
 	RolloutStrategy  string        `arg:"--rollout-strategy,env:CITRONTILLER_ROLLOUT_STRATEGY" default:"keep" help:"what happens to running requests when weights change: finish, keep or cut"`
 	UsualUrgent      float64       `arg:"--usual-urgent,env:CITRONTILLER_USUAL_URGENT" default:"1.5" help:"expected wait from which requests of priority 0 are refused, in shares of their target latency"`
