--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -187,6 +187,8 @@
 	switch {
 	case x.ctx.Err() != nil:
 		return false
+	case x.abandoned():
+		return false
 	case f == notSent:
 		return len(x.excluded) < maxFailedEndpoints
 	case x.sends >= x.route.MaxAttempts:
@@ -197,6 +199,10 @@
 	return x.g.Budget.Spend()
 }
 
+// abandoned reports whether the caller has left before the request was sent to any endpoint,
+// so that nobody needs a response and nothing can have run.
+func (x *exchange) abandoned() bool { return x.sends == 0 && x.r.Context().Err() != nil }
+
 // allowResend is allowRetry for a request of which the caller has received nothing. It isn't
 // sent again if a planned stop would probably cut it: the caller may still try elsewhere.
 func (x *exchange) allowResend(f failure) bool {
@@ -262,7 +268,7 @@
 		if c, ok := x.chooseAllowed(); ok {
 			return c, true
 		}
-		if !x.mayBecomeAvailable(until) || !wait.Sleep(x.ctx, endpointPollInterval) {
+		if x.abandoned() || !x.mayBecomeAvailable(until) || !wait.Sleep(x.ctx, endpointPollInterval) {
 			return choice{}, false
 		}
 	}
@@ -284,6 +290,8 @@
 func (x *exchange) refusalFor(err error) *Refusal {
 	var a *attemptError
 	switch {
+	case x.abandoned():
+		return &Refusal{Status: http.StatusBadGateway, Outcome: "caller_left", Err: err}
 	case err == nil, errors.As(err, &a) && a.failure != unknown:
 		if x.mayHaveRun {
 			return &Refusal{Status: http.StatusBadGateway, Outcome: "failed", Err: err}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -450,6 +452,34 @@
 	}
 }
 
+// failFirst is a transport whose first request finds no connection, after a while.
+type failFirst struct {
+	http.RoundTripper
+	failed atomic.Bool
+}
+
+func (t *failFirst) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.failed.CompareAndSwap(false, true) {
+		time.Sleep(200 * time.Millisecond)
+		return nil, errors.New("no connection")
+	}
+	return t.RoundTripper.RoundTrip(r)
+}
+
+// Guards against a request that runs although its caller left before it was sent anywhere:
+// a request that must not run twice outlives its caller only once it may have run.
+func TestRequestIsNotSentAfterCallerLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, []responder{ok("x")}, []responder{ok("x")})
+	f.gateway.ShortIdle = &failFirst{RoundTripper: f.gateway.ShortIdle}
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, leave)
+	_, err := f.open(f.request(t, http.MethodPost, "/book/1", "i", "b").WithContext(ctx))
+	is.True(err != nil)
+	time.Sleep(400 * time.Millisecond)
+	is.Equal(f.sends(), 0)
+}
+
 // Guards against accepting requests during a shutdown that may not end in time.
 func TestShutdownAcceptsShortRequestsOnly(t *testing.T) {
 	is := is.New(t)
