--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -82,10 +81,10 @@
 	var wg sync.WaitGroup
 	for range callers {
 		wg.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
+			c := newCaller(s)
+			defer c.close()
 			for ctx.Err() == nil {
-				s.call(client, streamID.Add(1), "stream", p.listenAddr)
+				c.call(streamID.Add(1), "stream", p)
 				time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
 			}
 		})
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -1,10 +1,7 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -72,7 +69,7 @@
 			for i := range cap(results) {
 				wg.Go(func() {
 					time.Sleep(time.Until(terminated.Add(stopSendFrom - c.bodyDelay + time.Duration(i)*stopSendInterval)))
-					results <- sendLong(p.listenAddr, "/stream/lasts/1h", fmt.Sprint("late-", i), c.bodyDelay)
+					results <- sendLong(p, "/stream/lasts/1h", fmt.Sprint("late-", i), c.bodyDelay)
 				})
 			}
 			wg.Wait()
@@ -90,42 +87,23 @@
 	terminate(p)
 }
 
-// stopResult is the result of a stream that is sent during a planned stop.
+// stopResult is the result of a request that is sent during a planned stop.
 type stopResult struct {
-	id string
-	// sentAt is the time just before the last byte was sent.
-	sentAt time.Time
+	result
 	// notAccepted is whether the process accepted no connection any more.
 	notAccepted bool
-	// status is 0 and err set if there was no answer; err alone if it was cut.
-	status int
-	err    error
 }
 
 // sendLong sends a request that outlasts the grace, on a connection of its own, and reads the
 // answer to its end.
-func sendLong(address, path, id string, bodyDelay time.Duration) stopResult {
-	r := stopResult{id: id}
-	conn, err := net.Dial("tcp", address)
+func sendLong(p *process, path, id string, bodyDelay time.Duration) stopResult {
+	conn, err := p.dial()
 	if err != nil {
-		r.sentAt, r.notAccepted = time.Now(), true
-		return r
+		return stopResult{result: result{sentAt: time.Now()}, notAccepted: true}
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: key\r\n"+
-		"Citrontiller-Deadline-Ms: 20000\r\nContent-Length: 1\r\n\r\n", path, id)
-	time.Sleep(bodyDelay)
-	r.sentAt = time.Now()
-	fmt.Fprint(conn, "b")
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		r.err = err
-		return r
-	}
-	defer resp.Body.Close()
-	r.status = resp.StatusCode
-	_, r.err = io.Copy(io.Discard, resp.Body)
-	return r
+	r, _ := conn.send(request{id: id, method: http.MethodPost, path: path, deadline: longTimeout, bodyDelay: bodyDelay})
+	return stopResult{result: r}
 }
 
 // checkStop checks what became of the streams of a planned stop.
@@ -163,7 +141,7 @@
 	p := s.processes[0]
 	s.sendStreams(p, 1, time.Second) // until it is ready
 	result := make(chan stopResult, 1)
-	go func() { result <- sendLong(p.listenAddr, "/book/long/1", "open", 0) }()
+	go func() { result <- sendLong(p, "/book/long/1", "open", 0) }()
 	time.Sleep(500 * time.Millisecond)
 	p.terminateForGood(func(p *process) {
 		p.pause(3 * time.Second)
