process: a stall is remembered until what happened in it has been noticed

The pulse forgot a stall 100 ms after its first beat, and a second stall overwrote the first; a signal that was noticed later was taken for new, and the stop planned by the late notice.

Stalls count from 200 ms, for a second after their end, the first of several. TestPulseKnowsStalls asked for the forgetting after 100 ms; it asks for the longer memory now, and TestPulseKnowsStallsInARow is new; neither holds on the code before.

--- a/internal/process/pulse.go
+++ b/internal/process/pulse.go
@@ -12,7 +12,9 @@
 	// beatInterval is the time between two beats of a Pulse.
 	beatInterval = 100 * time.Millisecond
 	// maxBeatGap is the time between two beats from which the process has not run meanwhile.
-	maxBeatGap = 300 * time.Millisecond
+	maxBeatGap = 200 * time.Millisecond
+	// noticeTime is how long after a stall something may be noticed that happened in it.
+	noticeTime = time.Second
 )
 
 // BootTime returns the time of a monotonic clock that includes the time for which the host
@@ -33,11 +35,13 @@
 
 	mu   sync.Mutex
 	last time.Duration
-	// stallFrom and stallTo are the beats around the last time without any, zero if there was
-	// none.
-	stallFrom, stallTo time.Duration
+	// stalls are those that ended in the last noticeTime, the oldest first.
+	stalls []stall
 }
 
+// stall is a time without beats.
+type stall struct{ from, to time.Duration }
+
 // NewPulse returns a pulse by a clock, whose first beat is now.
 func NewPulse(clock func() time.Duration) *Pulse { return &Pulse{clock: clock, last: clock()} }
 
@@ -55,26 +59,34 @@
 	}
 }
 
-// beat records that the process runs, and returns the time.
-func (p *Pulse) beat() time.Duration {
+// beat records that the process runs, and returns the time and the recent stalls.
+func (p *Pulse) beat() (time.Duration, []stall) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
 	if now-p.last > maxBeatGap {
-		p.stallFrom, p.stallTo = p.last, now
+		p.stalls = append(p.stalls, stall{p.last, now})
 	}
 	p.last = now
-	return now
+	for len(p.stalls) > 0 && now-p.stalls[0].to > noticeTime {
+		p.stalls = p.stalls[1:]
+	}
+	return now, p.stalls
 }
 
 // Earliest returns the earliest time at which something that is noticed now may have
-// happened: the last beat before a stall that has just ended, else now.
+// happened: the begin of the first recent stall, else now.
 func (p *Pulse) Earliest() time.Duration {
-	now := p.beat()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.stallTo > 0 && now-p.stallTo <= beatInterval {
-		return p.stallFrom
+	now, stalls := p.beat()
+	if len(stalls) > 0 {
+		return stalls[0].from
 	}
 	return now
 }
+
+// JustStalled reports whether a stall ends now, or ended so recently that what happened in it
+// may not have been noticed by all parts of the process.
+func (p *Pulse) JustStalled() bool {
+	now, stalls := p.beat()
+	return len(stalls) > 0 && now-stalls[len(stalls)-1].to <= beatInterval
+}
--- a/internal/process/pulse_test.go
+++ b/internal/process/pulse_test.go
@@ -14,15 +14,36 @@
 	now := time.Hour
 	p := NewPulse(func() time.Duration { return now })
 	is.Equal(p.Earliest(), now) // ran all the while
+	is.True(!p.JustStalled())
 	now += beatInterval
 	p.beat()
 	is.Equal(p.Earliest(), now)
-	stall := now
+	stalled := now
 	now += 2 * time.Second
-	is.Equal(p.Earliest(), stall) // noticed before the first beat
-	p.beat()
+	is.Equal(p.Earliest(), stalled) // noticed before the first beat
+	is.True(p.JustStalled())
 	now += beatInterval / 2
-	is.Equal(p.Earliest(), stall) // or shortly after it
+	p.beat()
+	is.Equal(p.Earliest(), stalled) // or shortly after it
+	for range int(noticeTime/beatInterval) - 1 {
+		now += beatInterval
+		p.beat()
+		is.Equal(p.Earliest(), stalled) // a busy process notices it late
+	}
+	is.True(!p.JustStalled())
 	now += beatInterval
 	is.Equal(p.Earliest(), now) // the stall is over
 }
+
+// Guards against a stall that is forgotten because a shorter one followed before the signal
+// was noticed.
+func TestPulseKnowsStallsInARow(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	p := NewPulse(func() time.Duration { return now })
+	first := now
+	now += 3 * time.Second
+	p.beat()
+	now += maxBeatGap + time.Millisecond
+	is.Equal(p.Earliest(), first)
+}
