entry: the drain closes its listener once no connection arrives

Now the listener closes when no connection has begun for 100 ms, and the server shuts down when none is in use, as before without a bound.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -18,8 +18,8 @@
 	// maxHeaderBytes bounds a request's headers; net/http responds 431 to larger
 	// ones.
 	maxHeaderBytes = 64 << 10
-	// maxQuietWait bounds the wait for a moment without requests at the end of a drain.
-	maxQuietWait = 10 * time.Second
+	// maxArrivalWait bounds the wait for a moment without new connections after the drain delay.
+	maxArrivalWait = 10 * time.Second
 )
 
 // HTTPServer returns an HTTP server for the caller API with timeouts and limits.
@@ -37,27 +37,29 @@
 	defer stopped()
 	go func() {
 		<-serving.Done()
-		drained <- s.drain(ctx, h, drainDelay)
+		drained <- s.drain(ctx, h, l, drainDelay)
 	}()
 	s.log.Info("listening", zap.String("address", l.Addr().String()))
 	err := h.Serve(l)
 	stopped()
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !(errors.Is(err, net.ErrClosed) && s.draining.Load()) {
 		return err
 	}
 	return <-drained
 }
 
-// drain waits for delay and shuts h down, if ctx has ended.
-func (s *Server) drain(ctx context.Context, h *http.Server, delay time.Duration) error {
+// drain waits for delay, closes l and shuts h down, if ctx has ended.
+func (s *Server) drain(ctx context.Context, h *http.Server, l net.Listener, delay time.Duration) error {
 	if ctx.Err() == nil {
 		return nil // h.Serve failed or h was closed
 	}
 	s.draining.Store(true)
 	s.log.Info("draining", zap.Duration("delay", delay))
 	time.Sleep(delay)
-	until := time.Now().Add(maxQuietWait)
-	s.callers.AwaitQuiet(func() bool { return time.Now().After(until) })
+	until := time.Now().Add(maxArrivalWait)
+	s.callers.AwaitNoArrivals(func() bool { return time.Now().After(until) })
+	_ = l.Close() // fails only if it is closed
+	s.callers.AwaitQuiet(func() bool { return false })
 	err := h.Shutdown(context.Background())
 	s.log.Info("drained", zap.Error(err))
 	return err
