gateway: planned stop: after a stall requests wait until the signal has been noticed

When a process that didn't run goes on, requests may be handled before the goroutine that notices SIGTERM has begun the stop.

A request that comes right after a stall waits for 50 ms before it is judged. TestRequestAfterStallWaitsForSignal fails without the wait.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -36,6 +36,7 @@
 		return err
 	}
 	x.readAt = time.Now()
+	x.awaitSignal()
 	if !x.endsBeforeStop() {
 		return x.unavailable("closing", nil)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	// OnRateLimit is called with what a response announces of its endpoint's rate limit, if
 	// the other gateways should be told; nil for no call. It must not block.
 	OnRateLimit func(catalog.RateLimit)
+	// JustStalled reports whether the process may not have run until now, so that it may
+	// not have noticed yet that it must stop; nil means that it always runs.
+	JustStalled func() bool
 	Metrics     *Metrics
 	Log         *zap.Logger
 
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/citrontiller/citrontiller/internal/wait"
 )
 
 // errStopped is the cause of the end of requests that are open when the process ends.
@@ -28,6 +30,17 @@
 // BeginStop begins a planned stop.
 func (g *Gateway) BeginStop(plan Stop) { g.stopping.plan.Store(&plan) }
 
+// signalTime is the time in which a process notices a signal that it got while it didn't run.
+const signalTime = 50 * time.Millisecond
+
+// awaitSignal waits if the process may have got a signal while it didn't run: requests that came
+// meanwhile must not be passed on before it has noticed that it must stop.
+func (x *exchange) awaitSignal() {
+	if x.g.JustStalled != nil && !x.g.Draining() && x.g.JustStalled() {
+		wait.Sleep(x.r.Context(), signalTime)
+	}
+}
+
 // maxCutShare is the share of a route's requests that may be expected to be cut by a planned
 // stop; with more they are refused. A caller who is refused at once tries another gateway, one
 // whose response is cut has lost it.
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -72,3 +72,18 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.True(resp.Close)
 }
+
+// Guards against a request that is passed on before the process, which didn't run for a while,
+// has noticed that it had been told to stop long before the request came.
+func TestRequestAfterStallWaitsForSignal(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, []responder{ok("x")})
+	f.gateway.JustStalled = func() bool {
+		time.AfterFunc(10*time.Millisecond, func() { f.gateway.BeginStop(stopAt(3*time.Second, 0, 4*time.Second)) })
+		return true
+	}
+	resp, _, err := f.call(t, http.MethodPost, "/draft/1", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(f.sends(), 0)
+}
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -42,6 +42,10 @@
 		p.pause(250 * time.Millisecond)
 		p.signal(syscall.SIGTERM)
 	}},
+	{name: "paused from the signal until after the moment", terminate: func(p *process) {
+		p.pause(lateTime + 300*time.Millisecond)
+		p.signal(syscall.SIGTERM)
+	}},
 	{name: "process not scheduled for a moment", terminate: func(p *process) {
 		p.signal(syscall.SIGTERM)
 		time.AfterFunc(lateTime-100*time.Millisecond, func() { p.pause(200 * time.Millisecond) })
