gatewayd: planned stop: its end respects both the last sixth of the grace and SIGKILL

One estimate of the signal's time stood for two promises.

Now the end counts from the notice as long as it lies 0.35 s before SIGKILL counted from the earliest time of the signal; the drain delay counts from the notice; a live process has had its signal for less than the grace. TestStopPlanAfterStall is new.

TestStopGoesOnWhileHostIsSuspended failed once beside load, since it measured time: its clock now stands still until the test moves it, and the stop must neither go on before nor wait after, which is stricter and takes no time of the machine into account.

--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -22,14 +22,17 @@
 	endMarginDivisor = 10
 )
 
-// stopTimes are the times of a planned stop, counted from the signal.
+// stopTimes are the lengths of the parts of a planned stop, counted from the signal.
 type stopTimes struct {
 	// drained is until when the listener stays open in any case, certain from when only requests
 	// that end before end are accepted.
 	drained, certain time.Duration
-	// end is when the open requests are ended, answered until when they are answered, and exit
-	// when the process ends, whatever still runs.
-	end, answered, exit time.Duration
+	// end is when the open requests are ended if the signal was noticed at once, lastEnd the
+	// latest time at which they can be ended and still be answered.
+	end, lastEnd time.Duration
+	// answering is the time in which ended requests are answered, and exit when the process ends,
+	// whatever still runs.
+	answering, exit time.Duration
 }
 
 // stopTimes returns the times of a planned stop.
@@ -41,41 +44,54 @@
 	margin := min(maxEndMargin, grace/endMarginDivisor)
 	end := grace - margin
 	return stopTimes{
-		drained:  min(p.settings.DrainDelay, end),
-		certain:  min(p.settings.DrainDelay, platform.LastCuttable-lateMargin, end),
-		end:      end,
-		answered: end + margin/2,
-		exit:     grace - margin/5,
+		drained:   min(p.settings.DrainDelay, end),
+		certain:   min(p.settings.DrainDelay, platform.LastCuttable-lateMargin, end),
+		end:       end,
+		lastEnd:   grace - margin/2,
+		answering: margin / 2,
+		exit:      grace - margin/5,
 	}
 }
 
+// stopPlan returns the plan of a stop whose signal was sent between two times. Requests may
+// be cut late in the grace only, counted from the later time; but they must be answered before
+// SIGKILL, counted from the earlier.
+func (t stopTimes) stopPlan(earliest, noticed time.Duration) gateway.Stop {
+	return gateway.Stop{Began: noticed, CertainFrom: earliest + t.certain, End: min(noticed+t.end, earliest+t.lastEnd)}
+}
+
 // drain fails the readiness check and keeps the listener open for the drain delay, so that
 // the load balancer can detect it. Then it stops to accept connections as soon as the callers
-// are quiet, at plan.End at the latest, and ends the requests that are still open at that time.
-// began is the earliest time at which the signal may have been sent.
-func (p *gatewayProcess) drain(began time.Duration) {
-	times := p.stopTimes()
-	plan := gateway.Stop{Clock: p.clock, Began: began, CertainFrom: began + times.certain, End: began + times.end}
+// are quiet, at plan.End at the latest, and ends the requests that are still open at that time. earliest
+// is the earliest time at which the signal may have been sent. drain returns when the process
+// must end.
+func (p *gatewayProcess) drain(earliest time.Duration) (exit time.Duration) {
+	noticed, times := p.clock(), p.stopTimes()
+	earliest = max(earliest, noticed-times.end) // else the process would have been killed
+	plan := times.stopPlan(earliest, noticed)
+	plan.Clock = p.clock
+	exit = earliest + times.exit
 	p.gateway.BeginStop(plan)
-	now := p.clock()
-	p.log.Info("draining", zap.Duration("delay", times.drained), zap.Duration("signal_within", now-began),
-		zap.Duration("certain_in", plan.CertainFrom-now), zap.Duration("end_in", plan.End-now), zap.Int64("open", p.gateway.Open()))
-	p.sleepUntil(began + times.drained)
-	p.awaitQuiet(plan.End)
-	p.log.Info("closing", zap.Duration("since_drain", p.clock()-began), zap.Int64("open", p.gateway.Open()))
+	p.log.Info("draining", zap.Duration("delay", times.drained), zap.Duration("signal_within", noticed-earliest),
+		zap.Duration("certain_in", plan.CertainFrom-noticed), zap.Duration("end_in", plan.End-noticed), zap.Int64("open", p.gateway.Open()))
+	p.sleepUntil(min(noticed+times.drained, plan.End))
+	p.callers.AwaitQuiet(p.after(plan.End))
+	p.log.Info("closing", zap.Duration("since_drain", p.clock()-noticed), zap.Int64("open", p.gateway.Open()))
 	_ = p.callerListener.Close() // fails only if it is closed
-	p.awaitQuiet(plan.End)
+	p.callers.AwaitQuiet(p.after(plan.End))
+	answered := min(plan.End+times.answering, exit)
 	if p.gateway.Open() > 0 {
 		p.gateway.EndRequests()
-		p.awaitQuiet(began + times.answered)
+		p.callers.AwaitQuiet(p.after(answered))
 	}
-	err := p.shutDownServer(began + times.answered)
-	p.log.Info("stop", zap.Duration("drained_in", p.clock()-began), zap.Int64("open", p.gateway.Open()), zap.Error(err))
+	err := p.shutDownServer(answered)
+	p.log.Info("stop", zap.Duration("drained_in", p.clock()-noticed), zap.Int64("open", p.gateway.Open()), zap.Error(err))
+	return exit
 }
 
-// awaitQuiet waits until the callers are quiet, but not past a time of the process's clock.
-func (p *gatewayProcess) awaitQuiet(until time.Duration) {
-	p.callers.AwaitQuiet(func() bool { return p.clock() >= until })
+// after returns a function that reports whether the process's clock has reached a time.
+func (p *gatewayProcess) after(t time.Duration) func() bool {
+	return func() bool { return p.clock() >= t }
 }
 
 // clockPollInterval is the time between two looks at the process's clock, which the runtime's
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -65,6 +65,7 @@
 	hostSettings platform.Settings
 	// clock is process.BootTime, except in tests.
 	clock   func() time.Duration
+	pulse   *process.Pulse
 	log     *zap.Logger
 	gateway *gateway.Gateway
 	server  *http.Server
@@ -115,6 +116,7 @@
 	scheduler.BaseMs = engineBaseMs
 	p := &gatewayProcess{settings: settings, hostSettings: hostSettings, clock: process.BootTime, log: log, store: platform.NewStore(hostSettings.StoreAddress, newStoreTransport()),
 		lockTurn: lockTurn{startedAt: time.Now()}, restored: make(chan struct{}, 1)}
+	p.pulse = process.NewPulse(p.clock)
 	p.quarantine = quarantine.New(quarantineObserver{p})
 	reg := prometheus.NewRegistry()
 	p.gateway = &gateway.Gateway{
@@ -137,6 +139,7 @@
 		gauge("held_response_bytes", "Bytes of responses that are held back.", func() int { return int(p.gateway.Responses.Used()) }),
 		gauge("request_body_bytes", "Bytes of callers' request bodies.", func() int { return int(p.gateway.Bodies.Used()) }),
 		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
+	p.gateway.JustStalled = p.pulse.JustStalled
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ConnContext: gateway.ConnContext, ConnState: p.callers.OnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(log)}
@@ -202,8 +205,7 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pulse := process.NewPulse(p.clock)
-	go pulse.Run(background)
+	go p.pulse.Run(background)
 	go p.mirror.Run(background)
 	go p.register(background)
 	go p.servePeers(background, peerListener)
@@ -216,10 +218,9 @@
 	go p.serve(probeListener, &http.Server{Handler: p.probeMux, ReadHeaderTimeout: headerTimeout})
 	go p.serve(callerListener, p.server)
 	<-ctx.Done()
-	began := pulse.Earliest()
-	p.drain(began)
+	exit := p.drain(p.pulse.Earliest())
 	stop()
-	p.awaitCoordinator(coordinatorDone, began+p.stopTimes().exit)
+	p.awaitCoordinator(coordinatorDone, exit)
 	return nil
 }
 
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -64,6 +64,8 @@
 		OverloadUrgent: 2, OverloadOther: 2, RolloutShare: 6, RolloutStrategy: "keep"}
 	p := newProcess(settings, host, zap.NewNop(), func() int64 { return 0 })
 	p.clock = clock
+	p.pulse = process.NewPulse(clock)
+	p.gateway.JustStalled = p.pulse.JustStalled
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- p.run(ctx) }()
@@ -256,21 +258,24 @@
 // is suspended: the platform's doesn't, and kills it before it has answered the open requests.
 func TestStopGoesOnWhileHostIsSuspended(t *testing.T) {
 	is := is.New(t)
-	var suspended atomic.Int64
-	addr, _, stop, wait := startGatewayByClock(t, func() time.Duration { return process.BootTime() + time.Duration(suspended.Load()) })
+	var now atomic.Int64
+	now.Store(int64(time.Hour))
+	addr, _, stop, wait := startGatewayByClock(t, func() time.Duration { return time.Duration(now.Load()) })
 	result := make(chan int, 1)
 	go func() {
 		status, _ := callLong(t.Context(), addr, "open")
 		result <- status
 	}()
 	time.Sleep(100 * time.Millisecond)
-	start := time.Now()
 	stop()
-	time.Sleep(50 * time.Millisecond)
-	const pause = 2 * time.Second
-	suspended.Store(int64(pause))
+	select {
+	case <-result:
+		t.Fatal("the stop goes on although its clock stands still")
+	case <-time.After(stopGrace + 100*time.Millisecond):
+	}
+	now.Add(int64(stopGrace)) // as after a suspension
 	is.Equal(<-result, http.StatusGatewayTimeout)
-	is.True(time.Since(start)+pause < stopGrace)
+	now.Add(int64(stopGrace))
 	wait()
 }
 
@@ -284,12 +289,33 @@
 			times := p.stopTimes()
 			is.True(times.certain <= times.drained && times.drained <= times.end)
 			is.True(times.end > grace*5/6+10*time.Millisecond)
-			is.True(times.end < times.answered && times.answered < times.exit && times.exit < grace)
+			is.True(times.end < times.lastEnd && times.lastEnd < times.exit && times.exit < grace)
+			is.True(times.end+times.answering < times.exit)
 			is.True(times.certain <= platform.LastCuttable-500*time.Millisecond)
 		})
 	}
 }
 
+// Guards against requests that are cut too early, or not answered before SIGKILL, because a
+// stall before the signal was taken for one during it, or the other way round.
+func TestStopPlanAfterStall(t *testing.T) {
+	for _, stalled := range []time.Duration{0, 400 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second, time.Minute} {
+		t.Run(stalled.String(), func(t *testing.T) {
+			is := is.New(t)
+			noticed := time.Hour
+			p := &gatewayProcess{settings: Settings{DrainDelay: 3 * time.Second}, hostSettings: platform.Settings{Grace: 8 * time.Second}}
+			times := p.stopTimes()
+			plan := times.stopPlan(max(noticed-stalled, noticed-times.end), noticed)
+			is.True(plan.End > noticed) // there is time for answers
+			is.True(plan.End <= max(noticed-stalled, noticed-times.end)+times.lastEnd)
+			if stalled < time.Second {
+				is.True(plan.End-noticed > 8*time.Second*5/6) // the signal may have come just now
+			}
+			is.True(plan.CertainFrom <= noticed-min(stalled, times.end)+2*time.Second)
+		})
+	}
+}
+
 // Guards against a process that doesn't end after SIGTERM because the rollout coordinator
 // waits for a call that hangs.
 func TestEndDoesNotWaitForHangingCoordinator(t *testing.T) {
