ratelimit: short prompts leave the rate limits of endpoints to long ones in an overload

Cause: a limit counts requests, whatever their length. The price of using one was at most 600 ms and fell with the prefill at that endpoint, slow or not. Waits of 400 ms elsewhere exceed it for a tag (about 2,400 tokens) until nine tenths of the limit are used, so tags, which come five times as often, took more than half of it.

Change: the price is 4,000 ms for the last request and falls with the cube of the prompt's tokens to compute in relation to the service's usual number, which the tracker learns.

Conclusion: a part of the cause.

--- a/plugins/ratelimit/ratelimit.go
+++ b/plugins/ratelimit/ratelimit.go
@@ -4,6 +4,8 @@
 package ratelimit
 
 import (
+	"math"
+
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -14,18 +16,19 @@
 func init() { kernel.Register(kernel.Plugin{ID: ID, New: func() any { return new(Price) }}) }
 
 const (
-	// lastRequestMs is the cost of the last request that a limit allows, for a request with
-	// nothing to prefill: the reduction of the time to first token, in milliseconds, for
-	// which it is used.
-	lastRequestMs = 600
-	// halvingPrefillMs is the prefill time in milliseconds that halves the cost. Twice this
-	// time reduces it to a third.
-	halvingPrefillMs = 40
+	// lastRequestMs is the cost of the last request that a limit allows, for a request whose
+	// prefill is not longer than usual: the reduction of the time to first token, in
+	// milliseconds, for which it is used. It is far above the waits at overloaded endpoints,
+	// so that short prompts use no more than a tenth of what a limit allows at once.
+	lastRequestMs = 4000
+	// lengthExponent is the power of the ratio of the usual prefill to a longer one with
+	// which the cost falls.
+	lengthExponent = 3
 )
 
 // Price adds a cost that grows with the used part of an endpoint's rate limit and falls
-// with the request's prefill time. It leaves out requests without a prompt, whose work is
-// not known.
+// with the request's prefill in relation to the usual one. It leaves out requests without
+// a prompt, whose work is not known.
 type Price struct{}
 
 // Score implements route.Scorer.
@@ -35,6 +38,15 @@
 	}
 	for i := range endpoints {
 		e := &endpoints[i]
-		scores[i] += lastRequestMs * e.RateLimitUsed / (1 + e.OwnPrefillMs/halvingPrefillMs)
+		scores[i] += lastRequestMs * e.RateLimitUsed * lengthFactor(r.UsualPrefillTokens, e.UncachedTokens(r.Tokens))
+	}
+}
+
+// lengthFactor returns the part of the cost that a request with so many tokens to prefill
+// bears.
+func lengthFactor(usual, tokens float64) float64 {
+	if usual <= 0 || tokens <= usual {
+		return 1
 	}
+	return math.Pow(usual/tokens, lengthExponent)
 }
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -48,6 +48,7 @@
 		crossRegion: e.Region != r.Region}
 	uncached := e.UncachedTokens(r.Tokens)
 	a.costMs = e.PrefillMs(uncached)
+	t.observePrefill(r, uncached)
 	a.levelAges = t.placement.ages(r.Levels, s, now)
 	a.published = r.Tokens > 0 || s.rateLimiter.limited()
 	s.rateLimiter.send(now)
@@ -73,6 +74,19 @@
 	return a
 }
 
+// observePrefill records the prompt tokens that a request has to compute. The caller
+// must hold mu.
+func (t *Tracker) observePrefill(r *Request, tokens float64) {
+	if r.Tokens == 0 {
+		return
+	}
+	usual, ok := t.usualPrefills[r.Service]
+	if !ok {
+		usual = tokens
+	}
+	t.usualPrefills[r.Service] = usual + usualPrefillWeight*(tokens-usual)
+}
+
 // emit passes an event of the attempt to the callback.
 func (a *Attempt) emit(e Event) {
 	if a.published {
--- a/route/route.go
+++ b/route/route.go
@@ -45,6 +45,9 @@
 	// OutputTokens is the expected length of the response, derived from earlier
 	// responses; 0 when unknown.
 	OutputTokens float64
+	// UsualPrefillTokens is the usual number of prompt tokens that a request to the
+	// service has to compute; 0 when unknown.
+	UsualPrefillTokens float64
 	// Seed is a random number that breaks ties.
 	Seed uint64
 	// Exclude holds the ids of endpoints at which this request was refused or failed.
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -22,6 +22,8 @@
 
 	// outputWeight is the weight of a new output length in the moving average.
 	outputWeight = 0.1
+	// usualPrefillWeight is the weight of a new request in the moving average of prefills.
+	usualPrefillWeight = 0.01
 	// minLifetime is the lower bound of a learned block lifetime.
 	minLifetime = 500 * time.Millisecond
 	// maxLengths bounds the number of average output lengths, one per service and
@@ -123,7 +125,10 @@
 	placement placement
 	endpoints map[string]*endpointState
 	// outputLengths holds the moving average of the length of responses in tokens.
-	outputLengths    map[lengthKey]float64
+	outputLengths map[lengthKey]float64
+	// usualPrefills holds the moving average of the prompt tokens that requests have to
+	// compute, by service.
+	usualPrefills    map[string]float64
 	crossRegionBytes int64
 	// onEvent receives each event of this process; nil for none.
 	onEvent func(e Event)
@@ -148,7 +153,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{placement: newPlacement(), endpoints: map[string]*endpointState{}, outputLengths: map[lengthKey]float64{},
+	return &Tracker{placement: newPlacement(), endpoints: map[string]*endpointState{}, outputLengths: map[lengthKey]float64{}, usualPrefills: map[string]float64{},
 		serviceStates: map[string]memberStates{}, tokenTimes: map[string]*tokenTime{}, holdingTimes: newHoldingTimes(), fleet: loneFleet}
 }
 
@@ -195,6 +200,7 @@
 	t.snapshotSeq++
 	t.placement.expect(r.Levels, now, t.snapshotSeq)
 	r.OutputTokens = t.outputLengths[lengthKey{r.Service, r.Account}]
+	r.UsualPrefillTokens = t.usualPrefills[r.Service]
 	for i, s := range states {
 		out = append(out, t.candidate(r, members[i], s, report, now))
 	}
