gateway: overload limits don't apply to endpoints with a rate limit

Cause: in a standing queue the less urgent are refused above a wait of 150 ms. That limit also applied at endpoints whose rate limit keeps their queue short; there 30 ms of base and 80 ms between regions, times the residual, are most of it.

Change: at an endpoint with a rate limit the usual limits apply, and a request that would be refused goes to the one with the lowest cost where its wait and the price of the rate limit are allowed. A refusal is still decided before anything is sent.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -28,6 +28,10 @@
 	regionPriceMsPerMiB = 1500
 )
 
+// reasonRateLimited is the reason for a choice that isn't the one with the lowest cost: the
+// request would be refused there.
+const reasonRateLimited = "lowest cost with a rate limit"
+
 // choice is a chosen endpoint with the attempt that reports back to the tracker.
 type choice struct {
 	endpoint route.Endpoint
@@ -69,22 +73,18 @@
 		x.g.Log.Info("route", zap.String("request", x.info.ID), zap.String("service", x.service), zap.String("chosen", d.Chosen),
 			zap.String("reason", d.Reason), zap.Int("total", d.Total), zap.Stringer("candidates", d))
 	}
-	for i := range candidates {
-		if candidates[i].ID == d.Chosen {
-			if x.shed(&candidates[i], candidates) {
-				return choice{}, false
-			}
-			x.endpoint = d.Chosen
-			c := choice{endpoint: candidates[i]}
-			if len(r.Levels) > 0 {
-				home := func(l prefix.Level) string { return prefixcache.Home(l, candidates) }
-				c.source, _ = x.g.Tracker.Source(r, members, &candidates[i], home, now)
-			}
-			c.attempt = x.g.Tracker.Dispatch(r, &candidates[i], d, now)
-			return c, true
-		}
+	e := x.admit(d, candidates)
+	if e == nil {
+		return choice{}, false
+	}
+	x.endpoint = e.ID
+	c := choice{endpoint: *e}
+	if len(r.Levels) > 0 {
+		home := func(l prefix.Level) string { return prefixcache.Home(l, candidates) }
+		c.source, _ = x.g.Tracker.Source(r, members, e, home, now)
 	}
-	return choice{}, false
+	c.attempt = x.g.Tracker.Dispatch(r, e, d, now)
+	return c, true
 }
 
 // snapshot returns the candidates for a request.
@@ -128,26 +128,72 @@
 	return g.split.split(service, g.Region, members)
 }
 
-// shed reports whether the request is refused because its expected wait exceeds
-// the limit for its priority. Requests to plain services and requests that have
-// been sent before are never shed. The time to compute the request's own prompt is
-// not part of the wait; otherwise the longest prompts would always be refused.
-func (x *exchange) shed(e *route.Endpoint, candidates []route.Endpoint) bool {
-	if x.info.Model == "" || x.sends > 0 {
-		return false
+// admit returns the chosen endpoint, or nil if the request is refused because its
+// expected wait exceeds the limit for its priority. Before that, it looks for an endpoint
+// with a rate limit that takes the request. Requests to plain services and requests that
+// have been sent before are never refused.
+func (x *exchange) admit(d route.Decision, candidates []route.Endpoint) *route.Endpoint {
+	chosen := candidate(d.Chosen, candidates)
+	if chosen == nil || x.info.Model == "" || x.sends > 0 {
+		return chosen
 	}
-	waitMs := e.PredictedMs - e.PrefillMs(e.UncachedTokens(x.info.PromptTokens))
-	x.overloadWait = time.Duration(max(0, waitMs*max(1, e.Residual)) * float64(time.Millisecond))
+	x.overloadWait = x.expectedWait(chosen)
 	median := medianWait(candidates)
 	standing := x.g.observeQueue(x.service, median)
-	if x.g.Admission.Admit(x.route.Priority, x.overloadWait, x.route.TargetLatency, standing) {
+	if x.admits(x.overloadWait, standing && !chosen.RateLimited) {
 		x.overloadWait = 0
-		return false
+		return chosen
 	}
-	x.g.Log.Info("overload", zap.String("request", x.info.ID), zap.String("endpoint", e.ID), zap.Duration("wait", x.overloadWait),
+	if e := x.rateLimited(d, candidates); e != nil {
+		x.overloadWait = 0
+		return e
+	}
+	x.g.Log.Info("overload", zap.String("request", x.info.ID), zap.String("endpoint", chosen.ID), zap.Duration("wait", x.overloadWait),
 		zap.Duration("usual_wait", median), zap.Bool("standing_queue", standing), zap.Duration("target", x.route.TargetLatency),
-		zap.Int("priority", x.route.Priority), zap.Float64("held_tokens", e.KVUsedTokens), zap.Int64("memory_tokens", e.Load.KVCapacityTokens))
-	return true
+		zap.Int("priority", x.route.Priority), zap.Float64("held_tokens", chosen.KVUsedTokens), zap.Int64("memory_tokens", chosen.Load.KVCapacityTokens))
+	return nil
+}
+
+// rateLimited returns the endpoint with a rate limit and the lowest cost that is worth the
+// request, nil if there is none. The rate limit keeps its queue short, so that the limits
+// for a standing queue don't apply. It may cost more than an endpoint where the request
+// would have to wait, as for older weights or uncached prefixes.
+func (x *exchange) rateLimited(d route.Decision, candidates []route.Endpoint) *route.Endpoint {
+	for _, c := range d.Candidates {
+		e := candidate(c.ID, candidates)
+		if c.Excluded != "" || !e.RateLimited {
+			continue
+		}
+		price := time.Duration(e.RateLimitPriceMs * float64(time.Millisecond))
+		if x.admits(x.expectedWait(e)+price, false) {
+			x.reason, x.score = reasonRateLimited, c.Score
+			return e
+		}
+	}
+	return nil
+}
+
+// candidate returns the candidate with an id, nil if there is none.
+func candidate(id string, candidates []route.Endpoint) *route.Endpoint {
+	for i := range candidates {
+		if candidates[i].ID == id {
+			return &candidates[i]
+		}
+	}
+	return nil
+}
+
+// admits reports whether the request is admitted with an expected wait.
+func (x *exchange) admits(wait time.Duration, standing bool) bool {
+	return x.g.Admission.Admit(x.route.Priority, wait, x.route.TargetLatency, standing)
+}
+
+// expectedWait returns the time until an endpoint is expected to start the request. The
+// time to compute the request's own prompt is not part of it; otherwise the longest
+// prompts would always be refused.
+func (x *exchange) expectedWait(e *route.Endpoint) time.Duration {
+	waitMs := e.PredictedMs - e.PrefillMs(e.UncachedTokens(x.info.PromptTokens))
+	return time.Duration(max(0, waitMs*max(1, e.Residual)) * float64(time.Millisecond))
 }
 
 // observeQueue records the median wait at a service's endpoints and reports
--- a/plugins/ratelimit/ratelimit.go
+++ b/plugins/ratelimit/ratelimit.go
@@ -31,14 +31,15 @@
 // a prompt, whose work is not known.
 type Price struct{}
 
-// Score implements route.Scorer.
+// Score implements route.Scorer. It also sets the endpoints' RateLimitPriceMs.
 func (Price) Score(r *route.Request, endpoints []route.Endpoint, scores []float64) {
 	if r.Tokens == 0 {
 		return
 	}
 	for i := range endpoints {
 		e := &endpoints[i]
-		scores[i] += lastRequestMs * e.RateLimitUsed * lengthFactor(r.UsualPrefillTokens, e.UncachedTokens(r.Tokens))
+		e.RateLimitPriceMs = lastRequestMs * e.RateLimitUsed * lengthFactor(r.UsualPrefillTokens, e.UncachedTokens(r.Tokens))
+		scores[i] += e.RateLimitPriceMs
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -143,6 +143,11 @@
 	// RateLimitUsed is the used part of the requests that the endpoint's rate limit allows at
 	// once, from 0 to 1; 0 without a limit.
 	RateLimitUsed float64
+	// RateLimited is true for an endpoint with a rate limit.
+	RateLimited bool
+	// RateLimitPriceMs is the cost of using the rate limit for the request, in
+	// milliseconds. It is set by the price of rate limits.
+	RateLimitPriceMs float64
 	// KVUsedTokens is the KV cache memory that running requests occupy, in tokens.
 	KVUsedTokens float64
 	// TokenMs is the expected prefill time per prompt token at the current slowdown,
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -220,7 +220,7 @@
 	return Endpoint{Endpoint: m, Load: s.load, InFlight: s.inFlight, WaitMs: s.wait(r, now), BacklogMs: s.lowestRankWait(now),
 		KVUsedTokens: s.kvUsed(now), CachedTokens: s.expected(t.snapshotSeq), Residual: s.residualNow(now), TokenMs: s.backlog.currentTokenMs(),
 		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)),
-		RateLimitedFor: t.rateLimitedFor(s, m.Region, now), RateLimitUsed: s.rateLimiter.used(), RTT: s.rtt}
+		RateLimitedFor: t.rateLimitedFor(s, m.Region, now), RateLimitUsed: s.rateLimiter.used(), RateLimited: s.rateLimiter.limited(), RTT: s.rtt}
 }
 
 // memberStates holds the endpoint states of a service's members.
