--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -131,7 +131,10 @@
 }
 
 // regressionSeeds are seeds that once failed, each with the cause in a comment.
-var regressionSeeds = []int{}
+var regressionSeeds = []int{
+	2003, // a late signal and late bodies in a planned stop, issue 37
+	2009, // as 2003
+}
 
 // Guards against a non-idempotent request that runs twice, a false "not run", a wrong or
 // mixed-up response, a request that ran and is cut by a planned stop although it was sent late
@@ -145,7 +148,7 @@
 func TestSoak(t *testing.T) {
 	binary := buildGateway(t)
 	for _, seed := range regressionSeeds {
-		t.Run(fmt.Sprint("regression ", seed), func(t *testing.T) { runSeed(t, binary, seed) })
+		t.Run(fmt.Sprint("regression ", seed), func(t *testing.T) { t.Parallel(); runSeed(t, binary, seed) })
 	}
 	for i := range *seeds {
 		seed := *first + i
