memory: an owner that comes late is told that its buffer has been revoked

Traced by reading: a response that was revoked after it had been read, and before its gateway told how to stop the write to the caller, was stopped by nobody: the function before cancels a body that is read already. A caller who doesn't read then held the memory, and others waited until their deadlines. Now the new function is called at once. TestOwnerThatComesLateIsToldOfRevocation failed before.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -59,8 +59,8 @@
 	revoked bool
 }
 
-// Reserve returns the reservation of an empty buffer. revoke is called at most once, when the
-// buffer must yield to others. It must not block and must not use the budget; the owner
+// Reserve returns the reservation of an empty buffer. revoke is called when the buffer must
+// yield to others. It must not block and must not use the budget; the owner
 // must then drop the buffer soon.
 func (b *Budget) Reserve(group string, revoke func()) *Reservation {
 	return &Reservation{budget: b, group: group, revoke: revoke}
@@ -183,7 +183,8 @@
 	return largest[heaviest]
 }
 
-// OnRevoke replaces the function that tells the owner to drop the buffer.
+// OnRevoke replaces the function that tells the owner to drop the buffer. It is called at once
+// if the buffer has been revoked: the one before may have had no effect any more.
 func (r *Reservation) OnRevoke(revoke func()) {
 	if r.budget == nil {
 		return
@@ -191,6 +192,9 @@
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.revoke = revoke
+	if r.revoked {
+		revoke()
+	}
 }
 
 // Revoked reports whether the buffer has been revoked.
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -131,3 +131,19 @@
 		is.Equal(b.Used(), int64(85))
 	})
 }
+
+// Guards against a revoked buffer that nobody drops: it was revoked just before its owner told
+// how it can be stopped now, and the others waited until they gave up.
+func TestOwnerThatComesLateIsToldOfRevocation(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(100)
+	first, second := b.Reserve("a", func() {}), b.Reserve("b", func() {})
+	is.NoErr(first.Grow(90))
+	done := make(chan error)
+	go func() { done <- second.Grow(20) }()
+	for !first.Revoked() {
+		time.Sleep(time.Millisecond)
+	}
+	first.OnRevoke(func() { go first.Release() })
+	is.NoErr(<-done)
+}
