gateway: forwarding and admission in files of their own

A move without change: attempt.go keeps one send and its response, forward.go the attempts of a request, admission.go the refusal for overload.

--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/member"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+// reasonRateLimited is the reason for a choice that isn't the one with the lowest cost: the
+// request would be refused there.
+const reasonRateLimited = "lowest cost with a rate limit"
+
+// admit returns the chosen endpoint, or nil if the request is refused because its
+// expected wait exceeds the limit for its priority. Before that, it looks for an endpoint
+// with a rate limit that takes the request. Requests to plain services and requests that
+// have been sent before are never refused.
+func (x *exchange) admit(d route.Decision, candidates []route.Endpoint) *route.Endpoint {
+	chosen := candidate(d.Chosen, candidates)
+	if chosen == nil || x.info.Model == "" || x.sends > 0 {
+		return chosen
+	}
+	x.overloadWait = x.expectedWait(chosen)
+	median := medianWait(candidates)
+	standing := x.g.observeQueue(x.service, median)
+	if x.admits(x.overloadWait, standing && !chosen.RateLimited) {
+		x.overloadWait = 0
+		return chosen
+	}
+	if e := x.rateLimited(d, candidates); e != nil {
+		x.overloadWait = 0
+		return e
+	}
+	x.g.Log.Info("overload", zap.String("request", x.info.ID), zap.String("endpoint", chosen.ID), zap.Duration("wait", x.overloadWait),
+		zap.Duration("usual_wait", median), zap.Bool("standing_queue", standing), zap.Duration("target", x.route.TargetLatency),
+		zap.Int("priority", x.route.Priority), zap.Float64("held_tokens", chosen.KVUsedTokens), zap.Int64("memory_tokens", chosen.Load.KVCapacityTokens))
+	return nil
+}
+
+// rateLimited returns the endpoint with a rate limit and the lowest cost that is worth the
+// request, nil if there is none. The rate limit keeps its queue short, so that the limits
+// for a standing queue don't apply. It may cost more than an endpoint where the request
+// would have to wait, as for older weights or uncached prefixes.
+func (x *exchange) rateLimited(d route.Decision, candidates []route.Endpoint) *route.Endpoint {
+	for _, c := range d.Candidates {
+		e := candidate(c.ID, candidates)
+		if c.Excluded != "" || !e.RateLimited {
+			continue
+		}
+		price := time.Duration(e.RateLimitPriceMs * float64(time.Millisecond))
+		if x.admits(x.expectedWait(e)+price, false) {
+			x.reason, x.score = reasonRateLimited, c.Score
+			return e
+		}
+	}
+	return nil
+}
+
+// candidate returns the candidate with an id, nil if there is none.
+func candidate(id string, candidates []route.Endpoint) *route.Endpoint {
+	for i := range candidates {
+		if candidates[i].ID == id {
+			return &candidates[i]
+		}
+	}
+	return nil
+}
+
+// admits reports whether the request is admitted with an expected wait.
+func (x *exchange) admits(wait time.Duration, standing bool) bool {
+	return x.g.Admission.Admit(x.route.Priority, wait, x.route.TargetLatency, standing)
+}
+
+// expectedWait returns the time until an endpoint is expected to start the request. The
+// time to compute the request's own prompt is not part of it; otherwise the longest
+// prompts would always be refused.
+func (x *exchange) expectedWait(e *route.Endpoint) time.Duration {
+	waitMs := e.PredictedMs - e.PrefillMs(e.UncachedTokens(x.info.PromptTokens))
+	return time.Duration(max(0, waitMs*max(1, e.Residual)) * float64(time.Millisecond))
+}
+
+// observeQueue records the median wait at a service's endpoints and reports
+// whether they have a standing queue.
+func (g *Gateway) observeQueue(service string, wait time.Duration) bool {
+	present, changed := g.StandingQueues.Observe(service, wait, time.Now())
+	if changed {
+		g.Log.Info("standing queue", zap.String("service", service), zap.Bool("present", present), zap.Duration("usual_wait", wait))
+	}
+	return present
+}
+
+// maxWaitSamples bounds the endpoints from which the median wait is computed.
+const maxWaitSamples = 64
+
+// medianWait returns the median, over the ready endpoints that may be chosen, of
+// the expected wait of a request with the lowest priority. If there are more than
+// maxWaitSamples candidates, it samples them at even steps.
+func medianWait(candidates []route.Endpoint) time.Duration {
+	var waits [maxWaitSamples]float64
+	n, step := 0, 1+len(candidates)/maxWaitSamples
+	for i := 0; i < len(candidates); i += step {
+		if e := &candidates[i]; e.State == member.Ready && !e.Ejected && e.UnavailableFor() == 0 {
+			waits[n] = e.BacklogMs
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	slices.Sort(waits[:n])
+	return time.Duration(waits[n/2] * float64(time.Millisecond))
+}
