--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -62,9 +62,9 @@
 
 // drain fails the readiness check and keeps the listener open for the drain delay, so that
 // the load balancer can detect it. Then it stops to accept connections as soon as the callers
-// are quiet, at plan.End at the latest, and ends the requests that are still open at that time. earliest
-// is the earliest time at which the signal may have been sent. drain returns when the process
-// must end.
+// are quiet, at plan.End at the latest, and ends the requests that are still open at that
+// time. earliest is the earliest time at which the signal may have been sent. drain returns
+// when the process must end.
 func (p *gatewayProcess) drain(earliest time.Duration) (exit time.Duration) {
 	noticed, times := p.clock(), p.stopTimes()
 	earliest = max(earliest, noticed-times.end) // else the process would have been killed
