--- /dev/null
+++ b/quota/bucket.go
@@ -0,0 +1,129 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// largeShare is the smallest share at which a full bucket admits a request that costs
+	// more than its level. Fewer than four groups without contact can have it at once.
+	largeShare = 0.3
+	// allowanceParts is the part of the slack that levels may go below zero. The rest
+	// covers spending that the other gateways have not reported yet.
+	allowanceParts = 4
+	// debtLimit bounds a debt to what the rate pays in this time, beside one burst. It is
+	// longer than the window in which limits are judged.
+	debtLimit = 10 * time.Second
+	// maxUnits is the largest cost or counter that is taken as valid.
+	maxUnits = 1e15
+)
+
+// bucket is the token bucket of an account, for the whole fleet. Its level holds the share of
+// the limit that the gateways in contact may use.
+type bucket struct {
+	account string
+	limit   Limit
+	// slot is the index of the account in the counters of other gateways.
+	slot  int
+	level float64
+	at    time.Time
+	// since is the time at which the bucket was made, and left the time at which its
+	// account lost its limit, zero if it has one.
+	since, left time.Time
+	own         counter
+	retry       retrySlots
+}
+
+// limited returns whether the bucket's account has a limit now.
+func (b *bucket) limited() bool { return b.left.IsZero() }
+
+// capacity returns the highest level, in units.
+func (b *bucket) capacity(share float64) float64 { return share * b.limit.Burst }
+
+// settle fills the bucket up to now.
+func (b *bucket) settle(share float64, now time.Time) {
+	if passed := now.Sub(b.at); passed > 0 {
+		b.level += share * b.limit.PerSecond * passed.Seconds()
+		b.at = now
+	}
+	b.level = min(b.level, b.capacity(share))
+}
+
+// spend lowers the level by a cost in units. The debt is bounded.
+func (b *bucket) spend(cost, share float64) {
+	lowest := -b.limit.Burst - share*b.limit.PerSecond*debtLimit.Seconds()
+	b.level = max(b.level-cost, min(b.level, lowest))
+}
+
+// refund raises the level by a cost in units.
+func (b *bucket) refund(cost, share float64) {
+	b.level = min(b.level+cost, b.capacity(share))
+}
+
+// rescale follows a change of the share. A positive level shrinks with the share and doesn't
+// grow with it: what a returning gateway had left is unknown here. The bucket must be settled.
+func (b *bucket) rescale(from, to float64) {
+	if to < from && b.level > 0 {
+		b.level *= to / from
+	}
+}
+
+// change replaces the limit. The bucket must be settled at the old one.
+func (b *bucket) change(limit Limit, share float64) {
+	if b.limit.Unit != limit.Unit {
+		b.level = 0
+	}
+	b.limit = limit
+	b.level = min(b.level, b.capacity(share))
+}
+
+// allowance returns the number of units by which all gateways together may exceed the level.
+// It is at most a burst, since the slack is meant for tokens: as a number of requests, it
+// would leave small limits without effect.
+func (b *bucket) allowance(slack float64) float64 {
+	return min(slack/allowanceParts, b.limit.Burst)
+}
+
+// admits returns whether the bucket has capacity for a cost. slackShare is the share of the
+// slack. The bucket must be settled.
+func (b *bucket) admits(cost, share, slackShare, slack float64) bool {
+	if b.level+slackShare*b.allowance(slack) >= cost {
+		return true
+	}
+	if share < largeShare || cost > b.largest(slack) {
+		return false
+	}
+	return b.level >= min(cost, b.capacity(share))
+}
+
+// largest returns the highest cost of a request that a full bucket admits. The header that
+// states a cost comes from the caller, so that any number can be in it.
+func (b *bucket) largest(slack float64) float64 {
+	return b.limit.Burst + b.limit.PerSecond + slack/2
+}
+
+// used returns the used part of the burst, from 0 to 1.
+func (b *bucket) used(share float64) float64 {
+	full := b.capacity(share)
+	if full <= 0 {
+		return 1
+	}
+	return min(max(1-b.level/full, 0), 1)
+}
+
+// validUnits returns whether a number from outside can be a cost or a counter.
+func validUnits(units float64) bool {
+	return units >= 0 && units <= maxUnits && !math.IsNaN(units)
+}
+
+// usable returns a limit whose numbers are valid, false if it doesn't limit anything.
+func usable(limit Limit) (Limit, bool) {
+	if !validUnits(limit.PerSecond) || limit.PerSecond == 0 {
+		return Limit{}, false
+	}
+	if !validUnits(limit.Burst) {
+		limit.Burst = 0
+	}
+	return limit, true
+}
