quota: weight of gateways without contact to each other, smooth admission in debt, bound over restarts

Change: a gateway's share is divided among those it hears that have no contact to each other; the allowance varies from request to request in debt and rises over 3 s from the start; the counters of a fresh process are charged from the first one on; spending before a cut was noticed is charged on return.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -32,7 +32,9 @@
 	// account lost its limit, zero if it has one.
 	since, left time.Time
 	own         counter
-	retry       retrySlots
+	// asked is the number of requests that were decided in debt.
+	asked uint64
+	retry retrySlots
 }
 
 // limited returns whether the bucket's account has a limit now.
@@ -88,7 +90,7 @@
 // admits returns whether the bucket has capacity for a cost. slackShare is the share of the
 // slack. The bucket must be settled.
 func (b *bucket) admits(cost, share, slackShare, slack float64) bool {
-	if b.level+slackShare*b.allowance(slack) >= cost {
+	if b.level+slackShare*b.allowance(slack)*b.graded() >= cost {
 		return true
 	}
 	if share < largeShare || cost > b.largest(slack) {
@@ -97,6 +99,18 @@
 	return b.level >= min(cost, b.capacity(share))
 }
 
+// graded returns the part of the allowance for the next request. In debt it varies from request
+// to request: all gateways see about the same level, and a common threshold would have them
+// admit and refuse in turns.
+func (b *bucket) graded() float64 {
+	if b.level >= 0 {
+		return 1
+	}
+	b.asked++
+	_, part := math.Modf(float64(b.asked) * golden)
+	return part
+}
+
 // largest returns the highest cost of a request that a full bucket admits. The header that
 // states a cost comes from the caller, so that any number can be in it.
 func (b *bucket) largest(slack float64) float64 {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -14,6 +14,9 @@
 // fullGap is the shortest time between two reports of all counters.
 const fullGap = 700 * time.Millisecond
 
+// slackRise is the time after the start in which the slack becomes usable.
+const slackRise = 3 * time.Second
+
 // Ledger keeps the accounts' limits. It is safe for concurrent use and never blocks.
 type Ledger struct {
 	mu    sync.Mutex
@@ -24,6 +27,8 @@
 	share    float64
 	contacts contacts
 	accounts accounts
+	// started is the time of the first call.
+	started time.Time
 	// fullDue is set when the next report has to have all counters.
 	fullDue  bool
 	lastFull time.Time
@@ -84,7 +89,7 @@
 		return Verdict{Admitted: true}
 	}
 	cost = clean(cost)
-	admitted := b.admits(cost, l.share, l.contacts.slackShare(l.share), l.slack)
+	admitted := b.admits(cost, l.share, l.slackShare(now), l.slack)
 	verdict := Verdict{Admitted: admitted, Share: l.share}
 	if admitted {
 		l.charge(b, cost, now)
@@ -137,7 +142,7 @@
 	}
 	return Report{
 		Boot:     l.boot,
-		Fleet:    l.contacts.hash(),
+		Fleet:    l.contacts.current().hash,
 		Heard:    l.contacts.heard(now),
 		Spending: l.spending(now),
 	}, true
@@ -149,12 +154,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	p, changed, started := l.contacts.hear(from, r, now)
+	p, started, changed := l.contacts.hear(from, r, now)
 	if changed {
 		l.reshare(now)
 	}
 	l.fullDue = l.fullDue || started
-	if p == nil || !p.contact {
+	if p == nil {
 		return
 	}
 	for _, s := range r.Spending {
@@ -200,8 +205,22 @@
 	return b.retry.next((cost-b.level)/rate, cost/rate, l.phase, now)
 }
 
+// slackShare returns the part of the slack that this gateway and those in contact may use. It
+// grows from 0 after the start: a debt of the process before is forgotten, and the slack would
+// be used a second time.
+func (l *Ledger) slackShare(now time.Time) float64 {
+	share := l.contacts.slackShare(l.share)
+	if age := now.Sub(l.started); age < slackRise {
+		share *= age.Seconds() / slackRise.Seconds()
+	}
+	return share
+}
+
 // refresh ends contacts that have timed out.
 func (l *Ledger) refresh(now time.Time) {
+	if l.started.IsZero() {
+		l.started = now
+	}
 	if l.contacts.expire(now) {
 		l.reshare(now)
 	}
@@ -256,43 +275,6 @@
 	return spending
 }
 
-// applySpending charges what a gateway in contact has spent since its counter was last seen.
-func (l *Ledger) applySpending(p *peer, s Spending, now time.Time) {
-	b := l.accounts.buckets[s.Account]
-	if b == nil || !validUnits(s.Units) {
-		return
-	}
-	known := at(p.units, b.slot)
-	if s.Units <= known {
-		return
-	}
-	p.record(b.slot, s.Units)
-	b.settle(l.share, now)
-	if !math.IsNaN(known) {
-		b.spend(s.Units-known, l.share)
-		return
-	}
-	b.spend(l.firstCharge(p, b, s.Units, now), l.share)
-}
-
-// firstCharge returns the cost to charge for the first counter after contact or the limit
-// began. What it counts has mostly been paid from another share. If it comes late, it is new
-// spending, or a report of all counters was lost, so that the charge is bounded.
-func (l *Ledger) firstCharge(p *peer, b *bucket, units float64, now time.Time) float64 {
-	spent := units
-	before := at(p.before, b.slot)
-	if !math.IsNaN(before) {
-		spent = max(units-before, 0)
-	}
-	if now.Sub(p.since) >= baselineTime && now.Sub(b.since) >= baselineTime {
-		return min(spent, b.largest(l.slack))
-	}
-	if math.IsNaN(before) {
-		return 0
-	}
-	return spent * p.unseenPart()
-}
-
 // clean returns a cost that can be charged.
 func clean(cost float64) float64 {
 	if !(cost > 0) {
--- /dev/null
+++ b/quota/peer.go
@@ -0,0 +1,105 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// baselineTime is the time after the start of contact in which the first counter of an
+	// account is taken as spent before. It is longer than two gaps between full reports.
+	baselineTime = 1500 * time.Millisecond
+	// gapLimit is the length of a gap in the reports from which on spending in it isn't
+	// charged. It is the window in which limits are judged.
+	gapLimit = 8 * time.Second
+)
+
+// peer is another registered gateway.
+type peer struct {
+	boot, previous uint64
+	// heard is the time of its last report and confirmed that of the last one that said
+	// whether it hears this gateway, which is in hearsUs.
+	heard, confirmed time.Time
+	hearsUs          bool
+	contact          bool
+	// index is its place in the sorted names.
+	index int
+	// weight is the part of its share and of its spending that counts here, and apart has
+	// the gateways that it hears without contact to this one.
+	weight float64
+	apart  apart
+	// since is the time at which contact started.
+	since time.Time
+	// fresh is set if the process heard no other gateway when it was first heard, so that all
+	// of its counters were 0 shortly before.
+	fresh bool
+	// gap is the time without a report before those that are heard now.
+	gap time.Duration
+	// units are its counters by slot, NaN if unknown, and before those from before the gap.
+	units, before []float64
+}
+
+// inContact returns whether each of the two gateways hears the other.
+func (p *peer) inContact(now time.Time) bool {
+	return p.hears(now) && p.hearsUs && now.Sub(p.confirmed) < fleetGrace
+}
+
+// hears returns whether this gateway hears the peer.
+func (p *peer) hears(now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) < contactTimeout
+}
+
+// forget drops the counters of a slot.
+func (p *peer) forget(slot int) {
+	for _, counters := range [][]float64{p.units, p.before} {
+		if slot < len(counters) {
+			counters[slot] = math.NaN()
+		}
+	}
+}
+
+// at returns the counter of a slot, NaN if unknown.
+func at(counters []float64, slot int) float64 {
+	if slot >= len(counters) {
+		return math.NaN()
+	}
+	return counters[slot]
+}
+
+// unseenPart returns the part of the spending in a gap that was made before the gap was
+// noticed, and so from the same share as this gateway's. Spending that has left the window of
+// the limits doesn't matter any more.
+func (p *peer) unseenPart() float64 {
+	if p.gap >= gapLimit {
+		return 0
+	}
+	return min(contactTimeout.Seconds()/p.gap.Seconds(), 1)
+}
+
+// record keeps the counter of a slot.
+func (p *peer) record(slot int, units float64) {
+	for slot >= len(p.units) {
+		p.units = append(p.units, math.NaN())
+	}
+	p.units[slot] = units
+}
+
+// isStale returns whether a report is from an earlier process of the gateway.
+func (p *peer) isStale(boot uint64) bool {
+	return !p.heard.IsZero() && boot == p.previous && boot != p.boot
+}
+
+// resume begins the counters anew if the gateway has restarted or hasn't been heard lately.
+func (p *peer) resume(r Report, now time.Time) {
+	switch {
+	case p.heard.IsZero() || p.boot != r.Boot:
+		p.previous, p.boot = p.boot, r.Boot
+		p.fresh = countBits(r.Heard) <= 1
+		p.hearsUs = false
+		p.units, p.before = p.units[:0], p.before[:0]
+		p.since = now
+	case !p.hears(now):
+		p.gap = now.Sub(p.heard)
+		p.units, p.before = p.before[:0], p.units
+	}
+}
