--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -107,7 +107,7 @@
 		return 1
 	}
 	b.asked++
-	_, part := math.Modf(float64(b.asked) * golden)
+	_, part := math.Modf(float64(b.asked) * goldenRatio)
 	return part
 }
 
--- a/quota/charges.go
+++ b/quota/charges.go
@@ -17,12 +17,12 @@
 	}
 	p.record(b.slot, s.Units)
 	b.settle(l.share, now)
-	b.spend(p.weight*l.owed(p, b, known, s.Units, now), l.share)
+	b.spend(p.weight*l.toCharge(p, b, known, s.Units, now), l.share)
 }
 
-// owed returns the cost to charge for a counter. A gateway without contact pays from its own
+// toCharge returns the cost to charge for a counter. A gateway without contact pays from its own
 // share, except for what it spent before the end of contact was noticed.
-func (l *Ledger) owed(p *peer, b *bucket, known, units float64, now time.Time) float64 {
+func (l *Ledger) toCharge(p *peer, b *bucket, known, units float64, now time.Time) float64 {
 	before := at(p.before, b.slot)
 	switch {
 	case !math.IsNaN(known) && p.contact:
--- a/quota/contact.go
+++ b/quota/contact.go
@@ -36,8 +36,8 @@
 	names []string
 	views []view
 	peers map[string]*peer
-	// mates has a bit for each name, set for this gateway and those in contact.
-	mates []byte
+	// reachable has a bit for each name, set for this gateway and those in contact.
+	reachable []byte
 	// next is the earliest time at which a contact can end.
 	next time.Time
 }
@@ -60,7 +60,7 @@
 		}
 		p := c.peerOrNew(name)
 		p.index = i
-		p.apart = apart{}
+		p.unreachable = unreachable{}
 		p.weight = 1
 		peers[name] = p
 	}
@@ -70,11 +70,11 @@
 
 // mark notes which gateways are in contact.
 func (c *contacts) mark() {
-	c.mates = newSet(len(c.names))
-	setBit(c.mates, c.current().self)
+	c.reachable = newSet(len(c.names))
+	setBit(c.reachable, c.current().self)
 	for _, p := range c.peers {
 		if p.contact {
-			setBit(c.mates, p.index)
+			setBit(c.reachable, p.index)
 		}
 	}
 }
@@ -179,7 +179,7 @@
 		c.mark()
 	}
 	if r.Fleet == c.current().hash {
-		p.weight = p.apart.weight(r.Heard, c.mates, now)
+		p.weight = p.unreachable.weight(r.Heard, c.reachable, now)
 	}
 	return p, started, p.contact != was || p.weight != weight
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -13,8 +13,8 @@
 	testTick   = 10 * time.Millisecond
 )
 
-// letter is a report on its way.
-type letter struct {
+// message is a report on its way.
+type message struct {
 	due      time.Time
 	from, to int
 	report   Report
@@ -38,7 +38,7 @@
 	lost     float64
 	repeated float64
 	random   *rand.Rand
-	mail     []letter
+	inFlight []message
 	admitted []sent
 	reports  int
 	accounts int
@@ -68,7 +68,7 @@
 	}
 	for _, i := range gateways {
 		f.boot++
-		f.mail = slices.DeleteFunc(f.mail, func(m letter) bool { return m.from == i || m.to == i })
+		f.inFlight = slices.DeleteFunc(f.inFlight, func(m message) bool { return m.from == i || m.to == i })
 		f.ledgers[i] = New(Options{Self: f.names[i], Boot: f.boot, Slack: testSlack})
 		f.ledgers[i].SetLimits(f.limits, f.now)
 		f.ledgers[i].SetFleet(f.names, f.now)
@@ -90,8 +90,8 @@
 	}
 }
 
-// sever cuts or heals the links from some gateways to others.
-func (f *testFleet) sever(from, to []int, cut bool) {
+// cutLinks cuts or heals the links from some gateways to others.
+func (f *testFleet) cutLinks(from, to []int, cut bool) {
 	for _, i := range from {
 		for _, j := range to {
 			f.cut[i][j] = cut
@@ -99,10 +99,10 @@
 	}
 }
 
-// severBoth cuts or heals the links between some gateways and others.
-func (f *testFleet) severBoth(some, others []int, cut bool) {
-	f.sever(some, others, cut)
-	f.sever(others, some, cut)
+// cutBothWays cuts or heals the links between some gateways and others.
+func (f *testFleet) cutBothWays(some, others []int, cut bool) {
+	f.cutLinks(some, others, cut)
+	f.cutLinks(others, some, cut)
 }
 
 // run passes time and calls demand in each tick.
@@ -118,15 +118,15 @@
 }
 
 func (f *testFleet) deliver() {
-	var later []letter
-	for _, m := range f.mail {
+	var later []message
+	for _, m := range f.inFlight {
 		if m.due.After(f.now) {
 			later = append(later, m)
 			continue
 		}
 		f.ledgers[m.to].Apply(f.names[m.from], m.report, f.now)
 	}
-	f.mail = later
+	f.inFlight = later
 }
 
 // report sends the reports of the gateways whose turn it is. Turns are spread over an interval.
@@ -151,9 +151,9 @@
 	if from == to || f.cut[from][to] || f.random.Float64() < f.lost {
 		return
 	}
-	f.mail = append(f.mail, letter{f.now.Add(f.delay()), from, to, r})
+	f.inFlight = append(f.inFlight, message{f.now.Add(f.delay()), from, to, r})
 	if f.random.Float64() < f.repeated {
-		f.mail = append(f.mail, letter{f.now.Add(f.delay()), from, to, r})
+		f.inFlight = append(f.inFlight, message{f.now.Add(f.delay()), from, to, r})
 	}
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -40,7 +40,7 @@
 	if !validUnits(slack) {
 		slack = 0
 	}
-	_, phase := math.Modf(float64(o.Boot%1024) * golden)
+	_, phase := math.Modf(float64(o.Boot%1024) * goldenRatio)
 	return &Ledger{
 		boot:     o.Boot,
 		slack:    slack,
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -26,8 +26,8 @@
 	return p
 }
 
-// tell passes time and applies a report with a counter, negative for none.
-func (p *pair) tell(after time.Duration, boot uint64, units float64) {
+// apply passes time and applies a report with a counter, negative for none.
+func (p *pair) apply(after time.Duration, boot uint64, units float64) {
 	r := Report{Boot: boot, Fleet: p.fleet, Heard: []byte{3}}
 	if units >= 0 || math.IsNaN(units) {
 		r.Spending = []Spending{{"x", units}, {"unknown", 5}}
@@ -36,10 +36,10 @@
 	p.Apply("b", r, p.now)
 }
 
-// talk keeps contact for a time.
-func (p *pair) talk(length time.Duration) {
+// keepContact keeps contact for a time.
+func (p *pair) keepContact(length time.Duration) {
 	for range length / ReportInterval {
-		p.tell(ReportInterval, 7, -1)
+		p.apply(ReportInterval, 7, -1)
 	}
 }
 
@@ -48,27 +48,27 @@
 // Guards against counters charged twice, not at all or from another share.
 func TestReportedSpending(t *testing.T) {
 	for name, c := range map[string]struct {
-		tell func(p *pair)
-		want float64
+		apply func(p *pair)
+		want  float64
 	}{
 		"none":             {func(p *pair) {}, 36_000},
-		"first":            {func(p *pair) { p.tell(0, 7, 9000) }, 27_000},
-		"increase":         {func(p *pair) { p.tell(0, 7, 9000); p.tell(0, 7, 10_000) }, 26_000},
-		"repeated":         {func(p *pair) { p.tell(0, 7, 9000); p.tell(0, 7, 9000) }, 27_000},
-		"reordered":        {func(p *pair) { p.tell(0, 7, 9000); p.tell(0, 7, 3000) }, 27_000},
-		"restarted":        {func(p *pair) { p.tell(0, 7, 9000); p.tell(0, 8, 100); p.tell(0, 8, 600) }, 26_500},
-		"earlier process":  {func(p *pair) { p.tell(0, 7, 9000); p.tell(0, 8, 100); p.tell(0, 7, 30_000) }, 27_000},
-		"own, long cut":    {func(p *pair) { p.tell(0, 7, 1); p.tell(9*time.Second, 7, 30_000) }, 18_000},
-		"half of a gap":    {func(p *pair) { p.tell(0, 7, 1); p.tell(1400*time.Millisecond, 7, 20_001) }, 8000},
-		"NaN":              {func(p *pair) { p.tell(0, 7, math.NaN()) }, 36_000},
-		"infinite":         {func(p *pair) { p.tell(0, 7, math.Inf(1)) }, 36_000},
-		"out of any range": {func(p *pair) { p.tell(0, 7, 1e300) }, 36_000},
+		"first":            {func(p *pair) { p.apply(0, 7, 9000) }, 27_000},
+		"increase":         {func(p *pair) { p.apply(0, 7, 9000); p.apply(0, 7, 10_000) }, 26_000},
+		"repeated":         {func(p *pair) { p.apply(0, 7, 9000); p.apply(0, 7, 9000) }, 27_000},
+		"reordered":        {func(p *pair) { p.apply(0, 7, 9000); p.apply(0, 7, 3000) }, 27_000},
+		"restarted":        {func(p *pair) { p.apply(0, 7, 9000); p.apply(0, 8, 100); p.apply(0, 8, 600) }, 26_500},
+		"earlier process":  {func(p *pair) { p.apply(0, 7, 9000); p.apply(0, 8, 100); p.apply(0, 7, 30_000) }, 27_000},
+		"own, long cut":    {func(p *pair) { p.apply(0, 7, 1); p.apply(9*time.Second, 7, 30_000) }, 18_000},
+		"half of a gap":    {func(p *pair) { p.apply(0, 7, 1); p.apply(1400*time.Millisecond, 7, 20_001) }, 8000},
+		"NaN":              {func(p *pair) { p.apply(0, 7, math.NaN()) }, 36_000},
+		"infinite":         {func(p *pair) { p.apply(0, 7, math.Inf(1)) }, 36_000},
+		"out of any range": {func(p *pair) { p.apply(0, 7, 1e300) }, 36_000},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPair()
-			p.talk(3 * time.Second)
-			c.tell(p)
+			p.keepContact(3 * time.Second)
+			c.apply(p)
 			is.Equal(math.Round(p.state().Level), c.want)
 		})
 	}
@@ -77,24 +77,24 @@
 // Guards against a share that counts gateways that don't hear this one or aren't heard.
 func TestShare(t *testing.T) {
 	for name, c := range map[string]struct {
-		tell func(p *pair)
-		want float64
+		apply func(p *pair)
+		want  float64
 	}{
 		"contact":            {func(p *pair) {}, 1},
 		"silent":             {func(p *pair) { p.now = p.now.Add(contactTimeout) }, 0.5},
 		"doesn't hear us":    {func(p *pair) { p.Apply("b", Report{7, p.fleet, []byte{2}, nil}, p.now) }, 0.5},
-		"one registered":     {func(p *pair) { p.SetFleet([]string{"a", "b", "c"}, p.now); p.talk(time.Second) }, 2.0 / 3},
-		"other fleet":        {func(p *pair) { p.fleet++; p.talk(fleetGrace / 2) }, 1},
-		"other fleet, long":  {func(p *pair) { p.fleet++; p.talk(fleetGrace + ReportInterval) }, 0.5},
-		"not registered":     {func(p *pair) { p.SetFleet([]string{"a"}, p.now); p.talk(time.Second) }, 1},
+		"one registered":     {func(p *pair) { p.SetFleet([]string{"a", "b", "c"}, p.now); p.keepContact(time.Second) }, 2.0 / 3},
+		"other fleet":        {func(p *pair) { p.fleet++; p.keepContact(fleetGrace / 2) }, 1},
+		"other fleet, long":  {func(p *pair) { p.fleet++; p.keepContact(fleetGrace + ReportInterval) }, 0.5},
+		"not registered":     {func(p *pair) { p.SetFleet([]string{"a"}, p.now); p.keepContact(time.Second) }, 1},
 		"empty set of heard": {func(p *pair) { p.Apply("b", Report{7, p.fleet, nil, nil}, p.now) }, 0.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPair()
 			is.Equal(p.state().Level, 0.0) // no fresh burst
-			p.talk(3 * time.Second)
-			c.tell(p)
+			p.keepContact(3 * time.Second)
+			c.apply(p)
 			is.Equal(p.state().Share, c.want)
 		})
 	}
@@ -124,7 +124,7 @@
 func TestAccountLeavesAndReturns(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
-	p.talk(3 * time.Second)
+	p.keepContact(3 * time.Second)
 	limits := map[string]Limit{"x": small}
 	is.True(p.Admit("x", 36_000, p.now).Admitted)
 	p.SetLimits(nil, p.now)
@@ -132,7 +132,7 @@
 	p.SetLimits(limits, p.now)
 	is.True(p.state().Level <= 0)
 	p.SetLimits(nil, p.now)
-	p.talk(keptTime)
+	p.keepContact(keptTime)
 	p.Report(p.now)
 	is.Equal(len(p.accounts.buckets), 0)
 	p.SetLimits(limits, p.now)
@@ -151,7 +151,7 @@
 func TestCosts(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
-	p.talk(3 * time.Second)
+	p.keepContact(3 * time.Second)
 	for _, cost := range []float64{math.NaN(), -5, math.Inf(-1), 0} {
 		is.True(p.Admit("x", cost, p.now).Admitted)
 		p.Charge("x", cost, p.now)
@@ -165,7 +165,7 @@
 	is.Equal(p.Used("x", p.now), 0.0)
 	p.Charge("x", math.Inf(1), p.now)
 	p.now = p.now.Add(debtLimit + 4*time.Second) // a debt ends
-	p.talk(time.Second)
+	p.keepContact(time.Second)
 	is.True(p.Used("x", p.now) < 1)
 	is.Equal(p.Used("none", p.now), 0.0)
 }
@@ -193,6 +193,6 @@
 func TestAdmitDoesNotAllocate(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
-	p.talk(time.Second)
+	p.keepContact(time.Second)
 	is.Equal(testing.AllocsPerRun(1000, func() { p.Admit("x", 1000, p.now) }), 0.0)
 }
--- a/quota/load_test.go
+++ b/quota/load_test.go
@@ -45,7 +45,7 @@
 			few := f.demand("a", 9*hot.PerSecond*float64(c.cutOff)/20, 6000, f.uneven(f.indexes(0, max(c.cutOff, 1))))
 			most := f.demand("a", 9*hot.PerSecond*float64(20-c.cutOff)/20, 6000, f.uneven(f.indexes(c.cutOff, 20)))
 			f.run(3*time.Second, func() { few(); most() })
-			f.severBoth(f.indexes(0, c.cutOff), f.indexes(c.cutOff, 20), true)
+			f.cutBothWays(f.indexes(0, c.cutOff), f.indexes(c.cutOff, 20), true)
 			f.run(time.Second, func() { few(); most() })
 			calm := f.now
 			f.run(20*time.Second, func() { few(); most() })
@@ -66,7 +66,7 @@
 	f.run(500*time.Millisecond, nil)
 	is.True(!f.ask(4, "a", 36_000).Admitted) // the debt is paid first
 	f.run(3*time.Second, nil)
-	f.severBoth(f.indexes(0, 8), f.indexes(8, 20), true)
+	f.cutBothWays(f.indexes(0, 8), f.indexes(8, 20), true)
 	f.run(2*time.Second, nil)
 	is.True(f.ask(3, "a", 54_600).Admitted)     // two fifths
 	is.True(!f.ask(3, "a", 54_600).Admitted)    // nothing left
@@ -113,9 +113,9 @@
 	f := hotFleet()
 	load := f.demand("a", surge*hot.PerSecond, 6000, f.uneven(f.indexes(0, 20)))
 	for range 8 {
-		f.sever(f.indexes(0, 8), f.indexes(8, 20), true)
+		f.cutLinks(f.indexes(0, 8), f.indexes(8, 20), true)
 		f.run(900*time.Millisecond, load)
-		f.sever(f.indexes(0, 8), f.indexes(8, 20), false)
+		f.cutLinks(f.indexes(0, 8), f.indexes(8, 20), false)
 		f.run(600*time.Millisecond, load)
 	}
 	t.Logf("part %.3f, window %.0f of %.0f", f.admittedPart(f.now.Add(-12*time.Second)), f.worstWindow(), windowBound(hot))
@@ -130,7 +130,7 @@
 func TestLinkFailureBetweenRegions(t *testing.T) {
 	is := is.New(t)
 	f := hotFleet()
-	f.severBoth(f.indexes(0, 7), f.indexes(13, 20), true)
+	f.cutBothWays(f.indexes(0, 7), f.indexes(13, 20), true)
 	f.run(4*time.Second, nil)
 	began := f.now
 	asked := 0.8 * hot.PerSecond
@@ -201,8 +201,8 @@
 // splitRegions cuts the links between three regions, as large fleets have none.
 func (f *testFleet) splitRegions() {
 	n := len(f.ledgers)
-	f.severBoth(f.indexes(0, n/3), f.indexes(n/3, n), true)
-	f.severBoth(f.indexes(n/3, 2*n/3), f.indexes(2*n/3, n), true)
+	f.cutBothWays(f.indexes(0, n/3), f.indexes(n/3, n), true)
+	f.cutBothWays(f.indexes(n/3, 2*n/3), f.indexes(2*n/3, n), true)
 }
 
 // manyLimits returns limits of equal size and the names of their accounts.
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -24,10 +24,10 @@
 	contact          bool
 	// index is its place in the sorted names.
 	index int
-	// weight is the part of its share and of its spending that counts here, and apart has
+	// weight is the part of its share and of its spending that counts here, and unreachable has
 	// the gateways that it hears without contact to this one.
-	weight float64
-	apart  apart
+	weight      float64
+	unreachable unreachable
 	// since is the time at which contact started.
 	since time.Time
 	// fresh is set if the process heard no other gateway when it was first heard, so that all
--- a/quota/property_test.go
+++ b/quota/property_test.go
@@ -49,13 +49,13 @@
 	low, high := f.indexes(0, side), f.indexes(side, n)
 	switch rapid.SampledFrom([]string{"none", "cut", "heal", "one way", "link", "restart", "all", "all", "limit"}).Draw(t, "event") {
 	case "cut":
-		f.severBoth(low, high, true)
+		f.cutBothWays(low, high, true)
 	case "heal":
-		f.severBoth(f.indexes(0, n), f.indexes(0, n), false)
+		f.cutBothWays(f.indexes(0, n), f.indexes(0, n), false)
 	case "one way":
-		f.sever(high, low, rapid.Bool().Draw(t, "cut"))
+		f.cutLinks(high, low, rapid.Bool().Draw(t, "cut"))
 	case "link":
-		f.severBoth(f.indexes(0, 1), f.indexes(side, side+1), true)
+		f.cutBothWays(f.indexes(0, 1), f.indexes(side, side+1), true)
 	case "restart":
 		f.restart(side)
 	case "all":
--- a/quota/retryslots.go
+++ b/quota/retryslots.go
@@ -8,8 +8,8 @@
 const (
 	minRetry = 50 * time.Millisecond
 	maxRetry = 10 * time.Second
-	// golden spreads successive multiples evenly over an interval.
-	golden = 0.6180339887498949
+	// goldenRatio spreads successive multiples evenly over an interval.
+	goldenRatio = 0.6180339887498949
 )
 
 // retrySlots spreads the returns of an account's refused requests.
@@ -36,7 +36,7 @@
 
 // spreadRetry returns a wait in the upper half of the longest one.
 func spreadRetry(given uint64, phase float64) time.Duration {
-	_, part := math.Modf(float64(given)*golden + phase)
+	_, part := math.Modf(float64(given)*goldenRatio + phase)
 	return maxRetry/2 + seconds(part*maxRetry.Seconds()/2)
 }
 
--- a/quota/apart.go
+++ b/quota/unreachable.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// apartTime is the time for which a gateway in contact hears one without contact until this
+// unreachableTime is the time for which a gateway in contact hears one without contact until this
 // has an effect. A gateway that stops or starts isn't noticed by all others at once.
-const apartTime = time.Second
+const unreachableTime = time.Second
 
-// apart follows the gateways that another one hears without contact to this one. If the links
+// unreachable follows the gateways that another one hears without contact to this one. If the links
 // between them have failed, both count on the share of the gateway between them.
-type apart struct {
+type unreachable struct {
 	since time.Time
 	// always has those heard in all reports since then, and lasting those of the time
 	// before.
@@ -20,33 +20,33 @@
 
 // weight returns the part of a gateway's share that belongs to this one: the whole is divided
 // between this gateway, those that it is in contact with, and each of the others.
-func (a *apart) weight(heard, mates []byte, now time.Time) float64 {
-	if len(heard) != len(mates) {
+func (u *unreachable) weight(heard, reachable []byte, now time.Time) float64 {
+	if len(heard) != len(reachable) {
 		return 1
 	}
-	if now.Sub(a.since) >= apartTime {
-		a.turn(len(mates), now)
+	if now.Sub(u.since) >= unreachableTime {
+		u.nextPeriod(len(reachable), now)
 	}
 	count := 0
 	for i, set := range heard {
-		others := set &^ mates[i]
-		a.always[i] &= others
-		count += bits.OnesCount8(others & a.lasting[i])
+		others := set &^ reachable[i]
+		u.always[i] &= others
+		count += bits.OnesCount8(others & u.lasting[i])
 	}
 	return 1 / float64(1+count)
 }
 
-// turn begins the next period.
-func (a *apart) turn(size int, now time.Time) {
-	a.lasting = a.always
-	if len(a.lasting) != size {
-		a.lasting = make([]byte, size)
+// nextPeriod begins the next period.
+func (u *unreachable) nextPeriod(size int, now time.Time) {
+	u.lasting = u.always
+	if len(u.lasting) != size {
+		u.lasting = make([]byte, size)
 	}
-	a.always = make([]byte, size)
-	for i := range a.always {
-		a.always[i] = 0xff
+	u.always = make([]byte, size)
+	for i := range u.always {
+		u.always[i] = 0xff
 	}
-	a.since = now
+	u.since = now
 }
 
 // newSet returns a set of bits.
