platform, catalog: decode the accounts' quotas

The configuration has quotas of client accounts, but they were not decoded, so that one account could take the capacity of all others (docs/design/hard-load.md). catalog.Account has a Quota now, and catalog.Config returns the limits by account name. Accounts of one name share the lowest limit, since the order of a map would otherwise choose.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/citrontiller/citrontiller/quota"
 )
 
 // Kind is the kind of a route's requests. It determines how often they may run and
@@ -95,6 +97,8 @@
 	HasPriority bool
 	// Dedicated accounts don't share cached prompts with other accounts.
 	Dedicated bool
+	// Quota is the limit on the account's requests, nil for none.
+	Quota *quota.Limit
 }
 
 // Limits bound what callers may send.
@@ -119,11 +123,14 @@
 
 	// routesByHost holds each host's routes, those with the longest prefix first.
 	routesByHost map[string][]*Route
+	// quotas holds the limits by account name.
+	quotas map[string]quota.Limit
 }
 
-// Index builds the index for Match. It must be called before Match, and once Routes
-// is complete.
+// Index builds the indexes for Match and Quotas. It must be called before either, and once
+// Routes and Accounts are complete.
 func (c *Config) Index() {
+	c.indexQuotas()
 	c.routesByHost = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -134,6 +141,33 @@
 	}
 }
 
+// indexQuotas collects the limits of the accounts that have a credential. Accounts of one
+// name share the lowest limit, so that all gateways choose the same one.
+func (c *Config) indexQuotas() {
+	c.quotas = map[string]quota.Limit{}
+	for _, a := range c.Accounts {
+		if a.Quota == nil {
+			continue
+		}
+		known, ok := c.quotas[a.Name]
+		if !ok || compareLimits(*a.Quota, known) < 0 {
+			c.quotas[a.Name] = *a.Quota
+		}
+	}
+}
+
+// compareLimits orders limits from the lowest to the highest.
+func compareLimits(a, b quota.Limit) int {
+	return cmp.Or(cmp.Compare(a.PerSecond, b.PerSecond), cmp.Compare(a.Burst, b.Burst), cmp.Compare(a.Unit, b.Unit),
+		cmp.Compare(b.PlainTokens, a.PlainTokens))
+}
+
+// Quotas returns the limits by account name. The caller must not change the map.
+func (c *Config) Quotas() map[string]quota.Limit { return c.quotas }
+
+// HasQuotas reports whether an account has a limit.
+func (c *Config) HasQuotas() bool { return len(c.quotas) > 0 }
+
 // Match returns the host's route with the longest prefix of the path, or nil when
 // none matches. host may include a port.
 func (c *Config) Match(host, path string) *Route {
