gateway: refuse requests beyond their account's quota, charge each run

Requests of an account with a limit are charged when their body has been read; beyond the limit they get 429 with the outcome "quota" and the Retry-After of the decision, before any work. An overload stays 503. exchange.send keeps the charges in step with the runs: it charges before a send if all charged runs may have taken place, and counts a run unless the endpoint said that it did not run the request or nothing reached it. exchange.finish gives back what was charged without a run, so that no path of forward, resume or refuse has a rule of its own. The request's log line has cost, charges, level and share, only for accounts with a limit.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -11,7 +11,8 @@
 // defaultTimeout applies to requests without a deadline; the route's timeout still caps it.
 const defaultTimeout = 30 * time.Second
 
-// accept decodes the request, finds its route and account, and reads its body.
+// accept decodes the request, finds its route and account, reads its body and charges it to
+// the account's quota.
 // The error is a *Refusal.
 func (x *exchange) accept() error {
 	info, err := x.g.Codec.DecodeRequest(x.r.Header)
@@ -40,7 +41,7 @@
 	if !x.endsBeforeStop() {
 		return x.unavailable("closing", nil)
 	}
-	return nil
+	return x.checkQuota()
 }
 
 // identify sets the request's route and client account.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -95,9 +95,17 @@
 
 func (requestBody) Close() error { return nil }
 
-// send sends the request to an endpoint and reads the response's status and
-// headers. The error is an *attemptError.
+// send charges the request's quota and sends the request to an endpoint. It reads the
+// response's status and headers. The error is an *attemptError.
 func (x *exchange) send(c choice, lastEventID string) (*response, error) {
+	x.chargeSend()
+	p, err := x.sendUncharged(c, lastEventID)
+	x.countRun(err)
+	return p, err
+}
+
+// sendUncharged is send without the quota.
+func (x *exchange) sendUncharged(c choice, lastEventID string) (*response, error) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(conn httptrace.GotConnInfo) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,8 @@
 	StandingQueues admit.StandingQueueDetector
 	// Quarantine keeps requests that crash endpoints from being sent; nil for none.
 	Quarantine *quarantine.Tracker
+	// Quotas enforces the limits of client accounts; nil for none.
+	Quotas Quotas
 	// Responses bounds the bytes of responses that are held back, Bodies those of callers'
 	// request bodies; nil for no bound.
 	Responses, Bodies *memory.Budget
@@ -110,6 +112,8 @@
 
 	// excluded holds the endpoints whose attempts have failed.
 	excluded map[string]bool
+	// quota is what the request is charged.
+	quota quotaCharge
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// sends counts the attempts that got a connection to their endpoint.
@@ -163,8 +167,10 @@
 	x.forward()
 }
 
-// finish logs and counts the request.
+// finish gives back what the request was charged without having run, and logs and counts the
+// request.
 func (x *exchange) finish() {
+	x.refundQuota()
 	total := time.Since(x.arrived)
 	routeName, accountName := "", ""
 	if x.route != nil {
@@ -181,6 +187,7 @@
 		zap.Int("status", x.status), zap.String("outcome", x.outcome), zap.String("endpoint", x.endpoint), zap.Int("sends", x.sends),
 		zap.Float64("first_ms", float64(x.firstByte)/1e6), zap.Float64("total_ms", float64(total)/1e6),
 		zap.Float64("score_ms", x.score), zap.String("reason", x.reason), zap.Int64("config", x.configVersion)}
+	fields = append(fields, x.quotaFields()...)
 	x.g.Log.Info("request", append(fields, x.stopFields()...)...)
 }
 
--- /dev/null
+++ b/gateway/quota.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/quota"
+)
+
+// maxStatedTokens bounds each number of tokens that a request states, so that their sum stays
+// far from overflow.
+const maxStatedTokens = 1 << 40
+
+// Quotas enforces the limits of client accounts, by account name. Costs are in units of the
+// limit. It is safe for concurrent use, and its methods must not block.
+type Quotas interface {
+	// Admit decides on a request and charges its cost if it is admitted.
+	Admit(account string, cost float64, now time.Time) quota.Verdict
+	// Charge charges a cost without a decision.
+	Charge(account string, cost float64, now time.Time)
+	// Refund gives back the cost of a request that has not run.
+	Refund(account string, cost float64, now time.Time)
+}
+
+// quotaCharge is what a request is charged. Its zero value is that of a request without a
+// limit.
+type quotaCharge struct {
+	limited bool
+	// cost is that of one run of the request in units.
+	cost    float64
+	verdict quota.Verdict
+	// charges is the number of runs that are charged, runs that of the sends that may have
+	// run the request.
+	charges, runs int
+}
+
+// checkQuota refuses the request if it exceeds its account's limit, else it is charged for one
+// run. Requests on public routes are not counted. The error is a *Refusal.
+func (x *exchange) checkQuota() error {
+	if x.g.Quotas == nil || x.account == nil || x.account.Quota == nil || x.route.Public {
+		return nil
+	}
+	cost := x.account.Quota.Cost(x.statedTokens())
+	v := x.g.Quotas.Admit(x.account.Name, cost, time.Now())
+	x.quota = quotaCharge{limited: true, cost: cost, verdict: v}
+	if !v.Admitted {
+		return &Refusal{Status: http.StatusTooManyRequests, Outcome: "quota", RetryAfter: v.RetryAfter}
+	}
+	x.quota.charges = 1
+	return nil
+}
+
+// statedTokens returns the tokens of the prompt and the bound on generated tokens that the
+// request states, 0 if it states neither.
+func (x *exchange) statedTokens() int64 {
+	return boundedTokens(x.info.PromptTokens) + boundedTokens(x.info.OutputTokens)
+}
+
+func boundedTokens(n int64) int64 { return min(max(0, n), maxStatedTokens) }
+
+// chargeSend charges the request for another run if all charged runs may have taken place. It
+// is called before each send.
+func (x *exchange) chargeSend() {
+	if x.quota.limited && x.quota.charges == x.quota.runs {
+		x.g.Quotas.Charge(x.account.Name, x.quota.cost, time.Now())
+		x.quota.charges++
+	}
+}
+
+// countRun records whether a send with the result err may have run the request. It is called
+// after each send.
+func (x *exchange) countRun(err error) {
+	var failed *attemptError
+	if errors.As(err, &failed) && failed.failure != unknown {
+		return
+	}
+	x.quota.runs++
+}
+
+// refundQuota gives back what was charged for runs that did not take place. It is called once,
+// when the request has ended.
+func (x *exchange) refundQuota() {
+	if unused := x.quota.charges - x.quota.runs; unused > 0 {
+		x.g.Quotas.Refund(x.account.Name, float64(unused)*x.quota.cost, time.Now())
+		x.quota.charges = x.quota.runs
+	}
+}
+
+// quotaFields describe the charge and the decision. There are none for requests without a
+// limit.
+func (x *exchange) quotaFields() []zap.Field {
+	if !x.quota.limited {
+		return nil
+	}
+	return []zap.Field{zap.Float64("cost", x.quota.cost), zap.Int("charges", x.quota.charges),
+		zap.Float64("quota_level", x.quota.verdict.Level), zap.Float64("quota_share", x.quota.verdict.Share)}
+}
