--- a/peer/client.go
+++ b/peer/client.go
@@ -95,6 +95,9 @@
 	mu sync.Mutex
 	// peers holds the connections by the peer's name.
 	peers map[string]*link
+	// gateways are the sorted names of this gateway and its peers, nil after a change. The
+	// slice is not changed.
+	gateways []string
 	// scopePending is true while a call of adjustScope is scheduled.
 	scopePending bool
 }
@@ -139,9 +142,11 @@
 	if err != nil {
 		s.log.Warn("peer connection not created", zap.String("peer", r.Name), zap.String("address", r.Address), zap.Error(err))
 		delete(s.peers, r.Name)
+		s.gateways = nil
 		return
 	}
 	s.peers[r.Name] = &link{record: r, conn: conn}
+	s.gateways = nil
 	s.scheduleScope()
 	s.log.Info("peer", zap.String("peer", r.Name), zap.String("address", r.Address), zap.String("region", r.Region))
 }
@@ -153,6 +158,7 @@
 	if l := s.peers[name]; l != nil {
 		l.close()
 		delete(s.peers, name)
+		s.gateways = nil
 		s.scheduleScope()
 		s.log.Info("peer gone", zap.String("peer", name))
 	}
--- a/peer/scope.go
+++ b/peer/scope.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -72,6 +73,18 @@
 	return slices.Index(s.firstNames(r.Region, relaysPerRegion), r.Name)
 }
 
+// Gateways returns the sorted names of the registered gateways, this one included. The caller
+// must not change the slice. It is the same one until the fleet changes.
+func (s *Set) Gateways() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gateways == nil {
+		s.gateways = append(slices.Collect(maps.Keys(s.peers)), s.self.Name)
+		slices.Sort(s.gateways)
+	}
+	return s.gateways
+}
+
 // firstNames returns the names of the first n gateways of a region by name, so that all
 // processes choose the same. The caller holds mu.
 func (s *Set) firstNames(region string, n int) []string {
