gatewayd: keep the quota ledger, its metrics and its log lines

The process gives the ledger the limits of each configuration before requests are accepted under it, the registered gateways once the store's list has been read (a gateway that believed to be alone would have all limits to itself), and the reports of peers. It sends a report every quota.ReportInterval while the ledger has one, none without limits. Metrics by account are bounded to 512 accounts and removed with them; "quota exceeded" is logged at most once a second and account, with the refusals since the last. go test -race ./internal/gatewayd passes.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,7 @@
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/quarantine"
+	"github.com/citrontiller/citrontiller/quota"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -84,6 +86,7 @@
 	// again.
 	restored   chan struct{}
 	quarantine *quarantine.Tracker
+	quotas     *quotas
 	// blockedKeys maps the store's keys of blocked parts of prompts to the parts.
 	blockedKeys sync.Map
 }
@@ -118,7 +121,9 @@
 		lockTurn: lockTurn{startedAt: time.Now()}, restored: make(chan struct{}, 1)}
 	p.pulse = process.NewPulse(p.clock)
 	p.quarantine = quarantine.New(quarantineObserver{p})
+	p.quotas = newQuotas(quota.New(quota.Options{Self: hostSettings.Name, Boot: rand.Uint64(), Slack: hostSettings.QuotaSlack}), log)
 	reg := prometheus.NewRegistry()
+	reg.MustRegister(p.quotas)
 	p.gateway = &gateway.Gateway{
 		Config: &catalog.ActiveConfig{}, Members: members, Tracker: tracker, Directory: gateway.NewDirectory(members, tracker, log),
 		Scheduler: scheduler, Targets: &rollout.Targets{Deadline: hostSettings.WeightsDeadline}, Codec: platform.Codec{},
@@ -127,7 +132,7 @@
 			Overload: admit.Limits{Urgent: settings.OverloadUrgent, Other: settings.OverloadOther, MaxOther: settings.OverloadOtherMax}},
 		// The platform's retry ratio applies to all processes together. Each gateway
 		// retries at most half that share of its own requests.
-		Budget: admit.NewBudget(hostSettings.RetryPercent / 2), Quarantine: p.quarantine, Log: log,
+		Budget: admit.NewBudget(hostSettings.RetryPercent / 2), Quarantine: p.quarantine, Quotas: p.quotas, Log: log,
 		Responses: memoryShare(hostSettings.MemoryBytes, responseMemoryShare), Bodies: memoryShare(hostSettings.MemoryBytes, bodyMemoryShare),
 	}
 	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "citrontiller_log_lines_dropped_total", Help: "Log lines that found the queue full."},
@@ -210,6 +215,7 @@
 	go p.register(background)
 	go p.servePeers(background, peerListener)
 	go p.publishDigests(background)
+	go p.publishQuotaReports(background)
 	coordinatorDone := make(chan struct{})
 	go func() {
 		p.coordinator().Run(background)
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -37,6 +37,9 @@
 		p.log.Error("cannot decode configuration", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
+	if current := p.gateway.Config.Current(); current == nil || current.Version < c.Version {
+		p.quotas.setLimits(c.Quotas(), time.Now()) // before requests are accepted under the configuration
+	}
 	if p.gateway.Config.SetIfNewer(c) {
 		p.gateway.Directory.SetKVCapacityTokens(c.KVCapacityTokens)
 		p.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,7 @@
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/quota"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -81,6 +82,8 @@
 	// RateLimitsReceived is called with what endpoints have announced to a peer on their
 	// rate limits.
 	RateLimitsReceived(from string, limits []catalog.RateLimit, sameRegion bool)
+	// QuotaReportReceived is called with a peer's use of the accounts' limits.
+	QuotaReportReceived(from string, r quota.Report)
 }
 
 // Set holds connections to all known peers and follows their streams. It is safe
@@ -253,6 +256,9 @@
 	if len(b.RateLimits) > 0 {
 		s.receiver.RateLimitsReceived(l.record.Name, decodeRateLimits(b.RateLimits, now), sameRegion)
 	}
+	if b.QuotaReport != nil {
+		s.receiver.QuotaReportReceived(l.record.Name, decodeQuotaReport(b.QuotaReport))
+	}
 	decode(b, func(e route.Event) {
 		if !sameRegion {
 			e.TransitTime = 0 // this event took as long to arrive as the request
