--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,7 @@
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/wait"
 	"github.com/citrontiller/citrontiller/peer/pb"
+	"github.com/citrontiller/citrontiller/quota"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -81,6 +82,8 @@
 	// RateLimitsReceived is called with what endpoints have announced to a peer on their
 	// rate limits.
 	RateLimitsReceived(from string, limits []catalog.RateLimit, sameRegion bool)
+	// QuotaReportReceived is called with a peer's use of the accounts' limits.
+	QuotaReportReceived(from string, r quota.Report)
 }
 
 // Set holds connections to all known peers and follows their streams. It is safe
@@ -95,6 +98,9 @@
 	mu sync.Mutex
 	// peers holds the connections by the peer's name.
 	peers map[string]*link
+	// gateways are the sorted names of this gateway and its peers, nil after a change. The
+	// slice is not changed.
+	gateways []string
 	// scopePending is true while a call of adjustScope is scheduled.
 	scopePending bool
 }
@@ -139,9 +145,11 @@
 	if err != nil {
 		s.log.Warn("peer connection not created", zap.String("peer", r.Name), zap.String("address", r.Address), zap.Error(err))
 		delete(s.peers, r.Name)
+		s.gateways = nil
 		return
 	}
 	s.peers[r.Name] = &link{record: r, conn: conn}
+	s.gateways = nil
 	s.scheduleScope()
 	s.log.Info("peer", zap.String("peer", r.Name), zap.String("address", r.Address), zap.String("region", r.Region))
 }
@@ -153,6 +161,7 @@
 	if l := s.peers[name]; l != nil {
 		l.close()
 		delete(s.peers, name)
+		s.gateways = nil
 		s.scheduleScope()
 		s.log.Info("peer gone", zap.String("peer", name))
 	}
@@ -247,6 +256,9 @@
 	if len(b.RateLimits) > 0 {
 		s.receiver.RateLimitsReceived(l.record.Name, decodeRateLimits(b.RateLimits, now), sameRegion)
 	}
+	if b.QuotaReport != nil {
+		s.receiver.QuotaReportReceived(l.record.Name, decodeQuotaReport(b.QuotaReport))
+	}
 	decode(b, func(e route.Event) {
 		if !sameRegion {
 			e.TransitTime = 0 // this event took as long to arrive as the request
