catalog, platform: a route's gap_aim_ms

Cause: how long the caller of a stream waits for an event depends on the pause between events that its route aims at, which was not decoded. Change: Route.GapAim, 0 if the configuration has none. Nothing else changes.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -46,6 +46,9 @@
 	// TargetLatency is the time within which a response, or a stream's first event,
 	// counts as on time.
 	TargetLatency time.Duration
+	// GapAim is the longest pause between two events of a stream that the route aims at, 0
+	// if there is none.
+	GapAim time.Duration
 	// Priority is the route's priority; 0 is the most urgent.
 	Priority int
 	// Shares are the services that the traffic is split between.
