--- a/admit/durations.go
+++ b/admit/durations.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -66,3 +67,19 @@
 	}
 	return float64(over) / float64(len(known)), true
 }
+
+// Median returns the median duration of a route's latest requests. It returns false if too
+// few are known.
+func (d *Durations) Median(route string) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.routes == nil {
+		return 0, false
+	}
+	ring, ok := d.routes.Peek(route)
+	if !ok || ring.n < minDurationSamples {
+		return 0, false
+	}
+	known := slices.Sorted(slices.Values(ring.ms[:min(ring.n, durationSamples)]))
+	return time.Duration(known[len(known)/2]) * time.Millisecond, true
+}
--- a/admit/shedding.go
+++ b/admit/shedding.go
@@ -49,6 +49,20 @@
 	return target <= 0 || wait <= limits.wait(priority, target)
 }
 
+// maxWaitAfterQueue is the longest expected wait at an endpoint for which requests of other
+// priorities than 0 leave a queue. Urgent requests, which pass the queue, find short waits at
+// the endpoints; the time between two turns in the queue is shorter still.
+const maxWaitAfterQueue = 50 * time.Millisecond
+
+// AdmitWaiting reports whether a request that waits in a WaitQueue is admitted. The queue
+// is a standing queue.
+func (c LoadShedder) AdmitWaiting(priority int, wait, target time.Duration) bool {
+	if priority != 0 && wait > maxWaitAfterQueue {
+		return false
+	}
+	return c.Admit(priority, wait, target, true)
+}
+
 const (
 	// standingWindow is the length of an observation window. A queue is standing
 	// when every request in a window observed a median wait above standingWait. A
