gateway: requests wait in a queue of their service in an overload

Cause: see admit.WaitQueue; the gateway had no ordered queue. Change: if Gateway.Queueing says so, a shed request for a model that has not been sent enters the queue of its service, and an arrival asks the queue first. One request after the other has its turn to choose an endpoint, each 10 ms and when a response has started. A wait ends with a send, a refusal (expired, evicted, closing, no endpoint) or the caller's leaving. Log lines waited and not queued, metrics waiting_requests and wait_seconds. Without Queueing nothing changes; a test says so.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -26,7 +26,7 @@
 	x.overloadWait = x.expectedWait(chosen)
 	median := medianWait(candidates)
 	standing := x.g.observeQueue(x.service, median)
-	if x.admits(x.overloadWait, standing && !chosen.RateLimited) {
+	if x.admitsAt(chosen, standing) {
 		x.overloadWait = 0
 		return chosen
 	}
@@ -34,6 +34,9 @@
 		x.overloadWait = 0
 		return e
 	}
+	if x.inQueue {
+		return nil // logged before it entered the queue, or by its outcome
+	}
 	x.g.Log.Info("overload", zap.String("request", x.info.ID), zap.String("endpoint", chosen.ID), zap.Duration("wait", x.overloadWait),
 		zap.Duration("usual_wait", median), zap.Bool("standing_queue", standing), zap.Duration("target", x.route.TargetLatency),
 		zap.Int("priority", x.route.Priority), zap.Float64("held_tokens", chosen.KVUsedTokens), zap.Int64("memory_tokens", chosen.Load.KVCapacityTokens))
@@ -74,6 +77,14 @@
 	return x.g.Admission.Admit(x.route.Priority, wait, x.route.TargetLatency, standing)
 }
 
+// admitsAt reports whether the request is admitted at the chosen endpoint.
+func (x *exchange) admitsAt(chosen *route.Endpoint, standing bool) bool {
+	if x.inQueue && !chosen.RateLimited {
+		return x.g.Admission.AdmitWaiting(x.route.Priority, x.overloadWait, x.route.TargetLatency)
+	}
+	return x.admits(x.overloadWait, standing && !chosen.RateLimited)
+}
+
 // expectedWait returns the time until an endpoint is expected to start the request. The
 // time to compute the request's own prompt is not part of it; otherwise the longest
 // prompts would always be refused.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -39,7 +39,7 @@
 
 // chooseAllowed is choose for a request that the quarantine allows.
 func (x *exchange) chooseAllowed() (choice, bool) {
-	x.availableIn = 0
+	x.availableIn, x.overloadWait = 0, 0
 	x.quarantine = x.enterQuarantine()
 	if x.quarantine.Verdict != quarantine.Allowed {
 		return choice{}, false
@@ -64,7 +64,7 @@
 	if d.Chosen == "" {
 		x.availableIn = availableIn(r.Exclude, candidates)
 	}
-	if ce := x.g.Log.Check(zap.DebugLevel, "route"); ce != nil || d.Chosen == "" {
+	if ce := x.g.Log.Check(zap.DebugLevel, "route"); ce != nil || d.Chosen == "" && !x.inQueue {
 		x.g.Log.Info("route", zap.String("request", x.info.ID), zap.String("service", x.service), zap.String("chosen", d.Chosen),
 			zap.String("reason", d.Reason), zap.Int("total", d.Total), zap.Stringer("candidates", d))
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -52,10 +52,15 @@
 	endpointWaitDivisor = 8
 )
 
-// waitForEndpoint chooses an endpoint. It retries for a short time when none is
-// available, but not when the request is refused because of overload, the service has no
-// endpoints, or none takes requests in that time.
+// waitForEndpoint chooses an endpoint. In an overload, requests wait in the queue of their
+// service if Gateway.Queueing says so. Otherwise waitForEndpoint retries for a short time
+// when none is available, but not when the request is refused because of overload, the
+// service has no endpoints, or none takes requests in that time.
 func (x *exchange) waitForEndpoint() (choice, bool) {
+	queue := x.mayQueue()
+	if queue && x.mustQueue() {
+		return x.waitInQueue()
+	}
 	longest := x.route.TargetLatency / endpointWaitDivisor
 	if x.sends > 0 {
 		longest = max(longest, trialWait)
@@ -65,6 +70,9 @@
 		if c, ok := x.chooseAllowed(); ok {
 			return c, true
 		}
+		if queue && x.overloadWait > 0 && !x.abandoned() {
+			return x.waitInQueue()
+		}
 		if x.abandoned() || !x.mayBecomeAvailable(until) || !wait.Sleep(x.ctx, endpointPollInterval) {
 			return choice{}, false
 		}
@@ -129,10 +137,10 @@
 		if err == nil && x.quarantine.Verdict != quarantine.Allowed {
 			return x.quarantined(x.quarantine)
 		}
-		if !x.endsBeforeStop() {
+		if x.queueEnd == waitClosing || !x.endsBeforeStop() {
 			return x.unavailable("closing", err)
 		}
-		if x.overloadWait > 0 {
+		if x.overloadWait > 0 || x.refusedByQueue() {
 			return x.overloaded()
 		}
 		return x.noEndpoint(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,10 +60,20 @@
 	// JustStalled reports whether the process may not have run until now, so that it may
 	// not have noticed yet that it must stop; nil means that it always runs.
 	JustStalled func() bool
-	Metrics     *Metrics
-	Log         *zap.Logger
+	// Queueing reports whether requests wait in a queue of their service in an overload; nil
+	// means that they don't.
+	Queueing func() bool
+	// QuotaUsed returns the used share of a client account's quota, from 0 to 1; nil means 0
+	// for all. It must not block.
+	QuotaUsed func(account string) float64
+	Metrics   *Metrics
+	Log       *zap.Logger
 
-	split regionSplit
+	split   regionSplit
+	waiting waitQueues
+	// firstEvents are the times from the send to the first byte of the latest responses of
+	// each route. They are kept while requests may wait.
+	firstEvents admit.Durations
 	// durations are those of the latest responses of each route.
 	durations admit.Durations
 	crashes   crashDetector
@@ -117,6 +127,15 @@
 	// overloadWait is the expected wait for which the request was shed, 0 when it
 	// was not.
 	overloadWait time.Duration
+	// inQueue is true while the request waits in the queue of its service. queueEnd is how
+	// its last wait there has ended, and queueWait the wait that was expected there when it
+	// was refused.
+	inQueue   bool
+	queueEnd  waitEnd
+	queueWait time.Duration
+	// noneAvailable is true if, at the request's last turn in the queue, no endpoint was
+	// available at any expected wait.
+	noneAvailable bool
 	// availableIn is the time until an endpoint takes the request, if the last choice found
 	// none; 0 when it is not known.
 	availableIn time.Duration
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,9 @@
 	attempts  *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	total     *prometheus.HistogramVec
+	// waiting is the number of requests in queues, waits how long they were there.
+	waiting prometheus.Gauge
+	waits   *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics. open returns the number of requests in progress.
@@ -24,9 +27,11 @@
 		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrontiller_gateway_attempt_failures_total", Help: "Sends without a usable answer."}, []string{"failure"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_first_byte_seconds", Help: "Time from arrival to the answer's first byte.", Buckets: latencyBuckets}, []string{"kind"}),
 		total:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_request_seconds", Help: "Time from arrival to the answer's end.", Buckets: latencyBuckets}, []string{"kind"}),
+		waiting:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "citrontiller_gateway_waiting_requests", Help: "Requests that wait in the queue of their service."}),
+		waits:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "citrontiller_gateway_wait_seconds", Help: "Time that requests waited in the queue of their service.", Buckets: latencyBuckets}, []string{"kind"}),
 	}
 	reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrontiller_gateway_open_requests", Help: "Requests in progress."}, open))
-	reg.MustRegister(m.requests, m.attempts, m.firstByte, m.total)
+	reg.MustRegister(m.requests, m.attempts, m.firstByte, m.total, m.waiting, m.waits)
 	return m
 }
 
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -20,6 +20,11 @@
 	maxRetryAfter = 400 * time.Millisecond
 	// maxOverloadRetryAfter bounds the delay that overload adds.
 	maxOverloadRetryAfter = 3 * time.Second
+	// maxQueueRetryAfter bounds the delay that a queue adds: most of the requests in it have
+	// been sent or refused after that time.
+	maxQueueRetryAfter = 8 * time.Second
+	// queueSpreadDivisor divides the delay that a queue adds to give its spread.
+	queueSpreadDivisor = 4
 )
 
 // Refusal is an error response that the gateway generates itself.
@@ -66,10 +71,22 @@
 // present queue is expected to have drained.
 func (x *exchange) overloaded() *Refusal {
 	r := x.unavailable("overload", nil)
+	if x.refusedByQueue() {
+		r.RetryAfter += x.queueRetryAfter()
+		return r
+	}
 	r.RetryAfter += min(maxOverloadRetryAfter, x.overloadWait)
 	return r
 }
 
+// queueRetryAfter returns the time until the queue is expected to have drained to the
+// request's place, with a spread that keeps refused callers from returning together.
+func (x *exchange) queueRetryAfter() time.Duration {
+	wait := min(maxQueueRetryAfter, max(x.queueWait, x.overloadWait))
+	share := float64(xxhash.Sum64String(x.info.ID)>>32) / (1 << 32)
+	return wait + time.Duration(share*float64(wait/queueSpreadDivisor))
+}
+
 // refuse writes an error response: err if it is a *Refusal, else status 502.
 // Nothing may have been written to the caller before.
 func (x *exchange) refuse(err error) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,6 +83,10 @@
 	p.firstByteAt = now
 	x.firstByte = now.Sub(x.arrived)
 	p.attempt.FirstToken(now)
+	if x.g.queueing() {
+		x.g.firstEvents.Observe(x.route.Name, now.Sub(p.start))
+	}
+	x.g.waiting.responseStarted(x.service)
 }
 
 // copyRest relays what exceeds maxBufferedBytes.
--- /dev/null
+++ b/gateway/servicequeue.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citrontiller/citrontiller/admit"
+)
+
+const (
+	// turnInterval is the time between two rounds in which waiting requests try to choose an
+	// endpoint. minTurnInterval is the shortest such time when responses start.
+	turnInterval    = 10 * time.Millisecond
+	minTurnInterval = 4 * time.Millisecond
+	// turnsPerRound is the number of requests, the first ones of the queue, that may find no
+	// endpoint in a round. Each costs a search over all endpoints of the service.
+	turnsPerRound = 3
+	// usedInterval is the time between two updates of the accounts' used shares.
+	usedInterval = 100 * time.Millisecond
+)
+
+// waitEnd is how the wait of a request has ended, or why there was none.
+type waitEnd string
+
+const (
+	waitSent       waitEnd = "sent"
+	waitExpired    waitEnd = "expired"
+	waitEvicted    waitEnd = "evicted"
+	waitClosing    waitEnd = "closing"
+	waitCallerLeft waitEnd = "caller_left"
+	waitNoEndpoint waitEnd = "no_endpoint"
+)
+
+// overload reports whether the request was refused because of the queue.
+func (e waitEnd) overload() bool {
+	switch e {
+	case waitExpired, waitEvicted, waitEnd(admit.TooLate), waitEnd(admit.LongQueue), waitEnd(admit.QueueFull):
+		return true
+	}
+	return false
+}
+
+// waiter is a waiting request.
+type waiter struct {
+	admit.Waiting
+	// wake receives a value when the request has its turn or its wait has ended.
+	wake chan struct{}
+	// target is the request's target latency.
+	target time.Duration
+	// The following fields are guarded by serviceQueue.mu.
+
+	// round is the last round in which the request had its turn.
+	round uint64
+	// end is empty while the request waits.
+	end waitEnd
+	// drainedIn is the expected time until the queue has drained, at the end of the wait.
+	drainedIn time.Duration
+}
+
+// shedClass is what the load shedder distinguishes: if it has refused a request in a round,
+// it refuses others of the class.
+type shedClass struct {
+	priority int
+	target   time.Duration
+}
+
+func (w *waiter) class() shedClass { return shedClass{w.Priority, w.target} }
+
+// serviceQueue holds the requests that wait for an endpoint of a service. A goroutine runs
+// while there are any. Requests choose one after the other: the one whose turn it is wakes
+// the next when it has chosen.
+//
+// Lock order: mu is taken before the locks of Gateway.QuotaUsed, and no other lock is taken
+// while it is held.
+type serviceQueue struct {
+	// responses receives a value when a response of the service has started.
+	responses chan struct{}
+
+	mu      sync.Mutex
+	queue   admit.WaitQueue
+	waiters map[*admit.Waiting]*waiter
+	running bool
+	// turn is the request whose turn it is, nil if there is none.
+	turn *waiter
+	// round is the number of the present round, which began at roundAt, and failed the number
+	// of requests that found no endpoint in it. shed are the classes of those that were shed.
+	round   uint64
+	roundAt time.Time
+	failed  int
+	shed    []shedClass
+	// usedAt is when the used shares were last updated.
+	usedAt time.Time
+}
+
+// waitQueues holds the queue of each service. The zero value is ready for use.
+type waitQueues struct {
+	mu     sync.RWMutex
+	queues map[string]*serviceQueue
+}
+
+// find returns the queue of a service, nil if no request has ever waited there.
+func (w *waitQueues) find(service string) *serviceQueue {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.queues[service]
+}
+
+// get returns the queue of a service. Services come from the configuration, which bounds
+// their number.
+func (w *waitQueues) get(service string) *serviceQueue {
+	if q := w.find(service); q != nil {
+		return q
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queues == nil {
+		w.queues = map[string]*serviceQueue{}
+	}
+	if w.queues[service] == nil {
+		w.queues[service] = &serviceQueue{responses: make(chan struct{}, 1), waiters: map[*admit.Waiting]*waiter{}}
+	}
+	return w.queues[service]
+}
+
+// responseStarted tells a service's queue that a response has started.
+func (w *waitQueues) responseStarted(service string) {
+	q := w.find(service)
+	if q == nil {
+		return
+	}
+	select {
+	case q.responses <- struct{}{}:
+	default: // the queue hasn't taken notice of an earlier response
+	}
+}
+
+// mustWait reports whether an arriving request must wait behind others.
+func (q *serviceQueue) mustWait(priority int, account string, used func(string) float64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Len() > 0 && q.queue.MustWait(priority, account, used(account))
+}
+
+// enter adds a request to the queue unless it is refused. It returns the decision and the
+// length of the queue.
+func (q *serviceQueue) enter(g *Gateway, w *waiter, now time.Time) (admit.Entry, int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.queue.Add(&w.Waiting, g.quotaUsed(w.Account), now)
+	if e.Refused != "" {
+		return e, q.queue.Len()
+	}
+	q.waiters[&w.Waiting] = w
+	if e.Evicted != nil {
+		q.end(e.Evicted, waitEvicted, now)
+	}
+	if !q.running {
+		q.running = true
+		go q.run(g)
+	}
+	return e, q.queue.Len()
+}
+
+// run gives requests their turns until none is left.
+func (q *serviceQueue) run(g *Gateway) {
+	ticker := time.NewTicker(turnInterval)
+	defer ticker.Stop()
+	var minInterval time.Duration
+	for q.tick(g, time.Now(), minInterval) {
+		select {
+		case <-ticker.C:
+			minInterval = 0
+		case <-q.responses:
+			minInterval = minTurnInterval
+		}
+	}
+}
+
+// tick ends the waits that are over and begins a round, if the last one began at least
+// minInterval before. It returns false if no request is left; another goroutine must then
+// run for the next one.
+func (q *serviceQueue) tick(g *Gateway, now time.Time, minInterval time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if g.Draining() {
+		for _, w := range q.queue.Clear(now) {
+			q.end(w, waitClosing, now)
+		}
+	}
+	for _, w := range q.queue.Expired(now) {
+		q.end(w, waitExpired, now)
+	}
+	if q.queue.Len() == 0 {
+		q.running = false
+		return false
+	}
+	if now.Sub(q.usedAt) >= usedInterval {
+		q.usedAt = now
+		q.queue.SetUsed(g.quotaUsed)
+	}
+	if q.turn == nil && now.Sub(q.roundAt) >= minInterval {
+		q.beginRound(now)
+	}
+	return true
+}
+
+// beginRound begins a round. The caller holds mu.
+func (q *serviceQueue) beginRound(now time.Time) {
+	q.round++
+	q.roundAt, q.failed, q.shed = now, 0, q.shed[:0]
+	q.passTurn()
+}
+
+// passTurn gives the turn to the first request that hasn't had it in this round and is of no
+// class that was shed in it, or ends the round. The caller holds mu.
+func (q *serviceQueue) passTurn() {
+	q.turn = nil
+	if q.failed >= turnsPerRound {
+		return
+	}
+	for _, next := range q.queue.Next(turnsPerRound) {
+		w := q.waiters[next]
+		if w.round == q.round || slices.Contains(q.shed, w.class()) {
+			continue
+		}
+		w.round, q.turn = q.round, w
+		w.notify()
+		return
+	}
+}
+
+func (w *waiter) notify() {
+	select {
+	case w.wake <- struct{}{}:
+	default: // it has not yet seen an earlier value
+	}
+}
+
+// end ends the wait of a request that was removed from the queue. The caller holds mu.
+func (q *serviceQueue) end(removed *admit.Waiting, how waitEnd, now time.Time) {
+	w := q.waiters[removed]
+	delete(q.waiters, removed)
+	w.end = how
+	w.drainedIn = q.queue.ExpectedWait(q.queue.Len(), now)
+	w.notify()
+	if q.turn == w {
+		q.passTurn()
+	}
+}
+
+// ended returns how a request's wait has ended, "" if it still waits.
+func (q *serviceQueue) ended(w *waiter) waitEnd {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return w.end
+}
+
+// sent removes a request that has chosen its endpoint. It may have been removed while it
+// chose.
+func (q *serviceQueue) sent(w *waiter, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.Dispatched(&w.Waiting, now)
+	if w.end == "" {
+		q.end(&w.Waiting, waitSent, now)
+	}
+	w.end = waitSent
+}
+
+// failedTurn records that a request found no endpoint in its turn, because it was shed or
+// for another reason.
+func (q *serviceQueue) failedTurn(w *waiter, shed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.turn != w {
+		return
+	}
+	q.failed++
+	if shed {
+		q.shed = append(q.shed, w.class())
+	}
+	q.passTurn()
+}
+
+// leave removes a request that doesn't wait any longer, and returns how its wait has ended:
+// as stated, unless it had ended before.
+func (q *serviceQueue) leave(w *waiter, how waitEnd, now time.Time) waitEnd {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.queue.Remove(&w.Waiting, now) {
+		q.end(&w.Waiting, how, now)
+	}
+	return w.end
+}
--- /dev/null
+++ b/gateway/waiting.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/admit"
+	"github.com/citrontiller/citrontiller/catalog"
+)
+
+// queueing reports whether requests wait in queues in an overload.
+func (g *Gateway) queueing() bool { return g.Queueing != nil && g.Queueing() }
+
+// quotaUsed returns the used share of an account's quota, 0 for requests without an account.
+func (g *Gateway) quotaUsed(account string) float64 {
+	if g.QuotaUsed == nil || account == "" {
+		return 0
+	}
+	return g.QuotaUsed(account)
+}
+
+// mayQueue reports whether the request may wait in the queue of its service. Requests
+// without a model or a target latency are never refused for overload.
+func (x *exchange) mayQueue() bool {
+	return x.info.Model != "" && x.sends == 0 && x.route.TargetLatency > 0 && x.g.queueing() && !x.g.Draining()
+}
+
+// mustQueue reports whether the request must wait behind others before it may choose an
+// endpoint.
+func (x *exchange) mustQueue() bool {
+	q := x.g.waiting.find(x.service)
+	return q != nil && q.mustWait(x.route.Priority, x.accountName(), x.g.quotaUsed)
+}
+
+// waitInQueue waits in the queue of the service until the request has chosen an endpoint. It
+// returns false, with queueEnd set, if the request is refused or its caller leaves.
+func (x *exchange) waitInQueue() (choice, bool) {
+	q := x.g.waiting.get(x.service)
+	w, entered := x.newWaiter(), time.Now()
+	entry, length := q.enter(x.g, w, entered)
+	if entry.Refused != "" {
+		x.queueEnd, x.queueWait = waitEnd(entry.Refused), entry.Expected
+		x.g.Log.Info("not queued", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.String("reason", string(entry.Refused)),
+			zap.Duration("expected_wait", entry.Expected), zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", entry.Place),
+			zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)))
+		return choice{}, false
+	}
+	x.g.Metrics.waiting.Inc()
+	defer x.g.Metrics.waiting.Dec()
+	x.inQueue = true
+	c, end := x.awaitTurn(q, w)
+	x.inQueue = false
+	x.queueEnd = end
+	waited := time.Since(entered)
+	x.g.Metrics.waits.WithLabelValues(string(x.route.Kind)).Observe(waited.Seconds())
+	x.g.Log.Info("waited", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.Duration("wait", waited),
+		zap.Duration("expected_wait", entry.Expected), zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", entry.Place),
+		zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)), zap.Int("priority", w.Priority), zap.String("outcome", string(end)))
+	return c, end == waitSent
+}
+
+// newWaiter returns the request as the queue sees it. Its wait is counted from its arrival,
+// since when its caller waits.
+func (x *exchange) newWaiter() *waiter {
+	patience := admit.Patience{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
+	firstEvent, _ := x.g.firstEvents.Median(x.route.Name)
+	return &waiter{wake: make(chan struct{}, 1), target: x.route.TargetLatency, Waiting: admit.Waiting{Priority: x.route.Priority, Account: x.accountName(),
+		LatestStart: x.deadline.Add(-firstEvent), Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
+}
+
+// awaitTurn chooses an endpoint each time that it is the request's turn, until it has found
+// one or the wait ends.
+func (x *exchange) awaitTurn(q *serviceQueue, w *waiter) (choice, waitEnd) {
+	for {
+		select {
+		case <-w.wake:
+		case <-x.r.Context().Done():
+			return choice{}, q.leave(w, waitCallerLeft, time.Now())
+		case <-x.ctx.Done():
+			return choice{}, q.leave(w, x.contextEnd(), time.Now())
+		}
+		if end := q.ended(w); end != "" {
+			x.queueWait = w.drainedIn
+			return choice{}, end
+		}
+		if c, ok := x.chooseAllowed(); ok {
+			q.sent(w, time.Now())
+			return c, waitSent
+		}
+		x.noneAvailable = x.overloadWait == 0
+		if x.noneAvailable && !x.mayBecomeAvailable(w.Until) {
+			return choice{}, q.leave(w, waitNoEndpoint, time.Now())
+		}
+		q.failedTurn(w, !x.noneAvailable)
+	}
+}
+
+// contextEnd returns how the wait has ended if the request's context has.
+func (x *exchange) contextEnd() waitEnd {
+	if errors.Is(context.Cause(x.ctx), errStopped) {
+		return waitClosing
+	}
+	return waitExpired
+}
+
+// refusedByQueue reports whether the request is refused because of the queue. A request
+// whose wait ended while no endpoint took requests isn't.
+func (x *exchange) refusedByQueue() bool { return x.queueEnd.overload() && !x.noneAvailable }
--- /dev/null
+++ b/gateway/waiting_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	dto "github.com/prometheus/client_model/go"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/citrontiller/citrontiller/admit"
+	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/internal/selection"
+	"github.com/citrontiller/citrontiller/route"
+)
+
+// busyFleet is a fleet of one endpoint that is expected to be busy for seconds.
+type busyFleet struct {
+	*fleet
+	logs *observer.ObservedLogs
+	free func()
+}
+
+func newBusyFleet(t *testing.T) *busyFleet {
+	f := &busyFleet{fleet: newFleet(t, []responder{ok("x")})}
+	core, logs := observer.New(zap.InfoLevel)
+	f.logs = logs
+	g := f.gateway
+	g.Log = zap.New(core)
+	g.Scheduler = selection.NewDirect(zap.NewNop())
+	g.Admission = admit.LoadShedder{Usual: admit.Limits{Other: 0.1}, Overload: admit.Limits{Other: 0.1}}
+	g.Queueing = func() bool { return true }
+	c := testConfig
+	c.Version++
+	c.Routes = []catalog.Route{{Host: "h", Prefix: "/", Kind: catalog.Stream, Priority: 1, Timeout: time.Minute,
+		TargetLatency: 20 * time.Second, MaxAttempts: 2, Shares: []catalog.Share{{Service: "s"}}}}
+	c.Index()
+	g.Config.SetIfNewer(&c)
+	now := time.Now()
+	r := &route.Request{Service: "s", Region: "r", Tokens: 100_000}
+	var attempts []*route.Attempt
+	for range 20 {
+		e := g.Tracker.AppendSnapshot(nil, r, g.Members.Service("s"), nil, noReport, now)
+		attempts = append(attempts, g.Tracker.Dispatch(r, &e[0], route.Decision{}, now))
+	}
+	f.free = func() {
+		for _, a := range attempts {
+			a.Close(time.Now())
+		}
+	}
+	return f
+}
+
+// result is the response to a request, or the error of sending it.
+type result struct {
+	status int
+	body   string
+	err    error
+}
+
+// ask sends a request to the model and returns the channel of its answer.
+func (f *busyFleet) ask(ctx context.Context, t *testing.T, id string) <-chan result {
+	req := f.request(t, http.MethodPost, "/1", id, "").WithContext(ctx)
+	req.Header.Set("Model", "m")
+	req.Header.Set("Tokens", "100")
+	out := make(chan result, 1)
+	go func() {
+		resp, err := f.open(req)
+		if err != nil {
+			out <- result{err: err}
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		out <- result{resp.StatusCode, string(body), nil}
+	}()
+	return out
+}
+
+// awaitWaiting waits until a number of requests wait.
+func (f *busyFleet) awaitWaiting(t *testing.T, n float64) {
+	t.Helper()
+	until := time.Now().Add(10 * time.Second)
+	for {
+		var m dto.Metric
+		if err := f.gateway.Metrics.waiting.Write(&m); err != nil {
+			t.Fatal(err)
+		}
+		waiting := m.GetGauge().GetValue()
+		if waiting == n {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatalf("%v requests wait, not %v", waiting, n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// outcomes returns the outcomes of the requests that have waited.
+func (f *busyFleet) outcomes() (out []string) {
+	for _, e := range f.logs.FilterMessage("waited").All() {
+		out = append(out, e.ContextMap()["outcome"].(string))
+	}
+	return out
+}
+
+// Guards against a shed request that is refused although it could wait, or that isn't sent
+// when its endpoint is free.
+func TestShedRequestWaitsForEndpoint(t *testing.T) {
+	is := is.New(t)
+	f := newBusyFleet(t)
+	f.gateway.Codec = patientCodec{}
+	first, second := f.ask(context.Background(), t, "1"), f.ask(context.Background(), t, "2")
+	f.awaitWaiting(t, 2)
+	is.Equal(f.sends(), 0)
+	f.free()
+	for _, answered := range []<-chan result{first, second} {
+		is.Equal(<-answered, result{http.StatusOK, "x", nil})
+	}
+	is.Equal(f.outcomes(), []string{"sent", "sent"})
+	f.awaitWaiting(t, 0)
+}
+
+// Guards against requests that wait in a process that stops, instead of trying elsewhere.
+func TestPlannedStopRefusesWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	f := newBusyFleet(t)
+	f.gateway.Codec = patientCodec{}
+	waiting := f.ask(context.Background(), t, "1")
+	f.awaitWaiting(t, 1)
+	f.gateway.BeginStop(stopAt(0, time.Hour, 2*time.Hour)) // it would end in time
+	is.Equal(<-waiting, result{http.StatusServiceUnavailable, "closing\n", nil})
+	is.Equal(f.outcomes(), []string{"closing"})
+	is.Equal(f.sends(), 0)
+}
+
+// Guards against a place in the queue of a caller that has left, and against a request that
+// waits for longer than half of its time.
+func TestWaitEndsWithoutSend(t *testing.T) {
+	is := is.New(t)
+	f := newBusyFleet(t)
+	ctx, leave := context.WithCancel(context.Background())
+	left := f.ask(ctx, t, "1")
+	f.awaitWaiting(t, 1)
+	leave()
+	is.True((<-left).err != nil)
+	f.awaitWaiting(t, 0)
+	is.Equal(f.outcomes(), []string{"caller_left"})
+	is.Equal(<-f.ask(context.Background(), t, "2"), result{http.StatusServiceUnavailable, "overload\n", nil})
+	is.Equal(f.outcomes(), []string{"caller_left", "expired"})
+	is.Equal(f.sends(), 0)
+}
+
+// Guards against a full queue that searches for an endpoint for each of its requests.
+func TestWaitingRequestsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	q := &serviceQueue{responses: make(chan struct{}, 1), waiters: map[*admit.Waiting]*waiter{}, running: true} // the test ticks
+	g, now := &Gateway{}, time.Unix(0, 0)
+	var waiters []*waiter
+	for i := range admit.MaxWaiting {
+		latest := now.Add(time.Minute + time.Duration(i))
+		w := &waiter{wake: make(chan struct{}, 1), Waiting: admit.Waiting{Account: strconv.Itoa(i), LatestStart: latest, Until: latest}}
+		waiters = append(waiters, w)
+		q.enter(g, w, now)
+	}
+	for range 3 {
+		now = now.Add(turnInterval)
+		is.True(q.tick(g, now, 0))
+		for i := range turnsPerRound {
+			is.Equal(q.turn, waiters[i])
+			is.True(q.tick(g, now.Add(turnInterval), 0)) // a round doesn't begin before the last has ended
+			q.failedTurn(waiters[i], false)
+		}
+		is.Equal(q.turn, nil)
+	}
+	is.True(q.tick(g, now.Add(turnInterval), 0))
+	q.failedTurn(waiters[0], true) // as the others of its class would be
+	is.Equal(q.turn, nil)
+	is.True(q.tick(g, now.Add(turnInterval), 0))
+	q.sent(waiters[0], now) // the next has its turn at once
+	is.Equal(q.turn, waiters[1])
+	is.Equal(q.leave(waiters[1], waitCallerLeft, now), waitCallerLeft)
+	is.Equal(q.turn, waiters[2])
+	is.Equal(len(waiters[turnsPerRound+2].wake), 0)
+}
+
+// Guards against a change for deployments without queueing: a shed request is refused at once.
+func TestWithoutQueueingShedRequestIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, queueing := range []func() bool{nil, func() bool { return false }} {
+		f := newBusyFleet(t)
+		f.gateway.Queueing = queueing
+		is.Equal(<-f.ask(context.Background(), t, "1"), result{http.StatusServiceUnavailable, "overload\n", nil})
+		is.Equal(f.logs.FilterMessage("overload").Len(), 1)
+		is.Equal(f.logs.FilterMessage("waited").Len()+f.logs.FilterMessage("not queued").Len(), 0)
+		is.Equal(len(f.gateway.waiting.queues), 0)
+		is.Equal(f.sends(), 0)
+	}
+}
