--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -140,6 +140,7 @@
 		gauge("request_body_bytes", "Bytes of callers' request bodies.", func() int { return int(p.gateway.Bodies.Used()) }),
 		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
 	p.gateway.JustStalled = p.pulse.JustStalled
+	p.gateway.Queueing = p.queueing
 	p.gateway.Metrics = gateway.NewMetrics(reg, func() float64 { return float64(p.gateway.Open()) })
 	p.server = &http.Server{Handler: p.gateway, ConnContext: gateway.ConnContext, ConnState: p.callers.OnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(log)}
