--- a/internal/gatewayd/quota.go
+++ b/internal/gatewayd/quota.go
@@ -32,6 +32,7 @@
 	Refund(account string, cost float64, now time.Time)
 	Report(now time.Time) (quota.Report, bool)
 	Apply(from string, r quota.Report, now time.Time)
+	Used(account string, now time.Time) float64
 	Accounts(now time.Time) []quota.AccountState
 }
 
@@ -152,6 +153,9 @@
 	q.track(account).refunded.Add(cost)
 }
 
+// used returns the used share of an account's limit, from 0 to 1.
+func (q *quotas) used(account string) float64 { return q.ledger.Used(account, time.Now()) }
+
 // report tells the ledger of the registered gateways if they have changed, and publishes its
 // report if there is one. registered returns false while they are not known.
 func (q *quotas) report(registered func() ([]string, bool), publish func(quota.Report), now time.Time) {
