--- a/quota/counter.go
+++ b/quota/counter.go
@@ -10,6 +10,9 @@
 	reportAge = time.Second
 	// lowLevel is the part of a full bucket below which each change is reported at once.
 	lowLevel = 0.25
+	// repeatAfter is the time after which a counter is reported once more, in case that the
+	// report was lost and the account has fallen idle.
+	repeatAfter = 700 * time.Millisecond
 )
 
 // counter is the cumulative spending of an account at this gateway.
@@ -17,6 +20,8 @@
 	units, reported float64
 	// changed is the time of the first spending that isn't reported.
 	changed time.Time
+	// repeat is the time at which to report the counter once more, zero for never.
+	repeat time.Time
 }
 
 // add counts a cost in units.
@@ -35,7 +40,7 @@
 func (c *counter) due(b *bucket, share float64, gateways int, now time.Time) bool {
 	unreported := c.units - c.reported
 	if unreported <= 0 {
-		return false
+		return !c.repeat.IsZero() && !now.Before(c.repeat)
 	}
 	return unreported > b.limit.Burst/float64(reportParts*gateways) ||
 		now.Sub(c.changed) >= reportAge ||
@@ -43,7 +48,12 @@
 }
 
 // report returns the counter for a report and marks it as reported.
-func (c *counter) report(account string) Spending {
-	c.reported = max(c.reported, c.units)
+func (c *counter) report(account string, now time.Time) Spending {
+	if c.units > c.reported {
+		c.reported = c.units
+		c.repeat = now.Add(repeatAfter)
+	} else {
+		c.repeat = time.Time{}
+	}
 	return Spending{Account: account, Units: c.units}
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -11,8 +11,12 @@
 // ReportInterval is the time between two reports.
 const ReportInterval = 100 * time.Millisecond
 
-// fullGap is the shortest time between two reports of all counters.
-const fullGap = 700 * time.Millisecond
+const (
+	// fullGap is the shortest time between two reports of all counters.
+	fullGap = 700 * time.Millisecond
+	// fullReports is the number of them after a start of contact, as one may be lost.
+	fullReports = 2
+)
 
 // slackRise is the time after the start in which the slack becomes usable.
 const slackRise = 3 * time.Second
@@ -29,8 +33,8 @@
 	accounts accounts
 	// started is the time of the first call.
 	started time.Time
-	// fullDue is set when the next report has to have all counters.
-	fullDue  bool
+	// fullDue is the number of reports of all counters that are still to be sent.
+	fullDue  int
 	lastFull time.Time
 }
 
@@ -158,7 +162,9 @@
 	if changed {
 		l.reshare(now)
 	}
-	l.fullDue = l.fullDue || started
+	if started {
+		l.fullDue = fullReports
+	}
 	if p == nil {
 		return
 	}
@@ -257,9 +263,9 @@
 
 // spending returns the counters that belong in the next report.
 func (l *Ledger) spending(now time.Time) []Spending {
-	full := l.fullDue && now.Sub(l.lastFull) >= fullGap
+	full := l.fullDue > 0 && now.Sub(l.lastFull) >= fullGap
 	if full {
-		l.fullDue = false
+		l.fullDue--
 		l.lastFull = now
 	}
 	var spending []Spending
@@ -269,7 +275,7 @@
 		}
 		b.settle(l.share, now)
 		if full && b.own.units > 0 || b.own.due(b, l.share, len(l.contacts.names), now) {
-			spending = append(spending, b.own.report(b.account))
+			spending = append(spending, b.own.report(b.account, now))
 		}
 	}
 	return spending
