--- a/quota/peer.go
+++ b/quota/peer.go
@@ -67,13 +67,15 @@
 }
 
 // unseenPart returns the part of the spending in a gap that was made before the gap was
-// noticed, and so from the same share as this gateway's. Spending that has left the window of
+// noticed, and so from the same share as this gateway's. After that it is taken to have spent
+// half as fast, as its own share is smaller. Spending that has left the window of
 // the limits doesn't matter any more.
 func (p *peer) unseenPart() float64 {
 	if p.gap >= gapLimit {
 		return 0
 	}
-	return min(contactTimeout.Seconds()/p.gap.Seconds(), 1)
+	unnoticed := min(p.gap, contactTimeout)
+	return float64(unnoticed) / float64(unnoticed+(p.gap-unnoticed)/2)
 }
 
 // record keeps the counter of a slot.
@@ -100,6 +102,19 @@
 		p.since = now
 	case !p.hears(now):
 		p.gap = now.Sub(p.heard)
-		p.units, p.before = p.before[:0], p.units
+		p.keepBefore()
 	}
 }
+
+// keepBefore takes the known counters as those from before a gap. Counters that weren't
+// reported since the gap before stay.
+func (p *peer) keepBefore() {
+	for slot, units := range p.units {
+		if slot >= len(p.before) {
+			p.before = append(p.before, units)
+		} else if !math.IsNaN(units) {
+			p.before[slot] = units
+		}
+	}
+	p.units = p.units[:0]
+}
