rollout, peer: the age of a version doesn't depend on a time of day

Cause: gateways told each other when a version was named as Unix milliseconds, and the earliest time won. A gateway whose clock was seconds behind (or ahead, on the receiving side) made a version older for all others, so that engines with the weights before were left out seconds before the deadline; the error stayed when the clock was right again. On the code before, a target whose version is 3 s old and whose sender's clock is 9 s behind is required at once with a deadline of 12 s.

Change: gateways send the age by a monotonic clock beside the time of day, if a process has seen the version being named: this one, because it was running, or one that told it. Such an age decides. A time of day counts only while no such age is known: from the store for a process that starts later, from gateways of an earlier release, and from those that found the version when they started. The stored time of day is written from the age by the present clock.

Without the age in decoding, TestAgeOfVersionBetweenGateways and TestRelayedPlanKeepsAge fail; with versions of the first list taken for seen, TestStoredTimeOfDayCountsForGatewaysThatStartLater fails.

--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/platform"
 	"github.com/citrontiller/citrontiller/platform/platformtest"
@@ -30,12 +31,17 @@
 	store.Put(platform.ConfigKey, jsonText(announcedConfig))
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
+	return &restorableGateway{gatewayProcess: followStore(t, server.Listener.Addr().String()), t: t, store: store}
+}
+
+// followStore returns a gateway that follows the store at an address.
+func followStore(t *testing.T, address string) *gatewayProcess {
 	p := newProcess(Settings{PollWait: 4 * time.Second, LeaseTTL: 2 * time.Second}, platform.Settings{Name: "g0", Region: "r",
-		StoreAddress: server.Listener.Addr().String()}, zap.NewNop(), func() int64 { return 0 })
+		StoreAddress: address}, zap.NewNop(), func() int64 { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go p.mirror.Run(ctx)
-	return &restorableGateway{gatewayProcess: p, t: t, store: store}
+	return p
 }
 
 // waitFor waits at most 5 s until a condition holds.
@@ -135,3 +141,27 @@
 	}
 	return out
 }
+
+// Guards against a running gateway that takes the time of day of a stored plan for the age of
+// a version which it has seen being named. One that starts later has only that.
+func TestStoredTimeOfDayCountsForGatewaysThatStartLater(t *testing.T) {
+	is := is.New(t)
+	g := newRestorableGateway(t)
+	g.waitFor("configuration", func() bool { return g.mirror.Revision() > 0 })
+	want := catalog.Target{Model: "m", Version: 4}
+	g.store.Put(platform.TargetPrefix+"m", jsonText(`{"model":"m","version":4}`))
+	g.store.Put(rollout.PlanPrefix+"m", jsonText(fmt.Sprintf(`{"model":"m","version":4,"named_ms":%d}`, time.Now().Add(-time.Minute).UnixMilli())))
+	later := followStore(t, g.hostSettings.StoreAddress)
+	for _, gateway := range []*gatewayProcess{g.gatewayProcess, later} {
+		g.waitFor("plan", func() bool {
+			_, ok := gateway.mirror.Get(rollout.PlanPrefix + "m")
+			return ok && gateway.mirror.Revision() >= 3
+		})
+	}
+	named, witnessed := g.gateway.Targets.NamedAt(want)
+	is.True(witnessed)
+	is.True(time.Since(named) < 30*time.Second)
+	named, witnessed = later.gateway.Targets.NamedAt(want)
+	is.True(!witnessed)
+	is.True(time.Since(named) > 30*time.Second)
+}
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
@@ -50,7 +49,11 @@
 		p.log.Error("cannot decode weights version", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
-	if p.gateway.Targets.SetIfNewer(t, time.Now()) {
+	set := p.gateway.Targets.SetIfNewer
+	if p.mirror.Revision() == 0 {
+		set = p.gateway.Targets.SetFoundIfNewer // from the first list of the store
+	}
+	if set(t, time.Now()) {
 		p.log.Info("weights version named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("revision", pair.Revision))
 	}
 }
@@ -82,7 +85,7 @@
 // applyPlan applies a rollout plan of another gateway. It returns false if the plan
 // is not newer than the last one.
 func (p *gatewayProcess) applyPlan(plan rollout.Plan) bool {
-	p.gateway.Targets.Backdate(catalog.Target{Model: plan.Model, Version: plan.Version}, time.UnixMilli(plan.NamedMs))
+	plan.Backdate(p.gateway.Targets, time.Now())
 	return p.gateway.Directory.ApplyPlan(plan)
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -227,10 +227,10 @@
 func (s *Set) handleBatch(l *link, b *pb.Batch, now time.Time) {
 	sameRegion := l.record.Region == s.self.Region
 	for _, t := range b.Targets {
-		s.targets.Backdate(catalog.Target{Model: t.Model, Version: t.Version}, time.UnixMilli(t.NamedMs))
+		applyTarget(s.targets, t, now)
 	}
 	if b.Plan != nil {
-		s.receiver.PlanReceived(decodePlan(b.Plan), sameRegion)
+		s.receiver.PlanReceived(decodePlan(b.Plan, now), sameRegion)
 	}
 	if b.Revision > 0 {
 		s.receiver.RevisionReceived(infra.Revision(b.Era, b.Revision))
--- a/peer/events.go
+++ b/peer/events.go
@@ -3,12 +3,18 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/prefix"
 	"github.com/citrontiller/citrontiller/rollout"
 	"github.com/citrontiller/citrontiller/route"
 )
 
+// maxAge bounds a received age, so that it can't overflow.
+const maxAge = 10000 * time.Hour
+
 // eventCount returns the number of events and rate limits in a batch.
 func eventCount(b *pb.Batch) int {
 	return len(b.Dispatches) + len(b.Starts) + len(b.Ends) + len(b.RateLimits)
@@ -50,12 +56,54 @@
 	}
 }
 
-func encodePlan(p rollout.Plan) *pb.Plan {
-	return &pb.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs, Fence: p.Fence, Number: p.Number}
+func encodePlan(p rollout.Plan, now time.Time) *pb.Plan {
+	out := &pb.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs, Fence: p.Fence, Number: p.Number}
+	if !p.Named.IsZero() {
+		out.NamedMs = rollout.ClockMs(p.Named, now)
+	}
+	if p.Witnessed {
+		out.NamedAgeMs = encodeAge(p.Named, now)
+	}
+	return out
+}
+
+func decodePlan(p *pb.Plan, now time.Time) rollout.Plan {
+	out := rollout.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs, Fence: p.Fence, Number: p.Number}
+	if p.NamedAgeMs != nil {
+		out.Named, out.Witnessed = decodeAge(*p.NamedAgeMs, now), true
+	}
+	return out
+}
+
+// encodeTarget encodes when a version was named. Its age is told only if a process has seen
+// it being named.
+func encodeTarget(want catalog.Target, named time.Time, witnessed bool, now time.Time) *pb.Target {
+	out := &pb.Target{Model: want.Model, Version: want.Version, NamedMs: rollout.ClockMs(named, now)}
+	if witnessed {
+		out.NamedAgeMs = encodeAge(named, now)
+	}
+	return out
+}
+
+// applyTarget tells targets what another process knows of a version. A process of an earlier
+// release tells no age.
+func applyTarget(targets *rollout.Targets, t *pb.Target, now time.Time) {
+	want := catalog.Target{Model: t.Model, Version: t.Version}
+	if t.NamedAgeMs != nil {
+		targets.Backdate(want, decodeAge(*t.NamedAgeMs, now))
+		return
+	}
+	targets.BackdateByClock(want, t.NamedMs, now)
+}
+
+// encodeAge returns the age of a past time in milliseconds.
+func encodeAge(at, now time.Time) *int64 {
+	return proto.Int64(max(0, now.Sub(at).Milliseconds()))
 }
 
-func decodePlan(p *pb.Plan) rollout.Plan {
-	return rollout.Plan{Model: p.Model, Version: p.Version, Updating: p.Updating, Current: p.Current, NamedMs: p.NamedMs, Fence: p.Fence, Number: p.Number}
+// decodeAge returns the time of an age in milliseconds by this process's clock.
+func decodeAge(ms int64, now time.Time) time.Time {
+	return now.Add(-time.Duration(min(max(0, ms), maxAge.Milliseconds())) * time.Millisecond)
 }
 
 func encodeHoldings(holdings []route.Holding) []*pb.Holding {
--- a/peer/server.go
+++ b/peer/server.go
@@ -79,7 +79,7 @@
 
 // PublishPlan sends a rollout plan of this process to all followers. It never blocks.
 func (s *Server) PublishPlan(p rollout.Plan) {
-	s.broadcast(&pb.Batch{Plan: encodePlan(p)})
+	s.broadcast(&pb.Batch{Plan: encodePlan(p, time.Now())})
 }
 
 // broadcast sends a batch to all followers.
@@ -102,7 +102,7 @@
 // RelayPlan passes on a plan of another process to the regions that don't have it from
 // that process. It never blocks.
 func (s *Server) RelayPlan(p rollout.Plan, sameRegion bool) {
-	s.relay(&pb.Batch{Plan: encodePlan(p)}, sameRegion)
+	s.relay(&pb.Batch{Plan: encodePlan(p, time.Now())}, sameRegion)
 }
 
 // PublishDigest sends a digest of the own region's engines to the relays of other
@@ -168,11 +168,11 @@
 // initialBatch returns the first batch for a follower: the copy's revision, the known
 // versions and what endpoints have announced.
 func (s *Server) initialBatch() *pb.Batch {
-	revision := s.replica.Revision()
+	revision, now := s.replica.Revision(), time.Now()
 	b := &pb.Batch{Era: infra.Era(revision), Revision: infra.RevisionNumber(revision), Leaving: encodeIncarnations(s.announcements.LeavingEndpoints()),
-		RateLimits: encodeRateLimits(s.announcements.RateLimits(), time.Now())}
-	s.targets.Each(func(want catalog.Target, named time.Time) {
-		b.Targets = append(b.Targets, &pb.Target{Model: want.Model, Version: want.Version, NamedMs: named.UnixMilli()})
+		RateLimits: encodeRateLimits(s.announcements.RateLimits(), now)}
+	s.targets.Each(func(want catalog.Target, named time.Time, witnessed bool) {
+		b.Targets = append(b.Targets, encodeTarget(want, named, witnessed, now))
 	})
 	return b
 }
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -56,7 +56,12 @@
 	Version int64  `json:"version"`
 	// Updating holds the ids of the engines that load the version or are about to.
 	Updating []string `json:"updating"`
-	// NamedMs is when the operator named the version, in Unix milliseconds.
+	// Named is when the operator named the version, by this process's monotonic clock.
+	// Witnessed is true if a process has seen it; see Targets.NamedAt.
+	Named     time.Time `json:"-"`
+	Witnessed bool      `json:"-"`
+	// NamedMs is the same time of day in Unix milliseconds, for processes that start later
+	// or are of an earlier release; 0 when not known.
 	NamedMs int64 `json:"named_ms"`
 	// Current holds the ids of the engines that the holder has updated to the version.
 	Current []string `json:"current"`
@@ -66,6 +71,25 @@
 	Number int64 `json:"number"`
 }
 
+// Backdate tells targets when the plan's version was named. now is the present time.
+func (p Plan) Backdate(t *Targets, now time.Time) {
+	want := catalog.Target{Model: p.Model, Version: p.Version}
+	if p.Witnessed {
+		t.Backdate(want, p.Named)
+		return
+	}
+	t.BackdateByClock(want, p.NamedMs, now)
+}
+
+// ClockMs returns a past time as a time of day in Unix milliseconds by the present clock,
+// whatever the clock showed then; 0 for the zero time.
+func ClockMs(at, now time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return now.UnixMilli() - now.Sub(at).Milliseconds()
+}
+
 // Newer reports whether p was announced after old. Plans may arrive twice and out of
 // order. A plan without a fence, from a process of an older release, counts as newer.
 func (p Plan) Newer(old Plan) bool {
@@ -294,6 +318,7 @@
 	key := PlanPrefix + plan.Model
 	plan.Updating, plan.Current = nil, nil // valid only while the holder repeats its announcements
 	plan.Number = 0                        // never newer than an announcement
+	plan.NamedMs = ClockMs(plan.Named, time.Now())
 	text, err := json.Marshal(plan)
 	if err != nil {
 		panic(err) // can't happen: strings and integers always encode
@@ -314,8 +339,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.models[want.Model]
-	out := Plan{Model: want.Model, Version: want.Version, Updating: []string{}, Current: []string{},
-		NamedMs: t.Targets.NamedAt(want).UnixMilli(), Fence: t.held.Fence}
+	out := Plan{Model: want.Model, Version: want.Version, Updating: []string{}, Current: []string{}, Fence: t.held.Fence}
+	out.Named, out.Witnessed = t.Targets.NamedAt(want)
 	for id := range p.updating {
 		out.Updating = append(out.Updating, id)
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -366,7 +366,8 @@
 		if !planFirst {
 			targets.Backdate(want, named)
 		}
-		is.Equal(targets.NamedAt(want), named)
+		at, _ := targets.NamedAt(want)
+		is.Equal(at, named)
 		required, _ := targets.Version("m", start.Add(4*time.Second))
 		is.Equal(required, int64(4))
 	}
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -33,24 +33,35 @@
 	mu sync.Mutex
 	// models maps each model to its targets in ascending order of version.
 	models map[string][]target
-	// earlyTimes holds the naming times of versions that are not in models yet,
+	// early holds what is known of the naming of versions that are not in models yet,
 	// because a starting process reads the store's keys in any order.
-	earlyTimes map[catalog.Target]time.Time
+	early map[catalog.Target]naming
 }
 
-// target is a version with the time at which it was named.
+// target is a version with what is known of its naming.
 type target struct {
 	version int64
-	namedAt time.Time
+	naming
 }
 
-// maxTargets bounds the versions kept for a model, and the entries of earlyTimes.
+// maxTargets bounds the versions kept for a model, and the entries of early.
 // The deadlines of older versions have passed.
 const maxTargets = 32
 
 // SetIfNewer adds a wanted version if it is newer than the known ones, and reports
-// whether it was. now is its naming time unless Backdate has set an earlier one.
+// whether it was. The process has seen it being named at a time.
 func (t *Targets) SetIfNewer(want catalog.Target, now time.Time) bool {
+	return t.setIfNewer(want, naming{foundAt: now, witnessedAt: now})
+}
+
+// SetFoundIfNewer is SetIfNewer for a version that the process found when it started: it
+// was named earlier. The time counts until another process tells its age, or the store the
+// time of day.
+func (t *Targets) SetFoundIfNewer(want catalog.Target, now time.Time) bool {
+	return t.setIfNewer(want, naming{foundAt: now})
+}
+
+func (t *Targets) setIfNewer(want catalog.Target, n naming) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.models == nil {
@@ -63,68 +74,73 @@
 	if len(known) >= maxTargets {
 		known = known[1:]
 	}
-	if named, ok := t.earlyTimes[want]; ok {
-		delete(t.earlyTimes, want)
-		if named.Before(now) {
-			now = named
-		}
-	}
-	t.models[want.Model] = append(known, target{want.Version, now})
+	n = n.merge(t.early[want])
+	delete(t.early, want)
+	t.models[want.Model] = append(known, target{want.Version, n})
 	return true
 }
 
-// Backdate sets the time at which a version was named, as another process reports
-// it to one that has started since. A time after the known one is ignored.
+// Backdate sets the time at which a version was named, as a process that has seen it tells
+// it by its age. A time after the known one is ignored.
 func (t *Targets) Backdate(want catalog.Target, named time.Time) {
+	t.report(want, naming{witnessedAt: named})
+}
+
+// BackdateByClock sets the time at which a version was named from a time of day in Unix
+// milliseconds, as the store and processes of an earlier release tell it; 0 and less is not
+// known. now is the present time. It counts only for a version of which no process that has
+// seen it being named has told the age. The clocks of two hosts may differ by seconds: the
+// result is then wrong by as much, but never later than now, nor earlier by more than
+// maxClockAge.
+func (t *Targets) BackdateByClock(want catalog.Target, namedMs int64, now time.Time) {
+	if namedMs <= 0 {
+		return
+	}
+	age := time.Duration(min(max(0, now.UnixMilli()-namedMs), maxClockAge.Milliseconds())) * time.Millisecond
+	t.report(want, naming{clockAt: now.Add(-age)})
+}
+
+// report adds what another process, or the store, tells of a version's naming.
+func (t *Targets) report(want catalog.Target, n naming) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.models[want.Model]
 	for i := range known {
 		if known[i].version == want.Version {
-			if named.Before(known[i].namedAt) {
-				known[i].namedAt = named
-			}
+			known[i].naming = known[i].merge(n)
 			return
 		}
 	}
 	if len(known) > 0 && known[len(known)-1].version > want.Version {
 		return // an older version that is not kept here
 	}
-	t.storeEarlyTime(want, named)
-}
-
-// storeEarlyTime keeps the naming time of a version that is not in models yet;
-// the caller holds mu.
-func (t *Targets) storeEarlyTime(want catalog.Target, named time.Time) {
-	if t.earlyTimes == nil || len(t.earlyTimes) >= maxTargets {
-		t.earlyTimes = map[catalog.Target]time.Time{}
-	}
-	if old, ok := t.earlyTimes[want]; !ok || named.Before(old) {
-		t.earlyTimes[want] = named
+	if t.early == nil || len(t.early) >= maxTargets {
+		t.early = map[catalog.Target]naming{}
 	}
+	t.early[want] = t.early[want].merge(n)
 }
 
-// NamedAt returns the earliest known time at which a version was named, the zero
-// time for an unknown version.
-func (t *Targets) NamedAt(want catalog.Target) time.Time {
+// NamedAt returns when a version was named as far as it is known, the zero time for an
+// unknown version. witnessed is true if the time comes from a process that has seen it.
+func (t *Targets) NamedAt(want catalog.Target) (named time.Time, witnessed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.models[want.Model] {
 		if v.version == want.Version {
-			return v.namedAt
+			return v.at(), v.witnessed()
 		}
 	}
-	return time.Time{}
+	return time.Time{}, false
 }
 
-// Each calls f for each known version with the time at which it was named. f must
-// not call methods of t.
-func (t *Targets) Each(f func(want catalog.Target, named time.Time)) {
+// Each calls f for each known version with the result of NamedAt. f must not call methods
+// of t.
+func (t *Targets) Each(f func(want catalog.Target, named time.Time, witnessed bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for model, known := range t.models {
 		for _, v := range known {
-			f(catalog.Target{Model: model, Version: v.version}, v.namedAt)
+			f(catalog.Target{Model: model, Version: v.version}, v.at(), v.witnessed())
 		}
 	}
 }
@@ -150,7 +166,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, v := range t.models[model] {
-		age := now.Sub(v.namedAt)
+		age := now.Sub(v.at())
 		if age > preferAfter {
 			preferred = v.version
 		}
