--- a/internal/retryafter/retryafter_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -21,3 +21,15 @@
 		})
 	}
 }
+
+// Guards against a pause that is too long or left out because the clock of the server, or of
+// this host, is ahead or behind.
+func TestDateCountsFromResponse(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	for _, ahead := range []time.Duration{-9 * time.Second, 0, 9 * time.Second} {
+		server := now.Add(ahead)
+		h := http.Header{"Date": {server.Format(http.TimeFormat)}, "Retry-After": {server.Add(3 * time.Second).Format(http.TimeFormat)}}
+		is.Equal(Parse(h, now), 3*time.Second)
+	}
+}
