gatewayd: stored blocks of prompt parts end by the monotonic clock

Cause: a block read from the store kept its end as a time of day, so that each later jump of the clock ended it early or late, and an end written by a clock far ahead held for as long as the clock was wrong.

Change: the time of day is read once, when the value is decoded. The block then ends by the monotonic clock, at most BlockTime from then. A block is stored with its end by the present clock. TestStoredBlockEndsByMonotonicClock. Passed with the race detector: the tests of blocks, quarantine and restored stores in internal/gatewayd, peer and gateway.

--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -108,7 +108,7 @@
 func (p *gatewayProcess) storeBlock(b quarantine.Block) {
 	ctx, cancel := context.WithDeadline(context.Background(), b.Until)
 	defer cancel()
-	value, err := json.Marshal(blockRecord{Service: b.Service, Part: b.ID, UntilMs: b.Until.UnixMilli(), Crashes: b.Crashes})
+	value, err := json.Marshal(newBlockRecord(b, time.Now()))
 	if err != nil {
 		p.log.Error("cannot encode block", zap.String("part", b.ID), zap.Error(err))
 		return
@@ -149,13 +149,21 @@
 	}
 }
 
-// decodeBlock decodes the value of a blocked part's key.
-func decodeBlock(value []byte) (quarantine.Block, error) {
+// newBlockRecord returns the value of a blocked part's key. The end is by the present clock,
+// whatever the clock showed when the block was decided.
+func newBlockRecord(b quarantine.Block, now time.Time) blockRecord {
+	return blockRecord{Service: b.Service, Part: b.ID, UntilMs: now.UnixMilli() + b.Until.Sub(now).Milliseconds(), Crashes: b.Crashes}
+}
+
+// decodeBlock decodes the value of a blocked part's key at a time. The time of day is read
+// once: the block ends by the monotonic clock, at most BlockTime from now.
+func decodeBlock(value []byte, now time.Time) (quarantine.Block, error) {
 	var r blockRecord
 	if err := json.Unmarshal(value, &r); err != nil {
 		return quarantine.Block{}, fmt.Errorf("decode block: %w", err)
 	}
-	return quarantine.Block{Part: quarantine.Part{Service: r.Service, ID: r.Part}, Crashes: r.Crashes, Until: time.UnixMilli(r.UntilMs)}, nil
+	left := min(max(0, r.UntilMs-now.UnixMilli()), quarantine.BlockTime.Milliseconds())
+	return quarantine.Block{Part: quarantine.Part{Service: r.Service, ID: r.Part}, Crashes: r.Crashes, Until: now.Add(time.Duration(left) * time.Millisecond)}, nil
 }
 
 // retainLost reports whether a pair that a restored store lacks stays in force: a block that
@@ -164,8 +172,9 @@
 	if !strings.HasPrefix(pair.Key, blockPrefix) {
 		return false
 	}
-	b, err := decodeBlock(pair.Value)
-	return err == nil && time.Now().Before(b.Until)
+	now := time.Now()
+	b, err := decodeBlock(pair.Value, now)
+	return err == nil && now.Before(b.Until)
 }
 
 // onStoreRestored writes again what a restored store has lost of this system's own keys:
@@ -180,7 +189,7 @@
 		return
 	}
 	for _, pair := range lost {
-		b, err := decodeBlock(pair.Value)
+		b, err := decodeBlock(pair.Value, time.Now())
 		if err != nil {
 			p.log.Warn("cannot decode block", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
 			continue
@@ -197,7 +206,7 @@
 		p.unblock(ev.Key)
 		return
 	}
-	b, err := decodeBlock(ev.Value)
+	b, err := decodeBlock(ev.Value, time.Now())
 	if err != nil {
 		p.log.Warn("cannot decode block", zap.String("key", ev.Key), zap.Int64("revision", ev.Revision), zap.Error(err))
 		return
--- a/internal/gatewayd/quarantine_test.go
+++ b/internal/gatewayd/quarantine_test.go
@@ -39,6 +39,25 @@
 	is.Equal(p.quarantine.Enter([]quarantine.Part{part}, time.Now()).Verdict, quarantine.Allowed)
 }
 
+// Guards against a block that ends early or late because the time of day jumps while it is in
+// force, and against one whose end was written by a clock far ahead.
+func TestStoredBlockEndsByMonotonicClock(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	left := func(untilMs int64) time.Duration {
+		value, err := json.Marshal(blockRecord{Service: "s", Part: "deadly", UntilMs: untilMs})
+		is.NoErr(err)
+		b, err := decodeBlock(value, now)
+		is.NoErr(err)
+		is.True(strings.Contains(b.Until.String(), " m=")) // has a monotonic reading
+		return b.Until.Sub(now)
+	}
+	is.Equal(left(now.UnixMilli()+60_000), time.Minute)
+	is.Equal(left(now.Add(time.Hour).UnixMilli()), quarantine.BlockTime)
+	is.Equal(left(now.Add(-time.Hour).UnixMilli()), time.Duration(0))
+	is.Equal(newBlockRecord(quarantine.Block{Until: now.Add(time.Minute)}, now).UntilMs, now.UnixMilli()+60_000)
+}
+
 // Guards against a decision that is lost: the log line of a block panicked, so that the
 // request was aborted and the block was neither published nor written to the store.
 func TestBlockIsLoggedAndStored(t *testing.T) {
