process: the error of a flag names the variable of its help

Change: process.Variable has the two names that don't follow the rule and splits joined flags; all errors of flags are process.SettingError.

--- a/internal/entryd/entryd.go
+++ b/internal/entryd/entryd.go
@@ -35,7 +35,7 @@
 	}
 	log, err := process.Logger(s.LogLevel)
 	if err != nil {
-		return &process.SettingError{Flag: "--log-level", Value: s.LogLevel, Allowed: "debug, info, warn, error"}
+		return err
 	}
 	reg := newRegistry()
 	srv, err := newServer(ctx, s, log, reg)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,7 +15,7 @@
 )
 
 // Logger returns a logger that writes one line of key=value pairs per event to
-// standard error. level is debug, info, warn or error.
+// standard error. level is debug, info, warn or error; the error is a *SettingError.
 func Logger(level string) (*zap.Logger, error) {
 	return LoggerTo(zapcore.Lock(os.Stderr), level)
 }
@@ -25,7 +24,7 @@
 func LoggerTo(out zapcore.WriteSyncer, level string) (*zap.Logger, error) {
 	lv, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("--log-level: got %q, allowed: debug, info, warn, error", level)
+		return nil, &SettingError{Flag: "--log-level", Value: level, Allowed: "debug, info, warn, error"}
 	}
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
--- a/internal/process/setting.go
+++ b/internal/process/setting.go
@@ -12,7 +12,7 @@
 // SettingError reports that the value of a flag, or of its environment variable,
 // is not allowed.
 type SettingError struct {
-	// Flag is the name on the command line, e.g. "--listen".
+	// Flag is the name on the command line, e.g. "--listen"; several are joined by " and ".
 	Flag    string
 	Value   string
 	Allowed string
@@ -25,7 +25,7 @@
 	if e.Value != "" {
 		value = fmt.Sprintf("%q", e.Value)
 	}
-	s := fmt.Sprintf("%s (or %s): got %s, allowed: %s", e.Flag, environmentVariable(e.Flag), value, e.Allowed)
+	s := fmt.Sprintf("%s (or %s): got %s, allowed: %s", e.Flag, Variable(e.Flag), value, e.Allowed)
 	if e.Err != nil {
 		s += ": " + e.Err.Error()
 	}
@@ -35,8 +35,21 @@
 // Unwrap returns the cause.
 func (e *SettingError) Unwrap() error { return e.Err }
 
-// environmentVariable returns the name of a flag's environment variable.
-func environmentVariable(flag string) string {
+// variables holds the environment variables that aren't named after their flags.
+var variables = map[string]string{
+	"--entry":    "CITRONTILLER_ENTRIES",
+	"--settings": "CITRONTILLER_BOOT", // set by the platform
+}
+
+// Variable returns the name of a flag's environment variable, as the help has it. Several
+// flags and their variables are joined by " and ".
+func Variable(flag string) string {
+	if first, others, several := strings.Cut(flag, " and "); several {
+		return Variable(first) + " and " + Variable(others)
+	}
+	if name, ok := variables[flag]; ok {
+		return name
+	}
 	return "CITRONTILLER_" + strings.ToUpper(strings.ReplaceAll(strings.TrimPrefix(flag, "--"), "-", "_"))
 }
 
--- a/operator/entries.go
+++ b/operator/entries.go
@@ -22,13 +22,13 @@
 // addresses returns the base URLs of the operator APIs.
 func (e EntryFlags) addresses() ([]string, error) {
 	if len(e.Entry) == 0 {
-		return nil, usageErrorf("--entry (or the environment's CITRONTILLER_ENTRIES): got nothing, allowed: ip:port of an operator API, repeatable")
+		return nil, settingError("--entry", "", "ip:port of an operator API, repeatable")
 	}
 	out := make([]string, len(e.Entry))
 	for i, v := range e.Entry {
 		host := strings.TrimPrefix(v, "http://")
 		if _, port, err := net.SplitHostPort(host); err != nil || port == "" {
-			return nil, usageErrorf("--entry: got %q, allowed: ip:port", v)
+			return nil, settingError("--entry", v, "ip:port")
 		}
 		out[i] = (&url.URL{Scheme: "http", Host: host}).String()
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -88,6 +88,11 @@
 	return &Error{Exit: ExitUsage, Message: fmt.Sprintf(format, args...)}
 }
 
+// settingError returns an *Error with ExitUsage that wraps a *process.SettingError.
+func settingError(flag, value, allowed string) *Error {
+	return &Error{Exit: ExitUsage, Err: &process.SettingError{Flag: flag, Value: value, Allowed: allowed}}
+}
+
 // toError converts an error to an *Error with the exit status for its type.
 func toError(err error) *Error {
 	var e *Error
--- a/operator/service.go
+++ b/operator/service.go
@@ -9,6 +9,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/citrontiller/citrontiller/config"
@@ -72,10 +73,10 @@
 		a.Author = os.Getenv("USER")
 	}
 	if a.Author == "" {
-		return usageErrorf("--author: got nothing, allowed: a name; the environment's USER is empty too")
+		return settingError("--author", "", "a name; the environment's USER is empty too")
 	}
 	if a.Base != nil && *a.Base < 0 {
-		return usageErrorf("--base: got %d, allowed: a generation of 0 or more", *a.Base)
+		return settingError("--base", strconv.FormatInt(*a.Base, 10), "a generation of 0 or more")
 	}
 	input, err := a.read(streams.In)
 	if err != nil {
