gateway: the successor at an address is found although its clock jumped back

Cause: of the endpoints listed at an address, the one with the highest start time was used. Start times are the time of day of the endpoint's host. When its clock jumped back between the end of one and the start of the next, the new endpoint got no requests until the entry of the old one had ended.

Change: start times within 10 s of each other don't decide; the entry with the higher revision does, since the endpoint that started later has written its entry later. Entries of different eras of the store are ordered by start times as before. Equal start times still don't decide. The revision is that of the first entry that this process has seen, so that an old entry which is written once more doesn't count as new. TestSuccessorAfterClockJump fails on the code before.

--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"go.uber.org/zap"
+
+	"github.com/citrontiller/citrontiller/infra"
 )
 
 // addressIndex holds the ids of the listed endpoints by address. Usually there is one at
@@ -29,14 +31,15 @@
 // and publishes those for which that has changed. The caller holds mu.
 func (d *Directory) updateSuperseded(address string) {
 	ids := d.byAddress[address]
-	newest := int64(0)
+	var latest *endpointRecord
 	for _, id := range ids {
-		newest = max(newest, d.endpoints[id].startedMs())
+		if r := d.endpoints[id]; latest == nil || latest.startedMs() == 0 || r.succeeds(latest) {
+			latest = r
+		}
 	}
 	for _, id := range ids {
 		r := d.endpoints[id]
-		started := r.startedMs()
-		superseded := started > 0 && started < newest
+		superseded := latest.succeeds(r)
 		if superseded == r.superseded {
 			continue
 		}
@@ -46,6 +49,26 @@
 	}
 }
 
+// maxClockJumpMs is the difference of two start times, in milliseconds, up to which the
+// clock of their host may have jumped in between.
+const maxClockJumpMs = 10_000
+
+// succeeds reports whether the endpoint started after another one at its address. Start times
+// that differ a little don't decide, since the clock of the host may have jumped: the endpoint
+// that started later has written its entry later. A restored store keeps no such order with
+// entries of before. Equal start times are those of one process.
+func (r *endpointRecord) succeeds(other *endpointRecord) bool {
+	started, before := r.startedMs(), other.startedMs()
+	if started == 0 || before == 0 || started == before {
+		return false
+	}
+	near := max(started-before, before-started) <= maxClockJumpMs
+	if near && r.revision != other.revision && infra.Era(r.revision) == infra.Era(other.revision) {
+		return r.revision > other.revision
+	}
+	return started > before
+}
+
 // startedMs returns the endpoint's start in Unix milliseconds, 0 if it is not known.
 func (r *endpointRecord) startedMs() int64 {
 	ms, err := strconv.ParseInt(r.BootID, 10, 64)
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -59,6 +59,8 @@
 	catalog.Endpoint
 	load           Load
 	weightsVersion int64
+	// revision is that of the first entry which this process has seen of the incarnation.
+	revision int64
 	// superseded is true while an endpoint that started later is listed at the same address.
 	superseded bool
 }
@@ -70,14 +72,17 @@
 }
 
 // Put adds an endpoint or replaces its list entry. revision is the entry's
-// revision, for the log.
+// revision in the store.
 func (d *Directory) Put(e catalog.Endpoint, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.endpoints[e.ID]
-	r := &endpointRecord{Endpoint: e, weightsVersion: highestVersion(e.Weights)}
+	r := &endpointRecord{Endpoint: e, weightsVersion: highestVersion(e.Weights), revision: revision}
 	if old != nil && old.BootID == e.BootID {
 		r.load, r.superseded = old.load, old.superseded
+		if old.Address == e.Address {
+			r.revision = old.revision
+		}
 	}
 	d.endpoints[e.ID] = r
 	if old != nil && old.Address != e.Address {
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -124,3 +125,37 @@
 	put(4, "odd", "192.0.2.1:80") // its start is not known
 	is.Equal(ready(), []string{"i-1", "i-3", "i-4"})
 }
+
+// Guards against an endpoint that is taken for the one before it at its address, and gets no
+// requests, because the clock of its host jumped back between the two starts.
+func TestSuccessorAfterClockJump(t *testing.T) {
+	is := is.New(t)
+	members := member.NewTracker()
+	d := NewDirectory(members, route.NewTracker(), zap.NewNop())
+	ready := func() (ids []string) {
+		for _, e := range members.Service("s") {
+			if e.State == member.Ready {
+				ids = append(ids, e.ID)
+			}
+		}
+		return ids
+	}
+	put := func(i int, startedMs, revision int64) {
+		e := listedEndpoint(i)
+		e.BootID, e.Address = strconv.FormatInt(startedMs, 10), "192.0.2.1:80"
+		d.Put(e, revision)
+	}
+	put(1, 100_000, 5)
+	put(2, 97_000, 6) // started 2 s later by a clock that was 5 s ahead before
+	is.Equal(ready(), []string{"i-2"})
+	put(1, 100_000, 7) // its entry is written once more
+	is.Equal(ready(), []string{"i-2"})
+	d.Remove("i-1", 8)
+	put(1, 100_000, infra.Revision(1, 4)) // listed again by a restored store, which doesn't know the successor yet
+	is.Equal(ready(), []string{"i-1"})    // the start times alone decide
+	d.Remove("i-2", 9)
+	put(2, 97_000, infra.Revision(1, 5))
+	is.Equal(ready(), []string{"i-2"})
+	put(3, 40_000, infra.Revision(1, 6)) // an entry of long before that is written once more
+	is.Equal(ready(), []string{"i-2"})
+}
