operator: command check for platform configurations

`citrontiller check FILE [--in-force FILE] [--strict] [--json]` prints the findings and what differs from the configuration in force.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -37,8 +37,8 @@
 // ExitHelp is the description of the exit statuses in the help text.
 const ExitHelp = `Exit status:
   0  done
-  1  failed: a system did not answer, or something was not found
-  2  wrong flag, argument or environment variable
+  1  failed: a system did not answer, or something was not found; check --strict: warnings
+  2  wrong flag, argument or environment variable; check: the configuration has errors
   3  refused because another edit was accepted first; the difference is shown
   4  the service document is not valid; every problem is shown`
 
@@ -132,6 +132,7 @@
 	Service *Service `arg:"subcommand:service" help:"edit and read service documents"`
 	Status  *Status  `arg:"subcommand:status" help:"show generations, readiness and endpoints by state"`
 	Explain *Explain `arg:"subcommand:explain" help:"show why a request went where it did"`
+	Check   *Check   `arg:"subcommand:check" help:"check a platform configuration without any network"`
 }
 
 // OutputFlags are the flags that select the output format.
@@ -166,6 +167,8 @@
 		return c.Status
 	case c.Explain != nil:
 		return c.Explain
+	case c.Check != nil:
+		return c.Check
 	case c.Service == nil:
 		return nil
 	}
@@ -192,7 +195,7 @@
 func (c *Commands) Run(ctx context.Context, streams Streams) int {
 	cmd := c.selected()
 	if cmd == nil {
-		fmt.Fprintln(streams.Err, "citrontiller: a command is missing: entry, service (apply, get, validate, diff, history or list), status, explain")
+		fmt.Fprintln(streams.Err, "citrontiller: a command is missing: entry, service (apply, get, validate, diff, history or list), status, explain, check")
 		return ExitUsage
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
