gatewayd: a configuration with errors isn't put in force

Gateways make the checks of `citrontiller check`. On an error (malformed, negative number, unknown unit of a quota) the version before stays in force, and the log says which fields are wrong; the number of warnings is logged with the version in force.

--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/catalog/check"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
@@ -36,11 +37,29 @@
 		p.log.Error("cannot decode configuration", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
+	findings, _ := platform.CheckConfig(pair.Value)
+	if errs := check.Errors(findings); len(errs) > 0 {
+		p.log.Error("configuration has errors; the one before stays in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
+			zap.Int("errors", len(errs)), zap.String("first", findingList(errs)))
+		return
+	}
 	if p.gateway.Config.SetIfNewer(c) {
 		p.gateway.Directory.SetKVCapacityTokens(c.KVCapacityTokens)
 		p.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
-			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)))
+			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)), zap.Int("warnings", len(findings)))
+	}
+}
+
+// maxLoggedFindings bounds the findings of a configuration in a log line.
+const maxLoggedFindings = 4
+
+// findingList returns the first findings as field: message, separated by semicolons.
+func findingList(findings []check.Finding) string {
+	var out []string
+	for _, f := range findings[:min(len(findings), maxLoggedFindings)] {
+		out = append(out, platform.FieldName(f.Field)+": "+f.Message)
 	}
+	return strings.Join(out, "; ")
 }
 
 func (p *gatewayProcess) applyTarget(pair infra.Pair) {
