--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/citrontiller/citrontiller/catalog"
+	"github.com/citrontiller/citrontiller/catalog/check"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer"
 	"github.com/citrontiller/citrontiller/platform"
@@ -37,23 +37,45 @@
 		p.log.Error("cannot decode configuration", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
+	findings, _ := platform.CheckConfig(pair.Value)
+	if errs := check.Errors(findings); len(errs) > 0 {
+		p.log.Error("configuration has errors; the one before stays in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
+			zap.Int("errors", len(errs)), zap.String("first", findingList(errs)))
+		return
+	}
 	if current := p.gateway.Config.Current(); current == nil || current.Version < c.Version {
 		p.quotas.setLimits(c.Quotas(), time.Now()) // before requests are accepted under the configuration
 	}
 	if p.gateway.Config.SetIfNewer(c) {
 		p.gateway.Directory.SetKVCapacityTokens(c.KVCapacityTokens)
 		p.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
-			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)))
+			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)), zap.Int("warnings", len(findings)))
 	}
 }
 
+// maxLoggedFindings bounds the findings of a configuration in a log line.
+const maxLoggedFindings = 4
+
+// findingList returns the first findings as field: message, separated by semicolons.
+func findingList(findings []check.Finding) string {
+	var out []string
+	for _, f := range findings[:min(len(findings), maxLoggedFindings)] {
+		out = append(out, platform.FieldName(f.Field)+": "+f.Message)
+	}
+	return strings.Join(out, "; ")
+}
+
 func (p *gatewayProcess) applyTarget(pair infra.Pair) {
 	t, err := platform.DecodeTarget(pair.Value)
 	if err != nil {
 		p.log.Error("cannot decode weights version", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
-	if p.gateway.Targets.SetIfNewer(t, time.Now()) {
+	set := p.gateway.Targets.SetIfNewer
+	if p.mirror.Revision() == 0 {
+		set = p.gateway.Targets.SetFoundIfNewer // from the first list of the store
+	}
+	if set(t, time.Now()) {
 		p.log.Info("weights version named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("revision", pair.Revision))
 	}
 }
@@ -85,7 +107,7 @@
 // applyPlan applies a rollout plan of another gateway. It returns false if the plan
 // is not newer than the last one.
 func (p *gatewayProcess) applyPlan(plan rollout.Plan) bool {
-	p.gateway.Targets.Backdate(catalog.Target{Model: plan.Model, Version: plan.Version}, time.UnixMilli(plan.NamedMs))
+	plan.Backdate(p.gateway.Targets, time.Now())
 	return p.gateway.Directory.ApplyPlan(plan)
 }
 
