mirror, gatewayd: a version found after an outage counts as named earlier

Cause: with the age of versions, a gateway that was cut off from the store and from its peers took a version that was named meanwhile for new, and ignored the stored time of day until a peer told the age. Older weights could serve past the deadline.

Change: Mirror.IsLive tells whether changes are applied as they are made. Passed with the race detector: mirror, rollout, internal/gatewayd.

--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -68,9 +68,9 @@
 		p.log.Error("cannot decode weights version", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
-	set := p.gateway.Targets.SetIfNewer
-	if p.mirror.Revision() == 0 {
-		set = p.gateway.Targets.SetFoundIfNewer // from the first list of the store
+	set := p.gateway.Targets.SetFoundIfNewer
+	if p.mirror.IsLive() {
+		set = p.gateway.Targets.SetIfNewer
 	}
 	if set(t, time.Now()) {
 		p.log.Info("weights version named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("revision", pair.Revision))
--- a/mirror/share.go
+++ b/mirror/share.go
@@ -126,6 +126,14 @@
 // Revision returns the revision of the copy.
 func (m *Mirror) Revision() int64 { return m.position() }
 
+// IsLive reports whether changes that are applied now were made just before. It is false for
+// those of the first list, and of an outage until rejoinGrace after it.
+func (m *Mirror) IsLive() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.revision > 0 && !m.lost && time.Since(m.resumedAt) > rejoinGrace
+}
+
 // Fallback supplies changes from another process's copy while the service doesn't
 // respond, or responds without the newest changes.
 type Fallback interface {
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -54,8 +54,8 @@
 	return t.setIfNewer(want, naming{foundAt: now, witnessedAt: now})
 }
 
-// SetFoundIfNewer is SetIfNewer for a version that the process found when it started: it
-// was named earlier. The time counts until another process tells its age, or the store the
+// SetFoundIfNewer is SetIfNewer for a version that the process found when it started, or
+// after it was cut off from the store: it was named earlier. The time counts until another process tells its age, or the store the
 // time of day.
 func (t *Targets) SetFoundIfNewer(want catalog.Target, now time.Time) bool {
 	return t.setIfNewer(want, naming{foundAt: now})
