admit: requests that can be on time leave a queue before late ones

Earliest deadline first made all requests wait for about 3 s in a sustained overload, so that most were late. Within a priority, a request that can still be answered within its target latency now goes before one that can't. One that isn't expected to be sent on time when it arrives waits among the late ones.

--- a/admit/durations.go
+++ b/admit/durations.go
@@ -68,9 +68,9 @@
 	return float64(over) / float64(len(known)), true
 }
 
-// Median returns the median duration of a route's latest requests. It returns false if too
-// few are known.
-func (d *Durations) Median(route string) (time.Duration, bool) {
+// Quantile returns a quantile, from 0 to 1, of the durations of a route's latest requests. It
+// returns false if too few are known.
+func (d *Durations) Quantile(route string, quantile float64) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.routes == nil {
@@ -81,5 +81,6 @@
 		return 0, false
 	}
 	known := slices.Sorted(slices.Values(ring.ms[:min(ring.n, durationSamples)]))
-	return time.Duration(known[len(known)/2]) * time.Millisecond, true
+	at := min(len(known)-1, int(quantile*float64(len(known))))
+	return time.Duration(known[at]) * time.Millisecond, true
 }
--- a/admit/waitload_test.go
+++ b/admit/waitload_test.go
@@ -13,12 +13,13 @@
 // kind is a kind of request in a load.
 type kind struct {
 	Patience
-	deadline, service time.Duration
+	// firstEvent is the time from the start to the first event.
+	deadline, service, firstEvent time.Duration
 }
 
 var (
-	shortKind = kind{Patience{Priority: 0, Target: 500 * time.Millisecond, Stream: true}, 3 * time.Second, 100 * time.Millisecond}
-	longKind  = kind{Patience{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}, 15 * time.Second, 400 * time.Millisecond}
+	shortKind = kind{Patience{Priority: 0, Target: 500 * time.Millisecond, Stream: true}, 3 * time.Second, 100 * time.Millisecond, 50 * time.Millisecond}
+	longKind  = kind{Patience{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}, 15 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond}
 )
 
 // behaviour tells when a caller sends a refused request again.
@@ -34,7 +35,7 @@
 type arrival struct {
 	kind      *kind
 	account   string
-	at        time.Time
+	first, at time.Time // of the first and of the last request
 	behaviour behaviour
 	repeats   int
 
@@ -47,7 +48,7 @@
 	perSecond := load * loadServers / k.service.Seconds()
 	for at := from.Seconds() + r.ExpFloat64()/perSecond; at < to.Seconds(); at += r.ExpFloat64() / perSecond {
 		t := queueStart.Add(time.Duration(at * float64(time.Second)))
-		out = append(out, &arrival{kind: k, account: account, at: t, deadline: t.Add(k.deadline)})
+		out = append(out, &arrival{kind: k, account: account, first: t, at: t, deadline: t.Add(k.deadline)})
 	}
 	return out
 }
@@ -102,14 +103,17 @@
 
 func (s *servers) arrive(a *arrival, now time.Time) {
 	if s.used == nil {
-		s.try(a, now, false)
+		if !s.try(a, now, false) {
+			s.refused(a, max(0, s.free[0].Sub(now)), now)
+		}
 		return
 	}
-	if !s.queue.MustWait(a.kind.Priority, a.account, s.used(a.account)) && s.try(a, now, false) {
+	longest := a.kind.LongestWait(a.deadline.Sub(now))
+	w := &Waiting{Priority: a.kind.Priority, Account: a.account, LatestStart: a.deadline.Add(-a.kind.firstEvent),
+		OnTimeUntil: now.Add(a.kind.Target - a.kind.firstEvent), Until: now.Add(longest)}
+	if !s.queue.MustWait(w, s.used(a.account), now) && s.try(a, now, false) {
 		return
 	}
-	longest := a.kind.LongestWait(a.deadline.Sub(now))
-	w := &Waiting{Priority: a.kind.Priority, Account: a.account, LatestStart: a.deadline, Until: now.Add(longest)}
 	e := s.queue.Add(w, s.used(a.account), now)
 	if e.Refused != "" {
 		s.refused(a, e.Expected, now)
@@ -157,7 +161,7 @@
 		n++
 		if wait := a.start.Sub(a.at); wait >= 0 { // a refused request has no start
 			waits = append(waits, wait)
-			if wait <= a.kind.Target {
+			if wait+a.kind.firstEvent <= a.kind.Target {
 				timely++
 			}
 		}
@@ -183,34 +187,40 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	load := poisson(r, &shortKind, "a", 0, 30*time.Second, 0.4)
 	load = append(load, poisson(r, &longKind, "a", 0, 30*time.Second, 0.45)...)
-	return append(load, poisson(r, &longKind, "a", 8*time.Second, 20*time.Second, 0.45)...)
+	load = append(load, poisson(r, &longKind, "a", 8*time.Second, 20*time.Second, 0.45)...)
+	for _, a := range load {
+		a.behaviour, a.repeats = repeatsAsTold, 1
+	}
+	return load
 }
 
 // Guards against long prompts that are refused in a crest although their callers would wait,
-// and against short ones that are served later for that. The crest brings 0.9 of the servers'
+// against a queue in which all of them wait until they are late, and against short ones that
+// are served later for that. Without the queue, callers repeat a refused request once. The crest brings 0.9 of the servers'
 // work in long prompts for 12 s, of which they can do 0.6 beside the short ones. Long prompts
 // wait for up to 3 s, so that up to 15 s of the servers' time are left for them.
 func TestCrestOfLongPromptsOverShortOnes(t *testing.T) {
 	is := is.New(t)
 	between := func(k *kind, from, to time.Duration) func(*arrival) bool {
 		return func(a *arrival) bool {
-			return a.kind == k && !a.at.Before(queueStart.Add(from)) && a.at.Before(queueStart.Add(to))
+			return a.kind == k && !a.first.Before(queueStart.Add(from)) && a.first.Before(queueStart.Add(to))
 		}
 	}
 	short := between(&shortKind, 0, 30*time.Second)
 	inCrest := between(&longKind, 8*time.Second, 20*time.Second)
 	for seed := range uint64(5) {
 		before, with := serve(crest(seed), nil), serve(crest(seed), noneUsed)
-		longBefore, _, _ := served(before, inCrest)
-		long, _, _ := served(with, inCrest)
+		longBefore, longTimelyBefore, _ := served(before, inCrest)
+		long, longTimely, _ := served(with, inCrest)
 		shortBefore, timelyBefore, lateBefore := served(before, short)
 		shortWith, timely, late := served(with, short)
 		possible := (15*loadServers - work(with, between(&shortKind, 8*time.Second, 23*time.Second))) / work(with, inCrest)
-		t.Logf("seed %d: long served %.3f, %.3f with the queue of %.3f possible; short served %.3f, %.3f, on time %.3f, %.3f, p95 %v, %v",
-			seed, longBefore, long, possible, shortBefore, shortWith, timelyBefore, timely, lateBefore, late)
+		t.Logf("seed %d: long served %.3f, %.3f with the queue of %.3f possible, on time %.3f, %.3f; short served %.3f, %.3f, on time %.3f, %.3f, p95 %v, %v",
+			seed, longBefore, long, possible, longTimelyBefore, longTimely, shortBefore, shortWith, timelyBefore, timely, lateBefore, late)
 		is.True(long > 0.5)
 		is.True(long >= min(1, possible)-0.05)
 		is.True(long >= longBefore+0.1)
+		is.True(longTimely >= longTimelyBefore)
 		is.True(shortWith >= shortBefore-0.005)
 		is.True(timely >= timelyBefore-0.005)
 		is.True(late <= lateBefore+loadTick)
--- a/admit/waitqueue.go
+++ b/admit/waitqueue.go
@@ -20,16 +20,41 @@
 	Priority int
 	// Account is the name of the client account, empty for requests without one.
 	Account string
-	// LatestStart is the latest time at which the request can be sent and be on time.
+	// LatestStart is the latest time at which the request can be sent and be answered before
+	// its deadline.
 	LatestStart time.Time
+	// OnTimeUntil is the latest time at which the request can be sent and be answered within
+	// its target latency. It is zero for requests without a target latency.
+	OnTimeUntil time.Time
 	// Until is when the wait ends, at LatestStart at the latest.
 	Until time.Time
 
 	account *waitingAccount
+	// late is true for requests that can't be answered within their target latency any more,
+	// or not by the expected wait at their arrival.
+	late bool
 	// seq is the order of arrival; it is 0 unless the request is in the queue.
 	seq uint64
 }
 
+// Late reports whether the request waits behind those that can be answered within their target
+// latency, because it can't be.
+func (w *Waiting) Late() bool { return w.late }
+
+// canBeOnTime reports whether a request that is sent now is within its target latency.
+func (w *Waiting) canBeOnTime(now time.Time) bool {
+	return w.OnTimeUntil.IsZero() || !now.After(w.OnTimeUntil)
+}
+
+// startBefore is the time by which the request must be sent to keep what it can: its target
+// latency, or its deadline if it is late or has no target latency.
+func (w *Waiting) startBefore() time.Time {
+	if w.late || w.OnTimeUntil.IsZero() {
+		return w.LatestStart
+	}
+	return w.OnTimeUntil
+}
+
 // waitingAccount is an account with requests in the queue.
 type waitingAccount struct {
 	// step is the used share of the account's quota in usedSteps.
@@ -42,7 +67,8 @@
 
 // Reasons why a request doesn't enter a queue.
 const (
-	// TooLate means that the request can't be on time even if it is sent now.
+	// TooLate means that the request's longest wait is over, or that it would miss its deadline
+	// even if it is sent now.
 	TooLate NotQueued = "too_late"
 	// LongQueue means that the expected wait exceeds the longest wait of the request, or did
 	// so shortly before for a request that is no less urgent and can wait as long.
@@ -68,32 +94,49 @@
 // It isn't safe for concurrent use.
 type WaitQueue struct {
 	// waiting is sorted by compare.
-	waiting  []*Waiting
+	waiting []*Waiting
+	// nextLate is a time before which no waiting request becomes late, zero if none will.
+	nextLate time.Time
 	accounts map[string]*waitingAccount
 	lastSeq  uint64
 	drain    drainRate
 	refusals recentRefusals
 }
 
-// compare orders by priority, then by the account's used share, then by the latest start.
+// compare orders by priority, then requests that can be on time before those that are late,
+// then by the account's used share, then by the time by which they must be sent.
 func compare(a, b *Waiting) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.account.step, b.account.step),
-		a.LatestStart.Compare(b.LatestStart), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareLate(a.late, b.late), cmp.Compare(a.account.step, b.account.step),
+		a.startBefore().Compare(b.startBefore()), cmp.Compare(a.seq, b.seq))
+}
+
+// compareLate orders requests that can be on time before those that are late.
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // Len returns the number of requests that wait.
 func (q *WaitQueue) Len() int { return len(q.waiting) }
 
 // MustWait reports whether a request that arrives must wait behind others: one of a more
-// urgent priority, or one of the same priority whose account has not used more of its quota.
-// used is the used share of the arriving request's account, from 0 to 1.
-func (q *WaitQueue) MustWait(priority int, account string, used float64) bool {
+// urgent priority, or one of the same priority whose account has not used more of its quota,
+// unless the arriving request can be on time and the waiting one is late. used is the used
+// share of the arriving request's account, from 0 to 1.
+func (q *WaitQueue) MustWait(w *Waiting, used float64, now time.Time) bool {
 	if len(q.waiting) == 0 {
 		return false
 	}
-	q.setUsed(account, used)
+	q.advance(now)
+	q.setUsed(w.Account, used)
 	first := q.waiting[0]
-	return cmp.Or(cmp.Compare(first.Priority, priority), cmp.Compare(first.account.step, usedStep(used))) <= 0
+	return cmp.Or(cmp.Compare(first.Priority, w.Priority), compareLate(first.late, !w.canBeOnTime(now)),
+		cmp.Compare(first.account.step, usedStep(used))) <= 0
 }
 
 // Add decides whether a request waits. used is the used share of its account's quota, from
@@ -112,7 +155,9 @@
 		w.account = &waitingAccount{step: usedStep(used)}
 	}
 	w.seq = q.lastSeq + 1
-	place, _ := slices.BinarySearchFunc(q.waiting, w, compare)
+	w.late = !w.canBeOnTime(now)
+	w.late = w.late || !q.expectedOnTime(w, now)
+	place := q.Place(w)
 	e := q.decide(w, place, now)
 	if e.Refused != "" {
 		w.seq = 0
@@ -126,9 +171,29 @@
 	return e
 }
 
+// expectedOnTime reports whether a request that isn't late yet is expected to be sent on time.
+// If one isn't, similar ones aren't for some time either, as after a refusal.
+func (q *WaitQueue) expectedOnTime(w *Waiting, now time.Time) bool {
+	if w.OnTimeUntil.IsZero() {
+		return true
+	}
+	longest := min(w.OnTimeUntil.Sub(now), w.Until.Sub(now))
+	if q.refusals.remaining(w, longest, now) > 0 {
+		return false
+	}
+	if q.drain.timeFor(q.Place(w)) <= longest {
+		return true
+	}
+	q.refusals.record(w, longest, now)
+	return false
+}
+
 // decide decides on a request that would have a place in the queue.
 func (q *WaitQueue) decide(w *Waiting, place int, now time.Time) Entry {
 	e := Entry{Place: place, Expected: q.drain.timeFor(place)}
+	if !w.late && !w.OnTimeUntil.IsZero() && place < MaxWaiting {
+		return e // as expectedOnTime has decided
+	}
 	longest := w.Until.Sub(now)
 	remaining := q.refusals.remaining(w, longest, now)
 	switch {
@@ -158,6 +223,7 @@
 	q.accounts[w.Account] = w.account
 	w.account.requests++
 	q.waiting = slices.Insert(q.waiting, place, w)
+	q.expectLate(w)
 }
 
 // Next returns the first requests in order, at most n. The result is valid until the queue
@@ -260,4 +326,31 @@
 // usedStep returns a used share from 0 to 1 in steps.
 func usedStep(used float64) int { return int(usedSteps * max(0, min(1, used))) }
 
-func (q *WaitQueue) advance(now time.Time) { q.drain.advance(now, len(q.waiting) > 0) }
+// advance moves to a time, at which some requests may have become late.
+func (q *WaitQueue) advance(now time.Time) {
+	q.drain.advance(now, len(q.waiting) > 0)
+	if q.nextLate.IsZero() || !now.After(q.nextLate) {
+		return
+	}
+	q.nextLate = time.Time{}
+	changed := false
+	for _, w := range q.waiting {
+		if !w.late && !w.canBeOnTime(now) {
+			w.late, changed = true, true
+		}
+		q.expectLate(w)
+	}
+	if changed {
+		slices.SortFunc(q.waiting, compare)
+	}
+}
+
+// expectLate notes when a waiting request will become late.
+func (q *WaitQueue) expectLate(w *Waiting) {
+	if w.late || w.OnTimeUntil.IsZero() {
+		return
+	}
+	if q.nextLate.IsZero() || w.OnTimeUntil.Before(q.nextLate) {
+		q.nextLate = w.OnTimeUntil
+	}
+}
--- a/admit/waitqueue_test.go
+++ b/admit/waitqueue_test.go
@@ -28,17 +28,45 @@
 	}
 	is.Equal(q.Next(len(want)), want)
 	is.Equal(q.Place(want[3]), 3)
-	is.True(q.MustWait(1, "cool", 0.2))
-	is.True(!q.MustWait(0, "other", 0.2)) // has used less than hot
-	is.True(q.MustWait(0, "other", 1))
+	is.True(q.MustWait(request(1, "cool", time.Hour), 0.2, queueStart))
+	is.True(!q.MustWait(request(0, "other", time.Hour), 0.2, queueStart)) // has used less than hot
+	is.True(q.MustWait(request(0, "other", time.Hour), 1, queueStart))
 	q.Dispatched(want[0], queueStart)
-	is.True(!q.MustWait(0, "hot", 1))     // only less urgent requests wait
-	is.True(!q.MustWait(1, "other", 0.1)) // has used less than cool
-	is.True(q.MustWait(2, "other", 0.1))
+	is.True(!q.MustWait(request(0, "hot", time.Hour), 1, queueStart))     // only less urgent requests wait
+	is.True(!q.MustWait(request(1, "other", time.Hour), 0.1, queueStart)) // has used less than cool
+	is.True(q.MustWait(request(2, "other", time.Hour), 0.1, queueStart))
 	q.SetUsed(func(account string) float64 { return 1.2 - used[account] })
 	is.Equal(q.Next(1)[0], want[3]) // hot has now used less
 }
 
+// Guards against late requests that delay those that can still be on time, against requests
+// that stay ahead although they have become late, and against arrivals that wait behind late ones.
+func TestWaitQueueServesRequestsOnTimeFirst(t *testing.T) {
+	is := is.New(t)
+	var q WaitQueue
+	until := func(w *Waiting, onTime time.Duration) *Waiting {
+		w.OnTimeUntil = queueStart.Add(onTime)
+		return w
+	}
+	late, soon := until(request(1, "a", 3*time.Second), -1), until(request(1, "a", 9*time.Second), time.Second)
+	later, other := until(request(1, "a", 5*time.Second), 2*time.Second), until(request(1, "b", 9*time.Second), 2*time.Second)
+	untargeted := request(1, "a", 8*time.Second)
+	for _, w := range []*Waiting{late, untargeted, later, soon} {
+		is.Equal(q.Add(w, 0.5, queueStart).Refused, NotQueued(""))
+	}
+	is.Equal(q.Next(4), []*Waiting{soon, later, untargeted, late})
+	is.Equal(q.Add(other, 0.1, queueStart).Place, 0)
+	now := queueStart.Add(time.Second + 1)
+	is.Equal(len(q.Expired(now)), 0)
+	is.Equal(q.Next(5), []*Waiting{other, later, untargeted, late, soon})
+	is.True(soon.Late() && !later.Late())
+	for _, w := range []*Waiting{other, later, untargeted} {
+		is.True(q.Remove(w, now))
+	}
+	is.True(!q.MustWait(until(request(1, "a", time.Minute), 2*time.Second), 1, now)) // only late ones wait
+	is.True(q.MustWait(until(request(1, "a", time.Minute), time.Second), 1, now))
+}
+
 // Guards against a full queue that grows, that refuses an urgent request, or that keeps a
 // request that has lost its place.
 func TestFullWaitQueueRefusesLast(t *testing.T) {
--- a/gateway/servicequeue.go
+++ b/gateway/servicequeue.go
@@ -63,9 +63,10 @@
 type shedClass struct {
 	priority int
 	target   time.Duration
+	late     bool
 }
 
-func (w *waiter) class() shedClass { return shedClass{w.Priority, w.target} }
+func (w *waiter) class() shedClass { return shedClass{w.Priority, w.target, w.Late()} }
 
 // serviceQueue holds the requests that wait for an endpoint of a service. A goroutine runs
 // while there are any. Requests choose one after the other: the one whose turn it is wakes
@@ -135,11 +136,18 @@
 	}
 }
 
+// empty reports whether no request waits.
+func (q *serviceQueue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Len() == 0
+}
+
 // mustWait reports whether an arriving request must wait behind others.
-func (q *serviceQueue) mustWait(priority int, account string, used func(string) float64) bool {
+func (q *serviceQueue) mustWait(g *Gateway, w *waiter, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.Len() > 0 && q.queue.MustWait(priority, account, used(account))
+	return q.queue.MustWait(&w.Waiting, g.quotaUsed(w.Account), now)
 }
 
 // enter adds a request to the queue unless it is refused. It returns the decision and the
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -11,6 +11,11 @@
 	"github.com/citrontiller/citrontiller/catalog"
 )
 
+// onTimeQuantile is the quantile of the times to the first event of a route within which a
+// request counts on its own. With the median, half of the requests that are sent at the last
+// moment would be late.
+const onTimeQuantile = 0.9
+
 // queueing reports whether requests wait in queues in an overload.
 func (g *Gateway) queueing() bool { return g.Queueing != nil && g.Queueing() }
 
@@ -32,7 +37,7 @@
 // endpoint.
 func (x *exchange) mustQueue() bool {
 	q := x.g.waiting.find(x.service)
-	return q != nil && q.mustWait(x.route.Priority, x.accountName(), x.g.quotaUsed)
+	return q != nil && !q.empty() && q.mustWait(x.g, x.newWaiter(), time.Now())
 }
 
 // waitInQueue waits in the queue of the service until the request has chosen an endpoint. It
@@ -66,9 +71,11 @@
 // since when its caller waits.
 func (x *exchange) newWaiter() *waiter {
 	patience := admit.Patience{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
-	firstEvent, _ := x.g.firstEvents.Median(x.route.Name)
+	usual, _ := x.g.firstEvents.Quantile(x.route.Name, 0.5)
+	most, _ := x.g.firstEvents.Quantile(x.route.Name, onTimeQuantile)
 	return &waiter{wake: make(chan struct{}, 1), target: x.route.TargetLatency, Waiting: admit.Waiting{Priority: x.route.Priority, Account: x.accountName(),
-		LatestStart: x.deadline.Add(-firstEvent), Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
+		LatestStart: x.deadline.Add(-usual), OnTimeUntil: x.arrived.Add(x.route.TargetLatency - most),
+		Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
 }
 
 // awaitTurn chooses an endpoint each time that it is the request's turn, until it has found
