gateway: in an overload, requests are sent only if they can be on time

While queueing is on, a request is sent at once or from the queue if its elapsed time, the wait at the endpoint and its own time to the first event are within its target latency, or if it is late anyway and there is hardly a wait. Urgent requests that are sent to be late make the next ones late, too.

--- a/admit/shedding.go
+++ b/admit/shedding.go
@@ -50,17 +50,44 @@
 }
 
 // maxWaitAfterQueue is the longest expected wait at an endpoint for which requests of other
-// priorities than 0 leave a queue. Urgent requests, which pass the queue, find short waits at
-// the endpoints; the time between two turns in the queue is shorter still.
+// priorities than 0, and those that can't be on time, leave a queue. Urgent requests that can
+// be, which pass the others, find short waits at the endpoints; the time between two turns in
+// the queue is shorter still.
 const maxWaitAfterQueue = 50 * time.Millisecond
 
-// AdmitWaiting reports whether a request that waits in a WaitQueue is admitted. The queue
-// is a standing queue.
-func (c LoadShedder) AdmitWaiting(priority int, wait, target time.Duration) bool {
-	if priority != 0 && wait > maxWaitAfterQueue {
+// Timing is how long a request takes until its first event at an endpoint.
+type Timing struct {
+	// Elapsed is the time since the request's arrival.
+	Elapsed time.Duration
+	// Wait is the expected time until the endpoint starts the request.
+	Wait time.Duration
+	// FirstEvent is the expected time from then to the first event.
+	FirstEvent time.Duration
+}
+
+// Late reports whether the request would exceed its target latency even without a wait.
+func (t Timing) Late(target time.Duration) bool { return t.Elapsed+t.FirstEvent > target }
+
+// Timely reports whether a request that can wait in a WaitQueue may be sent: one that would
+// exceed its target latency after its wait makes those behind it late, too. late is what
+// Waiting.Late returns. A late request is sent where there is hardly a wait.
+func (t Timing) Timely(target time.Duration, late bool) bool {
+	if target <= 0 {
+		return true
+	}
+	if late || t.Late(target) {
+		return t.Wait <= maxWaitAfterQueue
+	}
+	return t.Elapsed+t.Wait+t.FirstEvent <= target
+}
+
+// AdmitWaiting reports whether a request that waits in a WaitQueue is admitted; late is what
+// Waiting.Late returns. The queue is a standing queue.
+func (c LoadShedder) AdmitWaiting(priority int, t Timing, target time.Duration, late bool) bool {
+	if priority != 0 && t.Wait > maxWaitAfterQueue {
 		return false
 	}
-	return c.Admit(priority, wait, target, true)
+	return t.Timely(target, late) && c.Admit(priority, t.Wait, target, true)
 }
 
 const (
--- a/admit/shedding_test.go
+++ b/admit/shedding_test.go
@@ -65,6 +65,24 @@
 	is.True(!c.Admit(1, late/2, shedTarget, true))
 }
 
+// Guards against requests that are sent to be late, against late ones that are never sent, and
+// against late ones that are sent where others wait.
+func TestTimelyRequests(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		elapsed, wait, firstEvent time.Duration // in milliseconds
+		late, want                bool
+	}{{100, 200, 100, false, true}, {101, 200, 100, false, false}, {100, 200, 100, true, false}, {100, 50, 100, true, true},
+		{0, 50, 401, false, true}, {0, 51, 401, false, false}} {
+		timing := Timing{Elapsed: c.elapsed * time.Millisecond, Wait: c.wait * time.Millisecond, FirstEvent: c.firstEvent * time.Millisecond}
+		is.Equal(timing.Timely(shedTarget, c.late), c.want)
+		is.True(timing.Timely(0, c.late)) // without a target latency
+	}
+	urgent := LoadShedder{Overload: Limits{Urgent: 1}}
+	is.True(urgent.AdmitWaiting(0, Timing{Wait: shedTarget}, shedTarget, false))
+	is.True(!urgent.AdmitWaiting(0, Timing{Wait: shedTarget, FirstEvent: 1}, shedTarget, false))
+}
+
 // Guards against refusing requests in a burst that the endpoints can absorb, such
 // as while a few of them load weights, and against admitting too many requests in
 // a long overload.
--- a/admit/waitload_test.go
+++ b/admit/waitload_test.go
@@ -80,38 +80,57 @@
 		for len(s.pending) > 0 && !s.pending[0].at.After(now) {
 			a := s.pending[0]
 			s.pending = s.pending[1:]
-			s.arrive(a, a.at)
+			if s.used == nil {
+				s.arriveWithoutQueue(a, a.at)
+			} else {
+				s.arrive(a, a.at)
+			}
 		}
 		s.tick(now)
 	}
 	return load
 }
 
-// try sends a request if the load shedder admits it.
-func (s *servers) try(a *arrival, now time.Time, waiting bool) bool {
+// wait returns the time until a server is free, and whether there is a standing queue.
+func (s *servers) wait(now time.Time) (wait time.Duration, standing bool) {
 	slices.SortFunc(s.free[:], time.Time.Compare)
-	wait := max(0, s.free[0].Sub(now))
-	standing, _ := s.standing.Observe("s", wait, now)
-	if waiting && !s.shedder.AdmitWaiting(a.kind.Priority, wait, a.kind.Target) ||
-		!waiting && !s.shedder.Admit(a.kind.Priority, wait, a.kind.Target, standing) {
-		return false
-	}
+	wait = max(0, s.free[0].Sub(now))
+	standing, _ = s.standing.Observe("s", wait, now)
+	return wait, standing
+}
+
+// send sends a request to the server that is free after a wait.
+func (s *servers) send(a *arrival, wait time.Duration, now time.Time) {
 	a.start = now.Add(wait)
 	s.free[0] = a.start.Add(a.kind.service)
+}
+
+// try sends a request that arrives, or w that waits, if the load shedder admits it.
+func (s *servers) try(a *arrival, w *Waiting, now time.Time) bool {
+	wait, standing := s.wait(now)
+	t := Timing{Elapsed: now.Sub(a.at), Wait: wait, FirstEvent: a.kind.firstEvent}
+	if w != nil && !s.shedder.AdmitWaiting(a.kind.Priority, t, a.kind.Target, w.Late()) ||
+		w == nil && !(t.Timely(a.kind.Target, false) && s.shedder.Admit(a.kind.Priority, wait, a.kind.Target, standing)) {
+		return false
+	}
+	s.send(a, wait, now)
 	return true
 }
 
-func (s *servers) arrive(a *arrival, now time.Time) {
-	if s.used == nil {
-		if !s.try(a, now, false) {
-			s.refused(a, max(0, s.free[0].Sub(now)), now)
-		}
+func (s *servers) arriveWithoutQueue(a *arrival, now time.Time) {
+	wait, standing := s.wait(now)
+	if s.shedder.Admit(a.kind.Priority, wait, a.kind.Target, standing) {
+		s.send(a, wait, now)
 		return
 	}
+	s.refused(a, wait, now)
+}
+
+func (s *servers) arrive(a *arrival, now time.Time) {
 	longest := a.kind.LongestWait(a.deadline.Sub(now))
 	w := &Waiting{Priority: a.kind.Priority, Account: a.account, LatestStart: a.deadline.Add(-a.kind.firstEvent),
 		OnTimeUntil: now.Add(a.kind.Target - a.kind.firstEvent), Until: now.Add(longest)}
-	if !s.queue.MustWait(w, s.used(a.account), now) && s.try(a, now, false) {
+	if !s.queue.MustWait(w, s.used(a.account), now) && s.try(a, nil, now) {
 		return
 	}
 	e := s.queue.Add(w, s.used(a.account), now)
@@ -144,8 +163,12 @@
 	for _, w := range s.queue.Expired(now) {
 		s.refused(s.waiting[w], s.queue.ExpectedWait(s.queue.Len(), now), now)
 	}
-	for s.queue.Len() > 0 && s.try(s.waiting[s.queue.Next(1)[0]], now, true) {
-		s.queue.Dispatched(s.queue.Next(1)[0], now)
+	for s.queue.Len() > 0 {
+		w := s.queue.Next(1)[0]
+		if !s.try(s.waiting[w], w, now) {
+			return
+		}
+		s.queue.Dispatched(w, now)
 	}
 }
 
@@ -227,6 +250,32 @@
 	}
 }
 
+// Guards against urgent requests that are sent although they are late then, and make the next
+// ones late: in a crest, they bring 1.2 of the servers' work for 12 s.
+func TestCrestOfShortRequests(t *testing.T) {
+	is := is.New(t)
+	inCrest := func(a *arrival) bool {
+		return a.kind == &shortKind && a.first.After(queueStart.Add(8*time.Second)) && a.first.Before(queueStart.Add(20*time.Second))
+	}
+	for seed := range uint64(5) {
+		load := func() []*arrival {
+			r := rand.New(rand.NewPCG(seed, 0))
+			load := poisson(r, &shortKind, "a", 0, 30*time.Second, 0.6)
+			load = append(load, poisson(r, &shortKind, "a", 8*time.Second, 20*time.Second, 0.6)...)
+			load = append(load, poisson(r, &longKind, "a", 0, 30*time.Second, 0.3)...)
+			for _, a := range load {
+				a.behaviour, a.repeats = repeatsAsTold, 1
+			}
+			return load
+		}
+		shareBefore, timelyBefore, lateBefore := served(serve(load(), nil), inCrest)
+		share, timely, late := served(serve(load(), noneUsed), inCrest)
+		t.Logf("seed %d: served %.3f, %.3f with the queue, on time %.3f, %.3f, p95 of the waits %v, %v", seed, shareBefore, share, timelyBefore, timely, lateBefore, late)
+		is.True(timely >= timelyBefore)
+		is.True(timely >= 0.9/1.2) // of the servers' work, nearly all is on time
+	}
+}
+
 // Guards against an account that takes the capacity of the others: at 5 times its demand it
 // brings a load of 0.8 of the servers to 1.2.
 func TestHotAccountWaitsBehindItsOwnRequests(t *testing.T) {
--- a/admit/waitqueue.go
+++ b/admit/waitqueue.go
@@ -265,6 +265,16 @@
 	q.drain.dispatches++
 }
 
+// SetLate makes a waiting request a late one, for one that can't be on time although OnTimeUntil
+// says so.
+func (q *WaitQueue) SetLate(w *Waiting) {
+	if w.seq == 0 || w.late {
+		return
+	}
+	w.late = true
+	slices.SortFunc(q.waiting, compare)
+}
+
 // Expired removes and returns the requests whose wait has ended.
 func (q *WaitQueue) Expired(now time.Time) []*Waiting {
 	return q.removeIf(now, func(w *Waiting) bool { return !now.Before(w.Until) })
--- a/admit/waitqueue_test.go
+++ b/admit/waitqueue_test.go
@@ -60,6 +60,8 @@
 	is.Equal(len(q.Expired(now)), 0)
 	is.Equal(q.Next(5), []*Waiting{other, later, untargeted, late, soon})
 	is.True(soon.Late() && !later.Late())
+	q.SetLate(other)
+	is.Equal(q.Next(3), []*Waiting{later, untargeted, other})
 	for _, w := range []*Waiting{other, later, untargeted} {
 		is.True(q.Remove(w, now))
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
 )
@@ -23,7 +24,8 @@
 	if chosen == nil || x.info.Model == "" || x.sends > 0 {
 		return chosen
 	}
-	x.overloadWait = x.expectedWait(chosen)
+	x.timing = x.timingAt(chosen)
+	x.overloadWait = x.timing.Wait
 	median := medianWait(candidates)
 	standing := x.g.observeQueue(x.service, median)
 	if x.admitsAt(chosen, standing) {
@@ -38,7 +40,7 @@
 		return nil // logged before it entered the queue, or by its outcome
 	}
 	x.g.Log.Info("overload", zap.String("request", x.info.ID), zap.String("endpoint", chosen.ID), zap.Duration("wait", x.overloadWait),
-		zap.Duration("usual_wait", median), zap.Bool("standing_queue", standing), zap.Duration("target", x.route.TargetLatency),
+		zap.Duration("elapsed", x.timing.Elapsed), zap.Duration("first_event", x.timing.FirstEvent), zap.Duration("usual_wait", median), zap.Bool("standing_queue", standing), zap.Duration("target", x.route.TargetLatency),
 		zap.Int("priority", x.route.Priority), zap.Float64("held_tokens", chosen.KVUsedTokens), zap.Int64("memory_tokens", chosen.Load.KVCapacityTokens))
 	return nil
 }
@@ -54,7 +56,8 @@
 			continue
 		}
 		price := time.Duration(e.RateLimitPriceMs * float64(time.Millisecond))
-		if x.admits(x.expectedWait(e)+price, false) {
+		t := x.timingAt(e)
+		if x.isTimely(t) && x.admits(t.Wait+price, false) {
 			x.reason, x.score = reasonRateLimited, c.Score
 			return e
 		}
@@ -77,22 +80,31 @@
 	return x.g.Admission.Admit(x.route.Priority, wait, x.route.TargetLatency, standing)
 }
 
-// admitsAt reports whether the request is admitted at the chosen endpoint.
+// isTimely reports whether the request may be sent as far as its target latency is concerned,
+// which counts for those that can wait in a queue.
+func (x *exchange) isTimely(t admit.Timing) bool {
+	return !x.inQueue && !x.mayQueue() || t.Timely(x.route.TargetLatency, x.late)
+}
+
+// admitsAt reports whether the request is admitted at the chosen endpoint with x.timing.
 func (x *exchange) admitsAt(chosen *route.Endpoint, standing bool) bool {
 	if x.inQueue && !chosen.RateLimited {
-		return x.g.Admission.AdmitWaiting(x.route.Priority, x.overloadWait, x.route.TargetLatency)
+		return x.g.Admission.AdmitWaiting(x.route.Priority, x.timing, x.route.TargetLatency, x.late)
 	}
-	return x.admits(x.overloadWait, standing && !chosen.RateLimited)
+	return x.isTimely(x.timing) && x.admits(x.timing.Wait, standing && !chosen.RateLimited)
 }
 
-// expectedWait returns the time until an endpoint is expected to start the request. The
-// time to compute the request's own prompt is not part of it; otherwise the longest
-// prompts would always be refused.
-func (x *exchange) expectedWait(e *route.Endpoint) time.Duration {
-	waitMs := e.PredictedMs - e.PrefillMs(e.UncachedTokens(x.info.PromptTokens))
-	return time.Duration(max(0, waitMs*max(1, e.Residual)) * float64(time.Millisecond))
+// timingAt returns the expected times of the request at an endpoint. The time to compute its
+// own prompt is not part of the wait; otherwise the longest prompts would always be refused.
+func (x *exchange) timingAt(e *route.Endpoint) admit.Timing {
+	correction := max(1, e.Residual)
+	ownMs := e.PrefillMs(e.UncachedTokens(x.info.PromptTokens))
+	return admit.Timing{Elapsed: time.Since(x.arrived), Wait: milliseconds(max(0, e.PredictedMs-ownMs) * correction),
+		FirstEvent: milliseconds(ownMs * correction)}
 }
 
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // observeQueue records the median wait at a service's endpoints and reports
 // whether they have a standing queue.
 func (g *Gateway) observeQueue(service string, wait time.Duration) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,6 +131,10 @@
 	// overloadWait is the expected wait for which the request was shed, 0 when it
 	// was not.
 	overloadWait time.Duration
+	// timing is that at the endpoint of the last choice, zero before the first one.
+	timing admit.Timing
+	// late is true if, at its last turn in the queue, the request was a late one.
+	late bool
 	// inQueue is true while the request waits in the queue of its service. queueEnd is how
 	// its last wait there has ended, and queueWait the wait that was expected there when it
 	// was refused.
--- a/gateway/servicequeue.go
+++ b/gateway/servicequeue.go
@@ -257,11 +257,12 @@
 	}
 }
 
-// ended returns how a request's wait has ended, "" if it still waits.
-func (q *serviceQueue) ended(w *waiter) waitEnd {
+// turnOf returns how a request's wait has ended, "" if it still waits, and whether it is a late
+// one.
+func (q *serviceQueue) turnOf(w *waiter) (end waitEnd, late bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return w.end
+	return w.end, w.Late()
 }
 
 // sent removes a request that has chosen its endpoint. It may have been removed while it
@@ -276,18 +277,28 @@
 	w.end = waitSent
 }
 
-// failedTurn records that a request found no endpoint in its turn, because it was shed or
-// for another reason.
-func (q *serviceQueue) failedTurn(w *waiter, shed bool) {
+// turnFailure tells why a request found no endpoint in its turn.
+type turnFailure struct {
+	// shed is true if the load shedder would refuse others of its class, too.
+	shed bool
+	// late is true if the request can't be on time any more.
+	late bool
+}
+
+// failedTurn records that a request found no endpoint in its turn.
+func (q *serviceQueue) failedTurn(w *waiter, f turnFailure) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.turn != w {
 		return
 	}
 	q.failed++
-	if shed {
+	if f.shed {
 		q.shed = append(q.shed, w.class())
 	}
+	if f.late {
+		q.queue.SetLate(&w.Waiting)
+	}
 	q.passTurn()
 }
 
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -63,7 +63,7 @@
 	x.g.Metrics.waits.WithLabelValues(string(x.route.Kind)).Observe(waited.Seconds())
 	x.g.Log.Info("waited", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.Duration("wait", waited),
 		zap.Duration("expected_wait", entry.Expected), zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", entry.Place),
-		zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)), zap.Int("priority", w.Priority), zap.String("outcome", string(end)))
+		zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)), zap.Int("priority", w.Priority), zap.Bool("late", x.late), zap.String("outcome", string(end)))
 	return c, end == waitSent
 }
 
@@ -72,12 +72,21 @@
 func (x *exchange) newWaiter() *waiter {
 	patience := admit.Patience{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
 	usual, _ := x.g.firstEvents.Quantile(x.route.Name, 0.5)
-	most, _ := x.g.firstEvents.Quantile(x.route.Name, onTimeQuantile)
 	return &waiter{wake: make(chan struct{}, 1), target: x.route.TargetLatency, Waiting: admit.Waiting{Priority: x.route.Priority, Account: x.accountName(),
-		LatestStart: x.deadline.Add(-usual), OnTimeUntil: x.arrived.Add(x.route.TargetLatency - most),
+		LatestStart: x.deadline.Add(-usual), OnTimeUntil: x.arrived.Add(x.route.TargetLatency - x.expectedFirstEvent()),
 		Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
 }
 
+// expectedFirstEvent returns the expected time from the send to the first event: at the endpoint
+// that was last chosen, or of the route if none was.
+func (x *exchange) expectedFirstEvent() time.Duration {
+	if x.timing.FirstEvent > 0 {
+		return x.timing.FirstEvent
+	}
+	most, _ := x.g.firstEvents.Quantile(x.route.Name, onTimeQuantile)
+	return most
+}
+
 // awaitTurn chooses an endpoint each time that it is the request's turn, until it has found
 // one or the wait ends.
 func (x *exchange) awaitTurn(q *serviceQueue, w *waiter) (choice, waitEnd) {
@@ -89,10 +98,12 @@
 		case <-x.ctx.Done():
 			return choice{}, q.leave(w, x.contextEnd(), time.Now())
 		}
-		if end := q.ended(w); end != "" {
+		end, late := q.turnOf(w)
+		if end != "" {
 			x.queueWait = w.drainedIn
 			return choice{}, end
 		}
+		x.late = late
 		if c, ok := x.chooseAllowed(); ok {
 			q.sent(w, time.Now())
 			return c, waitSent
@@ -101,8 +112,19 @@
 		if x.noneAvailable && !x.mayBecomeAvailable(w.Until) {
 			return choice{}, q.leave(w, waitNoEndpoint, time.Now())
 		}
-		q.failedTurn(w, !x.noneAvailable)
+		q.failedTurn(w, x.turnFailure())
+	}
+}
+
+// turnFailure returns what the request's turn, in which it was shed or found no endpoint, tells
+// of its place in the queue and of other requests. One that wasn't sent since it would be late
+// tells nothing of others, which may have shorter prompts.
+func (x *exchange) turnFailure() turnFailure {
+	if x.noneAvailable {
+		return turnFailure{}
 	}
+	late := !x.late && x.timing.Late(x.route.TargetLatency)
+	return turnFailure{late: late, shed: !late && (x.late || x.isTimely(x.timing))}
 }
 
 // contextEnd returns how the wait has ended if the request's context has.
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -117,6 +117,25 @@
 	f.awaitWaiting(t, 0)
 }
 
+// Guards against a request that the load shedder admits and that is late then, where it could
+// wait for an endpoint that serves it in time.
+func TestRequestThatWouldBeLateWaits(t *testing.T) {
+	is := is.New(t)
+	for _, queueing := range []bool{false, true} {
+		f := newBusyFleet(t)
+		f.gateway.Codec = patientCodec{}
+		f.gateway.Admission = admit.LoadShedder{Usual: admit.Limits{Other: 1e6}, Overload: admit.Limits{Other: 1e6}}
+		f.gateway.Queueing = func() bool { return queueing }
+		answered := f.ask(context.Background(), t, "1")
+		if queueing {
+			f.awaitWaiting(t, 1)
+			is.Equal(f.sends(), 0)
+			f.free()
+		}
+		is.Equal(<-answered, "200 x")
+	}
+}
+
 // Guards against requests that wait in a process that stops, instead of trying elsewhere.
 func TestPlannedStopRefusesWaitingRequests(t *testing.T) {
 	is := is.New(t)
@@ -165,12 +184,12 @@
 		for i := range turnsPerRound {
 			is.Equal(q.turn, waiters[i])
 			is.True(q.tick(g, now.Add(turnInterval), 0)) // a round doesn't begin before the last has ended
-			q.failedTurn(waiters[i], false)
+			q.failedTurn(waiters[i], turnFailure{})
 		}
 		is.Equal(q.turn, nil)
 	}
 	is.True(q.tick(g, now.Add(turnInterval), 0))
-	q.failedTurn(waiters[0], true) // as the others of its class would be
+	q.failedTurn(waiters[0], turnFailure{shed: true}) // as the others of its class would be
 	is.Equal(q.turn, nil)
 	is.True(q.tick(g, now.Add(turnInterval), 0))
 	q.sent(waiters[0], now) // the next has its turn at once
