gateway: waiting requests are charged to the quota when they are sent

A request that enters the queue gives its charge back, and is charged again, if its account has room, each time that it has its turn. Requests that waited and were then refused used up the quota of their account, so that others got 429. If the quota is why a wait ended without a send, the refusal is 429 with the ledger's delay.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,6 +140,9 @@
 		if x.queueEnd == waitClosing || !x.endsBeforeStop() {
 			return x.unavailable("closing", err)
 		}
+		if x.queueEnd.overload() && x.quotaExceeded() {
+			return x.quotaRefusal()
+		}
 		if x.overloadWait > 0 || x.refusedByQueue() {
 			return x.overloaded()
 		}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -30,8 +30,11 @@
 type quotaCharge struct {
 	limited bool
 	// cost is that of one run of the request in units.
-	cost    float64
+	cost float64
+	// verdict is the last decision, and retryAt the time at which the account is expected to
+	// have room if it was a refusal.
 	verdict quota.Verdict
+	retryAt time.Time
 	// charges is the number of runs that are charged, runs that of the sends that may have
 	// run the request.
 	charges, runs int
@@ -43,16 +46,41 @@
 	if x.g.Quotas == nil || x.account == nil || x.account.Quota == nil || x.route.Public {
 		return nil
 	}
-	cost := x.account.Quota.Cost(x.statedTokens())
-	v := x.g.Quotas.Admit(x.account.Name, cost, time.Now())
-	x.quota = quotaCharge{limited: true, cost: cost, verdict: v}
-	if !v.Admitted {
-		return &Refusal{Status: http.StatusTooManyRequests, Outcome: "quota", RetryAfter: v.RetryAfter}
+	x.quota = quotaCharge{limited: true, cost: x.account.Quota.Cost(x.statedTokens())}
+	if !x.admitQuota() {
+		return x.quotaRefusal()
 	}
-	x.quota.charges = 1
 	return nil
 }
 
+// admitQuota charges the request for a run if its account's limit allows it, and reports
+// whether it does.
+func (x *exchange) admitQuota() bool {
+	if !x.quota.limited {
+		return true
+	}
+	now := time.Now()
+	x.quota.verdict = x.g.Quotas.Admit(x.account.Name, x.quota.cost, now)
+	if !x.quota.verdict.Admitted {
+		x.quota.retryAt = now.Add(x.quota.verdict.RetryAfter)
+		return false
+	}
+	x.quota.charges++
+	return true
+}
+
+// quotaExceeded reports whether the last decision was that the account's limit is exceeded.
+func (x *exchange) quotaExceeded() bool { return x.quota.limited && !x.quota.verdict.Admitted }
+
+// quotaRefusal returns the refusal of a request whose account has exceeded its limit.
+func (x *exchange) quotaRefusal() *Refusal {
+	retryAfter := x.quota.verdict.RetryAfter
+	if x.queueEnd != "" {
+		retryAfter = max(minRetryAfter, time.Until(x.quota.retryAt))
+	}
+	return &Refusal{Status: http.StatusTooManyRequests, Outcome: "quota", RetryAfter: retryAfter}
+}
+
 // statedTokens returns the tokens of the prompt and the bound on generated tokens that the
 // request states, 0 if it states neither.
 func (x *exchange) statedTokens() int64 {
@@ -80,8 +108,8 @@
 	x.quota.runs++
 }
 
-// refundQuota gives back what was charged for runs that did not take place. It is called once,
-// when the request has ended.
+// refundQuota gives back what was charged for runs that did not take place. It is called when
+// the request has ended and when it waits in a queue.
 func (x *exchange) refundQuota() {
 	if unused := x.quota.charges - x.quota.runs; unused > 0 {
 		x.g.Quotas.Refund(x.account.Name, float64(unused)*x.quota.cost, time.Now())
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -19,13 +19,14 @@
 
 // testQuotas counts the decisions and the units that the account of the tests is charged.
 type testQuotas struct {
-	refuse         bool
-	asked, balance atomic.Int64
+	refuse                  atomic.Bool
+	asked, refused, balance atomic.Int64
 }
 
 func (q *testQuotas) Admit(account string, cost float64, now time.Time) quota.Verdict {
 	q.asked.Add(1)
-	if q.refuse {
+	if q.refuse.Load() {
+		q.refused.Add(1)
 		return quota.Verdict{RetryAfter: 1250 * time.Millisecond}
 	}
 	q.Charge(account, cost, now)
@@ -84,7 +85,7 @@
 			return r.WithContext(ctx)
 		}, 502, 0, 0},
 		{"beyond the limit", "/read/1", []responder{serves}, func(f *fleet, r *http.Request) *http.Request {
-			f.gateway.Quotas.(*testQuotas).refuse = true
+			f.gateway.Quotas.(*testQuotas).refuse.Store(true)
 			return r
 		}, 429, 0, 0},
 		{"public route", "/open/1", []responder{serves}, nil, 200, 1, -1},
--- a/gateway/servicequeue.go
+++ b/gateway/servicequeue.go
@@ -52,6 +52,9 @@
 
 	// round is the last round in which the request had its turn.
 	round uint64
+	// heldUntil is the time before which the request has no turn since its account's quota is
+	// not expected to have room.
+	heldUntil time.Time
 	// end is empty while the request waits.
 	end waitEnd
 	// drainedIn is the expected time until the queue has drained, at the end of the wait.
@@ -221,14 +224,22 @@
 }
 
 // passTurn gives the turn to the first request that hasn't had it in this round and is of no
-// class that was shed in it, or ends the round. The caller holds mu.
+// class that was shed in it, or ends the round. Requests that are held don't count among the
+// first. The caller holds mu.
 func (q *serviceQueue) passTurn() {
 	q.turn = nil
 	if q.failed >= turnsPerRound {
 		return
 	}
-	for _, next := range q.queue.Next(turnsPerRound) {
+	first := 0
+	for _, next := range q.queue.Next(admit.MaxWaiting) {
 		w := q.waiters[next]
+		if w.heldUntil.After(q.roundAt) {
+			continue
+		}
+		if first++; first > turnsPerRound {
+			return
+		}
 		if w.round == q.round || slices.Contains(q.shed, w.class()) {
 			continue
 		}
@@ -302,6 +313,16 @@
 	q.passTurn()
 }
 
+// holdTurn records that a request's account had no room in its quota in the request's turn, and
+// isn't expected to have any before until. Each refusal by the ledger reserves room for a later
+// request, so that the request doesn't ask again before.
+func (q *serviceQueue) holdTurn(w *waiter, until time.Time) {
+	q.mu.Lock()
+	w.heldUntil = until
+	q.mu.Unlock()
+	q.failedTurn(w, turnFailure{})
+}
+
 // leave removes a request that doesn't wait any longer, and returns how its wait has ended:
 // as stated, unless it had ended before.
 func (q *serviceQueue) leave(w *waiter, how waitEnd, now time.Time) waitEnd {
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -41,9 +41,11 @@
 }
 
 // waitInQueue waits in the queue of the service until the request has chosen an endpoint. It
-// returns false, with queueEnd set, if the request is refused or its caller leaves.
+// returns false, with queueEnd set, if the request is refused or its caller leaves. A request
+// that waits isn't charged to its account's quota, but again when it is sent.
 func (x *exchange) waitInQueue() (choice, bool) {
 	q := x.g.waiting.get(x.service)
+	x.refundQuota()
 	w, entered := x.newWaiter(), time.Now()
 	entry, length := q.enter(x.g, w, entered)
 	if entry.Refused != "" {
@@ -59,6 +61,7 @@
 	c, end := x.awaitTurn(q, w)
 	x.inQueue = false
 	x.queueEnd = end
+	_, x.late = q.turnOf(w)
 	waited := time.Since(entered)
 	x.g.Metrics.waits.WithLabelValues(string(x.route.Kind)).Observe(waited.Seconds())
 	x.g.Log.Info("waited", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.Duration("wait", waited),
@@ -87,8 +90,8 @@
 	return most
 }
 
-// awaitTurn chooses an endpoint each time that it is the request's turn, until it has found
-// one or the wait ends.
+// awaitTurn chooses an endpoint each time that it is the request's turn and its account's quota
+// has room, until it has found one or the wait ends.
 func (x *exchange) awaitTurn(q *serviceQueue, w *waiter) (choice, waitEnd) {
 	for {
 		select {
@@ -104,10 +107,16 @@
 			return choice{}, end
 		}
 		x.late = late
+		if !x.admitQuota() {
+			x.noneAvailable = false
+			q.holdTurn(w, x.quota.retryAt)
+			continue
+		}
 		if c, ok := x.chooseAllowed(); ok {
 			q.sent(w, time.Now())
 			return c, waitSent
 		}
+		x.refundQuota()
 		x.noneAvailable = x.overloadWait == 0
 		if x.noneAvailable && !x.mayBecomeAvailable(w.Until) {
 			return choice{}, q.leave(w, waitNoEndpoint, time.Now())
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -18,6 +18,7 @@
 	"github.com/citrontiller/citrontiller/admit"
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/internal/selection"
+	"github.com/citrontiller/citrontiller/quota"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -41,6 +42,7 @@
 	c.Version++
 	c.Routes = []catalog.Route{{Host: "h", Prefix: "/", Kind: catalog.Stream, Priority: 1, Timeout: time.Minute,
 		TargetLatency: 20 * time.Second, MaxAttempts: 2, Shares: []catalog.Share{{Service: "s"}}}}
+	c.Accounts = map[string]*catalog.Account{"k": {Name: "acme", Quota: &quota.Limit{PerSecond: 1, Burst: 1, Unit: quota.Requests}}}
 	c.Index()
 	g.Config.SetIfNewer(&c)
 	now := time.Now()
@@ -197,6 +199,62 @@
 	is.Equal(q.leave(waiters[1], waitCallerLeft, now), waitCallerLeft)
 	is.Equal(q.turn, waiters[2])
 	is.Equal(len(waiters[turnsPerRound+2].wake), 0)
+	q.holdTurn(waiters[2], now.Add(time.Second)) // its account has no room, which tells nothing of others
+	for i := range turnsPerRound - 1 {
+		is.Equal(q.turn, waiters[3+i])
+		q.failedTurn(waiters[3+i], turnFailure{})
+	}
+	for i := range turnsPerRound {
+		is.True(q.tick(g, now.Add(2*turnInterval), 0))
+		is.Equal(q.turn, waiters[3+i]) // the held request doesn't take the place of another
+		q.failedTurn(waiters[3+i], turnFailure{})
+	}
+	is.True(q.tick(g, now.Add(time.Second), 0))
+	is.Equal(q.turn, waiters[2])
+}
+
+// Guards against waiting requests that use up the quota of their account, against those that are
+// sent beyond it or uncharged, and against a refusal that doesn't tell the caller why.
+func TestWaitingRequestIsChargedWhenSent(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// full is true if the account has no room at first when the request has its turn, room if
+		// it has later, and free if the endpoint has room.
+		full, room, free bool
+		want             string
+		outcome          string
+		charged          int64
+	}{
+		{"sent", false, true, true, "200 x", "sent", 1},
+		{"no endpoint", false, true, false, "503 overload\n", "expired", 0},
+		{"quota has room later", true, true, true, "200 x", "sent", 1},
+		{"quota exceeded", true, false, true, "429 quota\n", "expired", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, q := newBusyFleet(t), &testQuotas{}
+			f.gateway.Quotas = q
+			if c.room && c.free {
+				f.gateway.Codec = patientCodec{}
+			}
+			answered := f.ask(context.Background(), t, "1")
+			f.awaitWaiting(t, 1)
+			for start := time.Now(); q.balance.Load() != 0; time.Sleep(time.Millisecond) { // it is charged for the moment of a turn
+				is.True(time.Since(start) < time.Second)
+			}
+			if c.full {
+				for q.refuse.Store(true); q.refused.Load() == 0; time.Sleep(time.Millisecond) {
+				}
+				q.refuse.Store(!c.room)
+			}
+			if c.free {
+				f.free()
+			}
+			is.Equal(<-answered, c.want)
+			is.Equal(f.outcomes(), []string{c.outcome})
+			is.Equal(q.balance.Load(), c.charged)
+		})
+	}
 }
 
 // Guards against a change for deployments without queueing: a shed request is refused at once.
