--- a/admit/patience.go
+++ b/admit/patience.go
@@ -13,7 +13,8 @@
 	// a queue: a caller that is refused then has time to be served elsewhere.
 	patienceDivisor = 2
 	// urgentDivisor divides the target latency of requests with priority 0 to give their
-	// longest wait in a queue.
+	// longest wait in a queue. With that of other requests, fewer are on time in a crest of
+	// urgent requests (see docs/design/overload-queue.md).
 	urgentDivisor = 2
 )
 
