--- a/admit/waitload_test.go
+++ b/admit/waitload_test.go
@@ -13,12 +13,13 @@
 // kind is a kind of request in a load.
 type kind struct {
 	Patience
-	deadline, service time.Duration
+	// firstEvent is the time from the start to the first event.
+	deadline, service, firstEvent time.Duration
 }
 
 var (
-	shortKind = kind{Patience{Priority: 0, Target: 500 * time.Millisecond, Stream: true}, 3 * time.Second, 100 * time.Millisecond}
-	longKind  = kind{Patience{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}, 15 * time.Second, 400 * time.Millisecond}
+	shortKind = kind{Patience{Priority: 0, Target: 500 * time.Millisecond, Stream: true}, 3 * time.Second, 100 * time.Millisecond, 50 * time.Millisecond}
+	longKind  = kind{Patience{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}, 15 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond}
 )
 
 // behaviour tells when a caller sends a refused request again.
@@ -34,7 +35,7 @@
 type arrival struct {
 	kind      *kind
 	account   string
-	at        time.Time
+	first, at time.Time // of the first and of the last request
 	behaviour behaviour
 	repeats   int
 
@@ -47,7 +48,7 @@
 	perSecond := load * loadServers / k.service.Seconds()
 	for at := from.Seconds() + r.ExpFloat64()/perSecond; at < to.Seconds(); at += r.ExpFloat64() / perSecond {
 		t := queueStart.Add(time.Duration(at * float64(time.Second)))
-		out = append(out, &arrival{kind: k, account: account, at: t, deadline: t.Add(k.deadline)})
+		out = append(out, &arrival{kind: k, account: account, first: t, at: t, deadline: t.Add(k.deadline)})
 	}
 	return out
 }
@@ -79,37 +80,59 @@
 		for len(s.pending) > 0 && !s.pending[0].at.After(now) {
 			a := s.pending[0]
 			s.pending = s.pending[1:]
-			s.arrive(a, a.at)
+			if s.used == nil {
+				s.arriveWithoutQueue(a, a.at)
+			} else {
+				s.arrive(a, a.at)
+			}
 		}
 		s.tick(now)
 	}
 	return load
 }
 
-// try sends a request if the load shedder admits it.
-func (s *servers) try(a *arrival, now time.Time, waiting bool) bool {
+// wait returns the time until a server is free, and whether there is a standing queue.
+func (s *servers) wait(now time.Time) (wait time.Duration, standing bool) {
 	slices.SortFunc(s.free[:], time.Time.Compare)
-	wait := max(0, s.free[0].Sub(now))
-	standing, _ := s.standing.Observe("s", wait, now)
-	if waiting && !s.shedder.AdmitWaiting(a.kind.Priority, wait, a.kind.Target) ||
-		!waiting && !s.shedder.Admit(a.kind.Priority, wait, a.kind.Target, standing) {
-		return false
-	}
+	wait = max(0, s.free[0].Sub(now))
+	standing, _ = s.standing.Observe("s", wait, now)
+	return wait, standing
+}
+
+// send sends a request to the server that is free after a wait.
+func (s *servers) send(a *arrival, wait time.Duration, now time.Time) {
 	a.start = now.Add(wait)
 	s.free[0] = a.start.Add(a.kind.service)
+}
+
+// try sends a request that arrives, or w that waits, if the load shedder admits it.
+func (s *servers) try(a *arrival, w *Waiting, now time.Time) bool {
+	wait, standing := s.wait(now)
+	t := Timing{Elapsed: now.Sub(a.at), Wait: wait, FirstEvent: a.kind.firstEvent}
+	if w != nil && !s.shedder.AdmitWaiting(a.kind.Priority, t, a.kind.Target, w.Late()) ||
+		w == nil && !(t.Timely(a.kind.Target, false) && s.shedder.Admit(a.kind.Priority, wait, a.kind.Target, standing)) {
+		return false
+	}
+	s.send(a, wait, now)
 	return true
 }
 
-func (s *servers) arrive(a *arrival, now time.Time) {
-	if s.used == nil {
-		s.try(a, now, false)
+func (s *servers) arriveWithoutQueue(a *arrival, now time.Time) {
+	wait, standing := s.wait(now)
+	if s.shedder.Admit(a.kind.Priority, wait, a.kind.Target, standing) {
+		s.send(a, wait, now)
 		return
 	}
-	if !s.queue.MustWait(a.kind.Priority, a.account, s.used(a.account)) && s.try(a, now, false) {
+	s.refused(a, wait, now)
+}
+
+func (s *servers) arrive(a *arrival, now time.Time) {
+	longest := a.kind.LongestWait(a.deadline.Sub(now))
+	w := &Waiting{Priority: a.kind.Priority, Account: a.account, LatestStart: a.deadline.Add(-a.kind.firstEvent),
+		OnTimeUntil: now.Add(a.kind.Target - a.kind.firstEvent), Until: now.Add(longest)}
+	if !s.queue.MustWait(w, s.used(a.account), now) && s.try(a, nil, now) {
 		return
 	}
-	longest := a.kind.LongestWait(a.deadline.Sub(now))
-	w := &Waiting{Priority: a.kind.Priority, Account: a.account, LatestStart: a.deadline, Until: now.Add(longest)}
 	e := s.queue.Add(w, s.used(a.account), now)
 	if e.Refused != "" {
 		s.refused(a, e.Expected, now)
@@ -140,8 +163,12 @@
 	for _, w := range s.queue.Expired(now) {
 		s.refused(s.waiting[w], s.queue.ExpectedWait(s.queue.Len(), now), now)
 	}
-	for s.queue.Len() > 0 && s.try(s.waiting[s.queue.Next(1)[0]], now, true) {
-		s.queue.Dispatched(s.queue.Next(1)[0], now)
+	for s.queue.Len() > 0 {
+		w := s.queue.Next(1)[0]
+		if !s.try(s.waiting[w], w, now) {
+			return
+		}
+		s.queue.Dispatched(w, now)
 	}
 }
 
@@ -157,7 +184,7 @@
 		n++
 		if wait := a.start.Sub(a.at); wait >= 0 { // a refused request has no start
 			waits = append(waits, wait)
-			if wait <= a.kind.Target {
+			if wait+a.kind.firstEvent <= a.kind.Target {
 				timely++
 			}
 		}
@@ -183,40 +210,72 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	load := poisson(r, &shortKind, "a", 0, 30*time.Second, 0.4)
 	load = append(load, poisson(r, &longKind, "a", 0, 30*time.Second, 0.45)...)
-	return append(load, poisson(r, &longKind, "a", 8*time.Second, 20*time.Second, 0.45)...)
+	load = append(load, poisson(r, &longKind, "a", 8*time.Second, 20*time.Second, 0.45)...)
+	for _, a := range load {
+		a.behaviour, a.repeats = repeatsAsTold, 1
+	}
+	return load
 }
 
 // Guards against long prompts that are refused in a crest although their callers would wait,
-// and against short ones that are served later for that. The crest brings 0.9 of the servers'
+// against a queue in which all of them wait until they are late, and against short ones that
+// are served later for that. Without the queue, callers repeat a refused request once. The crest brings 0.9 of the servers'
 // work in long prompts for 12 s, of which they can do 0.6 beside the short ones. Long prompts
 // wait for up to 3 s, so that up to 15 s of the servers' time are left for them.
 func TestCrestOfLongPromptsOverShortOnes(t *testing.T) {
 	is := is.New(t)
 	between := func(k *kind, from, to time.Duration) func(*arrival) bool {
 		return func(a *arrival) bool {
-			return a.kind == k && !a.at.Before(queueStart.Add(from)) && a.at.Before(queueStart.Add(to))
+			return a.kind == k && !a.first.Before(queueStart.Add(from)) && a.first.Before(queueStart.Add(to))
 		}
 	}
 	short := between(&shortKind, 0, 30*time.Second)
 	inCrest := between(&longKind, 8*time.Second, 20*time.Second)
 	for seed := range uint64(5) {
 		before, with := serve(crest(seed), nil), serve(crest(seed), noneUsed)
-		longBefore, _, _ := served(before, inCrest)
-		long, _, _ := served(with, inCrest)
+		longBefore, longTimelyBefore, _ := served(before, inCrest)
+		long, longTimely, _ := served(with, inCrest)
 		shortBefore, timelyBefore, lateBefore := served(before, short)
 		shortWith, timely, late := served(with, short)
 		possible := (15*loadServers - work(with, between(&shortKind, 8*time.Second, 23*time.Second))) / work(with, inCrest)
-		t.Logf("seed %d: long served %.3f, %.3f with the queue of %.3f possible; short served %.3f, %.3f, on time %.3f, %.3f, p95 %v, %v",
-			seed, longBefore, long, possible, shortBefore, shortWith, timelyBefore, timely, lateBefore, late)
+		t.Logf("seed %d: long served %.3f, %.3f with the queue of %.3f possible, on time %.3f, %.3f; short served %.3f, %.3f, on time %.3f, %.3f, p95 %v, %v",
+			seed, longBefore, long, possible, longTimelyBefore, longTimely, shortBefore, shortWith, timelyBefore, timely, lateBefore, late)
 		is.True(long > 0.5)
 		is.True(long >= min(1, possible)-0.05)
 		is.True(long >= longBefore+0.1)
+		is.True(longTimely >= longTimelyBefore)
 		is.True(shortWith >= shortBefore-0.005)
 		is.True(timely >= timelyBefore-0.005)
 		is.True(late <= lateBefore+loadTick)
 	}
 }
 
+// Guards against urgent requests that are sent although they are late then, and make the next
+// ones late: in a crest, they bring 1.2 of the servers' work for 12 s.
+func TestCrestOfShortRequests(t *testing.T) {
+	is := is.New(t)
+	inCrest := func(a *arrival) bool {
+		return a.kind == &shortKind && a.first.After(queueStart.Add(8*time.Second)) && a.first.Before(queueStart.Add(20*time.Second))
+	}
+	for seed := range uint64(5) {
+		load := func() []*arrival {
+			r := rand.New(rand.NewPCG(seed, 0))
+			load := poisson(r, &shortKind, "a", 0, 30*time.Second, 0.6)
+			load = append(load, poisson(r, &shortKind, "a", 8*time.Second, 20*time.Second, 0.6)...)
+			load = append(load, poisson(r, &longKind, "a", 0, 30*time.Second, 0.3)...)
+			for _, a := range load {
+				a.behaviour, a.repeats = repeatsAsTold, 1
+			}
+			return load
+		}
+		shareBefore, timelyBefore, lateBefore := served(serve(load(), nil), inCrest)
+		share, timely, late := served(serve(load(), noneUsed), inCrest)
+		t.Logf("seed %d: served %.3f, %.3f with the queue, on time %.3f, %.3f, p95 of the waits %v, %v", seed, shareBefore, share, timelyBefore, timely, lateBefore, late)
+		is.True(timely >= timelyBefore)
+		is.True(timely >= 0.9/1.2) // of the servers' work, nearly all is on time
+	}
+}
+
 // Guards against an account that takes the capacity of the others: at 5 times its demand it
 // brings a load of 0.8 of the servers to 1.2.
 func TestHotAccountWaitsBehindItsOwnRequests(t *testing.T) {
--- a/gateway/servicequeue.go
+++ b/gateway/servicequeue.go
@@ -52,6 +52,9 @@
 
 	// round is the last round in which the request had its turn.
 	round uint64
+	// heldUntil is the time before which the request has no turn since its account's quota is
+	// not expected to have room.
+	heldUntil time.Time
 	// end is empty while the request waits.
 	end waitEnd
 	// drainedIn is the expected time until the queue has drained, at the end of the wait.
@@ -63,9 +66,10 @@
 type shedClass struct {
 	priority int
 	target   time.Duration
+	late     bool
 }
 
-func (w *waiter) class() shedClass { return shedClass{w.Priority, w.target} }
+func (w *waiter) class() shedClass { return shedClass{w.Priority, w.target, w.Late()} }
 
 // serviceQueue holds the requests that wait for an endpoint of a service. A goroutine runs
 // while there are any. Requests choose one after the other: the one whose turn it is wakes
@@ -135,11 +139,18 @@
 	}
 }
 
+// empty reports whether no request waits.
+func (q *serviceQueue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Len() == 0
+}
+
 // mustWait reports whether an arriving request must wait behind others.
-func (q *serviceQueue) mustWait(priority int, account string, used func(string) float64) bool {
+func (q *serviceQueue) mustWait(g *Gateway, w *waiter, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.Len() > 0 && q.queue.MustWait(priority, account, used(account))
+	return q.queue.MustWait(&w.Waiting, g.quotaUsed(w.Account), now)
 }
 
 // enter adds a request to the queue unless it is refused. It returns the decision and the
@@ -213,14 +224,22 @@
 }
 
 // passTurn gives the turn to the first request that hasn't had it in this round and is of no
-// class that was shed in it, or ends the round. The caller holds mu.
+// class that was shed in it, or ends the round. Requests that are held don't count among the
+// first. The caller holds mu.
 func (q *serviceQueue) passTurn() {
 	q.turn = nil
 	if q.failed >= turnsPerRound {
 		return
 	}
-	for _, next := range q.queue.Next(turnsPerRound) {
+	first := 0
+	for _, next := range q.queue.Next(admit.MaxWaiting) {
 		w := q.waiters[next]
+		if w.heldUntil.After(q.roundAt) {
+			continue
+		}
+		if first++; first > turnsPerRound {
+			return
+		}
 		if w.round == q.round || slices.Contains(q.shed, w.class()) {
 			continue
 		}
@@ -249,11 +268,12 @@
 	}
 }
 
-// ended returns how a request's wait has ended, "" if it still waits.
-func (q *serviceQueue) ended(w *waiter) waitEnd {
+// turnOf returns how a request's wait has ended, "" if it still waits, and whether it is a late
+// one.
+func (q *serviceQueue) turnOf(w *waiter) (end waitEnd, late bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return w.end
+	return w.end, w.Late()
 }
 
 // sent removes a request that has chosen its endpoint. It may have been removed while it
@@ -268,21 +288,41 @@
 	w.end = waitSent
 }
 
-// failedTurn records that a request found no endpoint in its turn, because it was shed or
-// for another reason.
-func (q *serviceQueue) failedTurn(w *waiter, shed bool) {
+// turnFailure tells why a request found no endpoint in its turn.
+type turnFailure struct {
+	// shed is true if the load shedder would refuse others of its class, too.
+	shed bool
+	// late is true if the request can't be on time any more.
+	late bool
+}
+
+// failedTurn records that a request found no endpoint in its turn.
+func (q *serviceQueue) failedTurn(w *waiter, f turnFailure) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.turn != w {
 		return
 	}
 	q.failed++
-	if shed {
+	if f.shed {
 		q.shed = append(q.shed, w.class())
 	}
+	if f.late {
+		q.queue.SetLate(&w.Waiting)
+	}
 	q.passTurn()
 }
 
+// holdTurn records that a request's account had no room in its quota in the request's turn, and
+// isn't expected to have any before until. Each refusal by the ledger reserves room for a later
+// request, so that the request doesn't ask again before.
+func (q *serviceQueue) holdTurn(w *waiter, until time.Time) {
+	q.mu.Lock()
+	w.heldUntil = until
+	q.mu.Unlock()
+	q.failedTurn(w, turnFailure{})
+}
+
 // leave removes a request that doesn't wait any longer, and returns how its wait has ended:
 // as stated, unless it had ended before.
 func (q *serviceQueue) leave(w *waiter, how waitEnd, now time.Time) waitEnd {
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -11,6 +11,11 @@
 	"github.com/citrontiller/citrontiller/catalog"
 )
 
+// onTimeQuantile is the quantile of the times to the first event of a route within which a
+// request counts on its own. With the median, half of the requests that are sent at the last
+// moment would be late.
+const onTimeQuantile = 0.9
+
 // queueing reports whether requests wait in queues in an overload.
 func (g *Gateway) queueing() bool { return g.Queueing != nil && g.Queueing() }
 
@@ -32,13 +37,15 @@
 // endpoint.
 func (x *exchange) mustQueue() bool {
 	q := x.g.waiting.find(x.service)
-	return q != nil && q.mustWait(x.route.Priority, x.accountName(), x.g.quotaUsed)
+	return q != nil && !q.empty() && q.mustWait(x.g, x.newWaiter(), time.Now())
 }
 
 // waitInQueue waits in the queue of the service until the request has chosen an endpoint. It
-// returns false, with queueEnd set, if the request is refused or its caller leaves.
+// returns false, with queueEnd set, if the request is refused or its caller leaves. A request
+// that waits isn't charged to its account's quota, but again when it is sent.
 func (x *exchange) waitInQueue() (choice, bool) {
 	q := x.g.waiting.get(x.service)
+	x.refundQuota()
 	w, entered := x.newWaiter(), time.Now()
 	entry, length := q.enter(x.g, w, entered)
 	if entry.Refused != "" {
@@ -54,11 +61,12 @@
 	c, end := x.awaitTurn(q, w)
 	x.inQueue = false
 	x.queueEnd = end
+	_, x.late = q.turnOf(w)
 	waited := time.Since(entered)
 	x.g.Metrics.waits.WithLabelValues(string(x.route.Kind)).Observe(waited.Seconds())
 	x.g.Log.Info("waited", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.Duration("wait", waited),
 		zap.Duration("expected_wait", entry.Expected), zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", entry.Place),
-		zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)), zap.Int("priority", w.Priority), zap.String("outcome", string(end)))
+		zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)), zap.Int("priority", w.Priority), zap.Bool("late", x.late), zap.String("outcome", string(end)))
 	return c, end == waitSent
 }
 
@@ -66,13 +74,24 @@
 // since when its caller waits.
 func (x *exchange) newWaiter() *waiter {
 	patience := admit.Patience{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
-	firstEvent, _ := x.g.firstEvents.Median(x.route.Name)
+	usual, _ := x.g.firstEvents.Quantile(x.route.Name, 0.5)
 	return &waiter{wake: make(chan struct{}, 1), target: x.route.TargetLatency, Waiting: admit.Waiting{Priority: x.route.Priority, Account: x.accountName(),
-		LatestStart: x.deadline.Add(-firstEvent), Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
+		LatestStart: x.deadline.Add(-usual), OnTimeUntil: x.arrived.Add(x.route.TargetLatency - x.expectedFirstEvent()),
+		Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
+}
+
+// expectedFirstEvent returns the expected time from the send to the first event: at the endpoint
+// that was last chosen, or of the route if none was.
+func (x *exchange) expectedFirstEvent() time.Duration {
+	if x.timing.FirstEvent > 0 {
+		return x.timing.FirstEvent
+	}
+	most, _ := x.g.firstEvents.Quantile(x.route.Name, onTimeQuantile)
+	return most
 }
 
-// awaitTurn chooses an endpoint each time that it is the request's turn, until it has found
-// one or the wait ends.
+// awaitTurn chooses an endpoint each time that it is the request's turn and its account's quota
+// has room, until it has found one or the wait ends.
 func (x *exchange) awaitTurn(q *serviceQueue, w *waiter) (choice, waitEnd) {
 	for {
 		select {
@@ -82,20 +101,39 @@
 		case <-x.ctx.Done():
 			return choice{}, q.leave(w, x.contextEnd(), time.Now())
 		}
-		if end := q.ended(w); end != "" {
+		end, late := q.turnOf(w)
+		if end != "" {
 			x.queueWait = w.drainedIn
 			return choice{}, end
 		}
+		x.late = late
+		if !x.admitQuota() {
+			x.noneAvailable = false
+			q.holdTurn(w, x.quota.retryAt)
+			continue
+		}
 		if c, ok := x.chooseAllowed(); ok {
 			q.sent(w, time.Now())
 			return c, waitSent
 		}
+		x.refundQuota()
 		x.noneAvailable = x.overloadWait == 0
 		if x.noneAvailable && !x.mayBecomeAvailable(w.Until) {
 			return choice{}, q.leave(w, waitNoEndpoint, time.Now())
 		}
-		q.failedTurn(w, !x.noneAvailable)
+		q.failedTurn(w, x.turnFailure())
+	}
+}
+
+// turnFailure returns what the request's turn, in which it was shed or found no endpoint, tells
+// of its place in the queue and of other requests. One that wasn't sent since it would be late
+// tells nothing of others, which may have shorter prompts.
+func (x *exchange) turnFailure() turnFailure {
+	if x.noneAvailable {
+		return turnFailure{}
 	}
+	late := !x.late && x.timing.Late(x.route.TargetLatency)
+	return turnFailure{late: late, shed: !late && (x.late || x.isTimely(x.timing))}
 }
 
 // contextEnd returns how the wait has ended if the request's context has.
