route: pace of a started or recovered endpoint, decision

A started endpoint is the cheapest candidate of each gateway at the same time, before it has shown what it can do. A pace bounds its pending uncached tokens by a window that follows from its answers.

--- /dev/null
+++ b/route/pace_test.go
@@ -0,0 +1,103 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// openPaceAt returns a pace that opened at time 0 with usual prefills of 1000 tokens.
+func openPaceAt(crashes int) *pace {
+	p := &pace{reason: PaceStarted}
+	p.open(1000, crashes, at(0))
+	return p
+}
+
+func (p *pace) send(seq uint64, msec int, tokens float64) {
+	p.sent(pacedPrefill{key: dispatchKey{seq: seq}, tokens: tokens, sentAt: at(msec), predictedMs: 20})
+}
+
+// Guards against a window that grows without work which shows that the endpoint can take
+// more, and against an end of the pace before the endpoint has had four usual prefills.
+func TestPaceGrowsWithAnswersInTime(t *testing.T) {
+	is := is.New(t)
+	p := openPaceAt(0)
+	for i := range 20 {
+		p.send(uint64(i), i*100, 1000)
+		is.Equal(p.started(dispatchKey{seq: uint64(i)}, at(i*100+74)), PaceStep(""))
+	}
+	is.Equal(p.window, 4000.0) // one request at a time tells nothing of more than two
+	for i := range 4 {
+		p.send(uint64(i), 3000, 1000)
+	}
+	is.True(!p.admits(1, at(3000)))
+	is.Equal(p.started(dispatchKey{seq: 0}, at(3050)), PaceGrown)
+}
+
+// Guards against a window that falls to its least with one burst of late answers, and
+// against late answers or refusals without effect.
+func TestPaceHalvesOncePerRoundTrip(t *testing.T) {
+	is := is.New(t)
+	p := openPaceAt(0)
+	p.window = 4000
+	for i := range 4 {
+		p.send(uint64(i), 0, 1000)
+	}
+	is.Equal(p.started(dispatchKey{seq: 0}, at(76)), PaceLate)
+	is.Equal(p.started(dispatchKey{seq: 1}, at(90)), PaceStep(""))
+	is.Equal(p.refused(dispatchKey{seq: 2}, at(0), at(91)), PaceStep(""))
+	is.Equal(p.window, 2000.0)
+	is.Equal(p.refused(dispatchKey{seq: 9}, at(92), at(93)), PaceRefused)
+	is.Equal(p.window, 1000.0)
+	is.Equal(p.answers, PaceAnswers{InTime: 0, Late: 2, Refused: 2})
+	for i := range 9 {
+		p.refused(dispatchKey{seq: 9}, at(100+i), at(100+i))
+	}
+	is.Equal(p.window, 125.0)
+	p.drop(dispatchKey{seq: 3})
+	is.True(p.admits(9000, at(110))) // one request always
+}
+
+// Guards against a pace that never ends for an endpoint without much work, or for one that
+// is slower than its service for good, and against one that ends while it limits.
+func TestPaceEnds(t *testing.T) {
+	is := is.New(t)
+	p := openPaceAt(0)
+	is.Equal(p.outlived(at(5000)), PaceStep(""))
+	is.Equal(p.outlived(at(5001)), PaceUnlimited)
+	for i := range 30 {
+		p.exclude(at(i * 1000))
+	}
+	is.Equal(p.outlived(at(30_000)), PaceStep(""))
+	is.Equal(p.outlived(at(30_001)), PaceTimeout)
+}
+
+// Guards against more pending tokens than the window, whatever the order of answers,
+// late answers, refusals and lost events.
+func TestPaceBoundsPendingTokens(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	p := openPaceAt(1)
+	largest := 0.0
+	for i := range 100_000 {
+		now := at(i * 5)
+		tokens := 100 + rng.Float64()*2000
+		if p.admits(tokens, now) {
+			alone := len(p.pending) == 0
+			p.send(uint64(i), i*5, tokens)
+			is.True(alone || p.pendingTokens(now) <= p.window)
+		}
+		largest = max(largest, p.window)
+		if len(p.pending) == 0 || rng.Float64() < 0.4 {
+			continue
+		}
+		w := p.pending[rng.IntN(len(p.pending))]
+		if rng.Float64() < 0.1 {
+			p.refused(w.key, w.sentAt, now)
+		} else if p.started(w.key, now) == PaceGrown {
+			p = openPaceAt(i % 4)
+		}
+	}
+	is.True(largest >= 4000)
+}
