route: started and recovered endpoints take work at their pace

The tracker begins a pace with a new incarnation, newer weights, or the end of an ejection or a pause, and feeds it the dispatches, first tokens and ends of this and of other processes. filter.ready leaves an endpoint at its window out for the reason "pace"; the scheduler uses it before ejected ones if nothing else is left. No endpoint is left out while more than half of those that can take work are paced. A process that has just started takes all it sees as established.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -102,7 +102,7 @@
 	var waits [maxWaitSamples]float64
 	n, step := 0, 1+len(candidates)/maxWaitSamples
 	for i := 0; i < len(candidates); i += step {
-		if e := &candidates[i]; e.State == member.Ready && !e.Ejected && e.UnavailableFor() == 0 {
+		if e := &candidates[i]; e.State == member.Ready && !e.Ejected && !e.AtPace && e.UnavailableFor() == 0 {
 			waits[n] = e.BacklogMs
 			n++
 		}
--- a/plugins/ready/ready.go
+++ b/plugins/ready/ready.go
@@ -17,13 +17,15 @@
 	Paused = "paused"
 	// RateLimited means that the gateways have sent as many requests as the endpoint takes.
 	RateLimited = "rate limit"
+	// Pace means that the endpoint has started or recovered and has enough work for now.
+	Pace = "pace"
 	// Ejected means that the endpoint receives only probes, after failures.
 	Ejected = "ejected"
 )
 
 // Filter keeps the ready endpoints that have the required weights and that the request
 // has not tried. It keeps an ejected endpoint for an idempotent request when its next
-// probe is due, and for any request as a last resort.
+// probe is due, and for any request as a last resort, as it keeps one at its pace.
 type Filter struct{}
 
 // Exclude implements route.Filter.
@@ -43,6 +45,8 @@
 		return RateLimited
 	case e.Ejected && !r.LastResort && !(e.Probe && r.Idempotent):
 		return Ejected
+	case e.AtPace && !r.IgnorePace && !r.LastResort:
+		return Pace
 	}
 	return ""
 }
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -69,6 +69,7 @@
 	if a.crossRegion {
 		transit = crossRegionTransit
 	}
+	s.pace.sent(pacedPrefill{key: a.key(), tokens: uncached, sentAt: now, predictedMs: a.predictedMs})
 	s.backlog.add(pendingPrefill{key: a.key(), rank: r.Rank, arrival: now.Add(transit), tokens: uncached}, now)
 	a.emit(Event{Kind: Dispatched, Endpoint: s.id, Seq: a.seq, Levels: r.shared(), PromptTokens: r.Tokens, Rank: r.Rank, TransitTime: transit, UncachedTokens: uncached})
 	return a
@@ -161,8 +162,12 @@
 	if a.request.Stream {
 		a.state.observe(ms(now.Sub(a.start)), a.predictedMs, now)
 		a.tracker.observeServed(a.state, a.state.backlog.started(a.key(), now))
+		a.tracker.paceChanged(a.state, a.state.pace.started(a.key(), now))
 		a.emit(Event{Kind: Started, Endpoint: a.state.id, Seq: a.seq, Slowdown: a.state.load.Slowdown})
 	}
+	if a.state.ejection > 0 {
+		a.tracker.beginPace(a.state, PaceEjection, now)
+	}
 	a.state.failures, a.state.ejection = 0, 0
 	a.removePending()
 }
@@ -191,6 +196,10 @@
 func (a *Attempt) Refused(now time.Time) {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
+	if a.done {
+		return
+	}
+	a.tracker.paceChanged(a.state, a.state.pace.refused(a.key(), a.start, now))
 	a.dropAddedLevels()
 	a.finish(now)
 }
@@ -211,6 +220,7 @@
 		s.ejection = min(max(maxEjection, first), max(first, 2*s.ejection))
 		s.probeAt = now.Add(s.ejection)
 	}
+	a.tracker.paceChanged(s, s.pace.refused(a.key(), a.start, now))
 	a.dropAddedLevels()
 	a.finish(now)
 }
@@ -251,6 +261,7 @@
 	a.done = true
 	a.state.inFlight--
 	a.state.backlog.drop(a.key())
+	a.state.pace.drop(a.key())
 	a.state.kv.release(a.key(), now)
 	a.emit(Event{Kind: Ended, Endpoint: a.state.id, Seq: a.seq})
 	a.removePending()
--- a/route/event.go
+++ b/route/event.go
@@ -65,6 +65,7 @@
 	defer t.mu.Unlock()
 	for _, s := range t.endpoints {
 		s.backlog.dropSender(sender)
+		s.pace.dropSender(sender)
 		s.kv.releaseSender(sender, now)
 	}
 }
@@ -85,6 +86,9 @@
 		if e.PromptTokens == 0 {
 			return
 		}
+		if s.pace.reason != "" {
+			s.pace.sent(pacedPrefill{key: key, tokens: e.UncachedTokens, sentAt: now, predictedMs: s.predictedMs(e, now)})
+		}
 		s.backlog.add(pendingPrefill{key: key, rank: e.Rank, arrival: now.Add(e.TransitTime), tokens: e.UncachedTokens}, now)
 		s.kv.add(key, e.Levels, float64(e.PromptTokens), now)
 		t.collectHoldings(e.Levels, s, now)
@@ -95,8 +99,10 @@
 			s.backlog.setSlowdown(e.Slowdown, now)
 		}
 		t.observeServed(s, s.backlog.started(key, now))
+		t.paceChanged(s, s.pace.started(key, now))
 	case Ended:
 		s.backlog.drop(key)
+		s.pace.drop(key)
 		s.kv.release(key, now)
 	}
 }
--- a/route/pace.go
+++ b/route/pace.go
@@ -11,7 +11,7 @@
 	paceEstablished = 4
 	// paceQuiet is the time without an exclusion after which an endpoint is established.
 	paceQuiet = 5 * time.Second
-	// maxPace bounds a pace. An endpoint that is slower than its service for good answers
+	// maxPace bounds the pace of an endpoint that has answered. One that is slower than its service for good answers
 	// late for ever; the backlog and the residual limit its work then.
 	maxPace = 30 * time.Second
 	// paceLate is the ratio of the observed to the predicted time to first token above
@@ -76,6 +76,18 @@
 	sentAt time.Time
 	// predictedMs is the predicted time to first token in milliseconds.
 	predictedMs float64
+	// ended is true if the request ended without a first token.
+	ended bool
+}
+
+// lateFrom is the time from which the first token is late.
+func (w *pacedPrefill) lateFrom() time.Time {
+	return w.sentAt.Add(time.Duration(paceLate * max(minPacePredictedMs, w.predictedMs) * float64(time.Millisecond)))
+}
+
+// obsolete reports whether the prefill no longer counts as pending.
+func (w *pacedPrefill) obsolete(now time.Time) bool {
+	return w.ended && now.After(w.lateFrom()) || now.Sub(w.sentAt) > paceStaleAfter
 }
 
 // pace bounds the prompt tokens that may be pending at an endpoint that has started or
@@ -133,7 +145,7 @@
 		return ""
 	case now.Sub(p.limitedAt) > paceQuiet:
 		return PaceUnlimited
-	case now.Sub(p.openedAt) > maxPace:
+	case now.Sub(p.openedAt) > maxPace && p.answers.InTime+p.answers.Late > 0:
 		return PaceTimeout
 	}
 	return ""
@@ -154,7 +166,7 @@
 	if !ok || !p.opened() {
 		return ""
 	}
-	if ms(now.Sub(w.sentAt)) > paceLate*max(minPacePredictedMs, w.predictedMs) {
+	if now.After(w.lateFrom()) {
 		p.answers.Late++
 		return p.halve(w.sentAt, PaceLate, now)
 	}
@@ -173,7 +185,7 @@
 // refused records a refusal or failure of a request that was sent at a time, and returns
 // the step that follows, empty for none.
 func (p *pace) refused(key dispatchKey, sentAt, now time.Time) PaceStep {
-	p.take(key)
+	p.drop(key)
 	if !p.opened() {
 		return ""
 	}
@@ -181,8 +193,13 @@
 	return p.halve(sentAt, PaceRefused, now)
 }
 
-// drop removes a request that ended without a first token.
-func (p *pace) drop(key dispatchKey) { p.take(key) }
+// drop records that a request ended without a first token. It stays pending until its first
+// token would be late; otherwise an endpoint that fails at once would get the most requests.
+func (p *pace) drop(key dispatchKey) {
+	if i := p.index(key); i >= 0 {
+		p.pending[i].ended = true
+	}
+}
 
 // dropSender removes the requests that a process has dispatched.
 func (p *pace) dropSender(sender string) {
@@ -215,7 +232,7 @@
 
 // take removes a pending prefill and returns it, false if there is none.
 func (p *pace) take(key dispatchKey) (pacedPrefill, bool) {
-	i := slices.IndexFunc(p.pending, func(w pacedPrefill) bool { return w.key == key })
+	i := p.index(key)
 	if i < 0 {
 		return pacedPrefill{}, false
 	}
@@ -224,13 +241,14 @@
 	return w, true
 }
 
-// pendingTokens returns the number of pending tokens. It removes stale prefills.
+// index returns the position of a prefill in pending, -1 if it is not there.
+func (p *pace) index(key dispatchKey) int {
+	return slices.IndexFunc(p.pending, func(w pacedPrefill) bool { return w.key == key })
+}
+
+// pendingTokens returns the number of pending tokens. It removes obsolete prefills.
 func (p *pace) pendingTokens(now time.Time) float64 {
-	stale := 0
-	for stale < len(p.pending) && now.Sub(p.pending[stale].sentAt) > paceStaleAfter {
-		stale++
-	}
-	p.pending = slices.Delete(p.pending, 0, stale)
+	p.pending = slices.DeleteFunc(p.pending, func(w pacedPrefill) bool { return w.obsolete(now) })
 	var tokens float64
 	for i := range p.pending {
 		tokens += p.pending[i].tokens
--- a/route/pace_test.go
+++ b/route/pace_test.go
@@ -55,7 +55,9 @@
 		p.refused(dispatchKey{seq: 9}, at(100+i), at(100+i))
 	}
 	is.Equal(p.window, 125.0)
+	p.drop(dispatchKey{seq: 2})
 	p.drop(dispatchKey{seq: 3})
+	is.True(!p.admits(1, at(75)))    // an end without a first token doesn't make room at once
 	is.True(p.admits(9000, at(110))) // one request always
 }
 
@@ -70,6 +72,8 @@
 		p.exclude(at(i * 1000))
 	}
 	is.Equal(p.outlived(at(30_000)), PaceStep(""))
+	is.Equal(p.outlived(at(30_001)), PaceStep("")) // it has answered nothing
+	p.answers.Late++
 	is.Equal(p.outlived(at(30_001)), PaceTimeout)
 }
 
--- /dev/null
+++ b/route/pacing.go
@@ -0,0 +1,233 @@
+package route
+
+import (
+	"cmp"
+	"strings"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/citrontiller/citrontiller/member"
+)
+
+const (
+	// paceSettle is the time from the first load report of this process during which
+	// endpoints that appear, and changes of them, are what the process learns at its start.
+	paceSettle = 5 * time.Second
+	// crashWindow is the time from an endpoint's start within which another start counts as
+	// a crash.
+	crashWindow = 30 * time.Second
+	// maxPaceCrashes is the number of crashes that gives the largest scale.
+	maxPaceCrashes = 3
+	// maxStarts bounds the endpoint ids and addresses whose last start is remembered. The
+	// largest fleet has 3,000 endpoints.
+	maxStarts = 16 << 10
+)
+
+// PaceChange is a step of an endpoint's pace, for the log.
+type PaceChange struct {
+	Endpoint, Service string
+	Step              PaceStep
+	Reason            PaceReason
+	// Window is the largest number of pending uncached prompt tokens.
+	Window  float64
+	Answers PaceAnswers
+}
+
+// endpointStart is the last start of an endpoint and the number of starts before it that
+// each followed the previous one within crashWindow.
+type endpointStart struct {
+	at      time.Time
+	crashes int
+}
+
+// pacing is the state of a tracker that paces endpoints.
+type pacing struct {
+	// onChange receives each step of a pace.
+	onChange func(PaceChange)
+	// firstReportAt is the time of the first load report.
+	firstReportAt time.Time
+	// starts holds the last start by endpoint id and by address.
+	starts *lru.Cache[string, endpointStart]
+}
+
+// PaceEndpoints turns on the pace of started and recovered endpoints. It must be called
+// before the first report. onChange receives each step; it must not block or call the
+// tracker.
+func (t *Tracker) PaceEndpoints(onChange func(PaceChange)) {
+	starts, err := lru.New[string, endpointStart](maxStarts)
+	if err != nil {
+		panic(err) // lru.New fails only if the size is below 1
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pacing = &pacing{onChange: onChange, starts: starts}
+}
+
+// PacedEndpoints returns the number of endpoints that take work at a pace.
+func (t *Tracker) PacedEndpoints(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.endpoints {
+		if s.pace.opened() && s.pace.outlived(now) == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// record records a load report and begins a pace if the report shows a start or other
+// weights. The caller must hold mu.
+func (t *Tracker) record(s *endpointState, r Report, now time.Time) {
+	first, before := s.reportKey == nil, s.load
+	s.report(r, now)
+	if t.pacing == nil || r.Key == nil {
+		return
+	}
+	if t.pacing.firstReportAt.IsZero() {
+		t.pacing.firstReportAt = now
+	}
+	switch {
+	case first, bootOf(before) != bootOf(s.load):
+		s.newestWeights = 0
+		t.beginPace(s, PaceStarted, now)
+	case s.newestWeights > 0 && s.load.WeightsVersion > s.newestWeights:
+		// A list entry may name older weights for a while.
+		t.beginPace(s, PaceWeights, now)
+	}
+	s.newestWeights = max(s.newestWeights, s.load.WeightsVersion)
+}
+
+// bootOf returns the part of a load's BootID that identifies the incarnation. What follows
+// the last slash is the version of the weights.
+func bootOf(l Load) string {
+	if i := strings.LastIndexByte(l.BootID, '/'); i >= 0 {
+		return l.BootID[:i]
+	}
+	return l.BootID
+}
+
+// beginPace begins a pace with the endpoint's next request. A recovery within a pace has no
+// effect. The caller must hold mu.
+func (t *Tracker) beginPace(s *endpointState, reason PaceReason, now time.Time) {
+	if t.pacing == nil || now.Sub(t.pacing.firstReportAt) < paceSettle {
+		return
+	}
+	recovery := reason == PaceEjection || reason == PacePause
+	if recovery && s.pace.reason != "" {
+		return
+	}
+	s.pace = pace{reason: reason, judgedFrom: now}
+}
+
+// observePause begins a pace when a pause that kept requests away is over. The caller must
+// hold mu.
+func (t *Tracker) observePause(s *endpointState, now time.Time) {
+	paused := now.Before(s.pausedUntil)
+	if s.paused && !paused {
+		t.beginPace(s, PacePause, now)
+	}
+	s.paused = paused
+}
+
+// applyPace sets Paced and AtPace of a candidate for a request. The caller must hold mu.
+func (t *Tracker) applyPace(r *Request, e *Endpoint, s *endpointState, now time.Time) {
+	if e.State != member.Ready {
+		s.pace.limitedAt = now // it can't be the limit before it is ready
+		return
+	}
+	uncached := e.UncachedTokens(r.Tokens)
+	if !s.pace.opened() && !t.openPace(r, e, s, uncached, now) {
+		return
+	}
+	if step := s.pace.outlived(now); step != "" {
+		t.paceChanged(s, step)
+		return
+	}
+	e.Paced = true
+	e.AtPace = !s.pace.admits(uncached, now)
+}
+
+// openPace opens the first window of a ready endpoint. It returns false for requests
+// without a prompt. The caller must hold mu.
+func (t *Tracker) openPace(r *Request, e *Endpoint, s *endpointState, uncached float64, now time.Time) bool {
+	usual := cmp.Or(t.usualPrefills[r.Service], uncached)
+	if usual <= 0 || r.Tokens == 0 {
+		return false
+	}
+	crashes := 0
+	if s.pace.reason == PaceStarted {
+		crashes = t.pacing.countStart(e, now)
+	}
+	s.service = r.Service
+	s.pace.open(usual, crashes, now)
+	t.paceChanged(s, PaceBegin)
+	return true
+}
+
+// countStart records a start of an endpoint and returns the number of crashes before it.
+func (p *pacing) countStart(e *Endpoint, now time.Time) int {
+	keys := []string{e.ID, cmp.Or(e.Address, e.ID)}
+	crashes := 0
+	for _, k := range keys {
+		if s, ok := p.starts.Get(k); ok && now.Sub(s.at) < crashWindow {
+			crashes = max(crashes, s.crashes+1)
+		}
+	}
+	crashes = min(crashes, maxPaceCrashes)
+	for _, k := range keys {
+		p.starts.Add(k, endpointStart{now, crashes})
+	}
+	return crashes
+}
+
+// applyWindows records which candidates are excluded by their window. If more than half of
+// the candidates that can take work are paced, the others can't take the work of these, so
+// that none is excluded. The caller must hold mu.
+func (t *Tracker) applyWindows(candidates []Endpoint, now time.Time) {
+	usable, paced := 0, 0
+	for i := range candidates {
+		e := &candidates[i]
+		if e.State != member.Ready || e.Ejected || e.UnavailableFor() > 0 {
+			continue
+		}
+		usable++
+		if e.Paced {
+			paced++
+		}
+	}
+	suspended := 2*paced > usable
+	for i := range candidates {
+		e := &candidates[i]
+		switch {
+		case !e.Paced:
+		case suspended:
+			e.AtPace = false
+			t.endpoints[e.ID].pace.suspend(now)
+		case e.AtPace:
+			t.endpoints[e.ID].pace.exclude(now)
+		}
+	}
+}
+
+// predictedMs returns the predicted time to first token of another process's request in
+// milliseconds.
+func (s *endpointState) predictedMs(e Event, now time.Time) float64 {
+	return paceBaseMs + ms(e.TransitTime) + s.backlog.wait(e.Rank, now) + e.UncachedTokens*s.backlog.currentTokenMs()
+}
+
+// paceChanged reports a step of an endpoint's pace, and ends the pace if the step does. An
+// empty step has no effect. The caller must hold mu.
+func (t *Tracker) paceChanged(s *endpointState, step PaceStep) {
+	if step == "" {
+		return
+	}
+	if t.pacing.onChange != nil {
+		t.pacing.onChange(PaceChange{Endpoint: s.id, Service: s.service, Step: step, Reason: s.pace.reason, Window: s.pace.window, Answers: s.pace.answers})
+	}
+	switch step {
+	case PaceGrown, PaceUnlimited, PaceTimeout:
+		s.pace = pace{}
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -52,6 +52,8 @@
 	Seed uint64
 	// Exclude holds the ids of endpoints at which this request was refused or failed.
 	Exclude map[string]bool
+	// IgnorePace permits endpoints at their pace because no other is available.
+	IgnorePace bool
 	// LastResort permits ejected endpoints because no other is available.
 	LastResort bool
 	// Policy holds the service's settings for endpoint selection.
@@ -134,6 +136,11 @@
 	Ejected bool
 	// Probe is true when an ejected endpoint's next probe is due.
 	Probe bool
+	// Paced is true for an endpoint that takes work at a pace because it has started or
+	// recovered.
+	Paced bool
+	// AtPace is true if the request exceeds what a paced endpoint takes now.
+	AtPace bool
 	// PausedFor is the time for which the endpoint wants no requests from this process, 0
 	// for none.
 	PausedFor time.Duration
@@ -200,6 +207,7 @@
 // Values of Decision.Reason.
 const (
 	ReasonLowest     = "lowest cost"
+	ReasonPaced      = "only endpoints at their pace left"
 	ReasonLastResort = "only ejected endpoints left"
 	ReasonProbe      = "probe of an ejected endpoint"
 	ReasonNone       = "no endpoint available"
--- a/route/scheduler.go
+++ b/route/scheduler.go
@@ -53,11 +53,8 @@
 func (s *Scheduler) Choose(r *Request, endpoints []Endpoint) Decision {
 	d := Decision{RequestID: r.ID, Service: r.Service, Reason: ReasonLowest, Total: len(endpoints)}
 	kept := s.filter(r, endpoints, &d)
-	if len(kept) == 0 && !r.LastResort {
-		last := *r
-		last.LastResort = true
-		d.Candidates, d.Reason = nil, ReasonLastResort
-		kept = s.filter(&last, endpoints, &d)
+	if len(kept) == 0 {
+		kept = s.resort(r, endpoints, &d)
 	}
 	if len(kept) == 0 {
 		d.Reason = ReasonNone
@@ -88,6 +85,31 @@
 	return d
 }
 
+// resort returns the endpoints of the first resort that has any.
+func (s *Scheduler) resort(r *Request, endpoints []Endpoint, d *Decision) []Endpoint {
+	last := *r
+	var kept []Endpoint
+	for len(kept) == 0 && last.relax(d) {
+		d.Candidates = nil
+		kept = s.filter(&last, endpoints, d)
+	}
+	return kept
+}
+
+// relax permits the endpoints of the next resort: first those at their pace, then ejected
+// ones. It records the reason, and returns false if all are permitted.
+func (r *Request) relax(d *Decision) bool {
+	switch {
+	case r.LastResort:
+		return false
+	case !r.IgnorePace:
+		r.IgnorePace, d.Reason = true, ReasonPaced
+	default:
+		r.LastResort, d.Reason = true, ReasonLastResort
+	}
+	return true
+}
+
 // probe returns the index of an endpoint whose probe is due, or -1. Unlike
 // slices.IndexFunc, it does not copy endpoints.
 func probe(endpoints []Endpoint) int {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -61,7 +61,12 @@
 
 	// pausedUntil is the time before which the endpoint wants no requests, zero for none.
 	pausedUntil time.Time
+	// paused is true if the endpoint was paused when it was last a candidate.
+	paused      bool
 	rateLimiter rateLimiter
+	pace        pace
+	// newestWeights is the newest weights version that the incarnation has reported.
+	newestWeights int64
 
 	learnedLifetime time.Duration
 	// assumedLifetime is the block lifetime from the service's policy, 0 for the
@@ -149,6 +154,8 @@
 	serviceStates map[string]memberStates
 	// snapshotSeq is the sequence number of the last snapshot.
 	snapshotSeq uint64
+	// pacing is nil if started endpoints take work at once.
+	pacing *pacing
 }
 
 // NewTracker returns an empty tracker.
@@ -171,7 +178,7 @@
 // previous one only updates the round-trip time.
 func (t *Tracker) Report(id string, r Report, now time.Time) {
 	t.mu.Lock()
-	t.state(id).report(r, now)
+	t.record(t.state(id), r, now)
 	t.mu.Unlock()
 }
 
@@ -201,13 +208,19 @@
 	t.placement.expect(r.Levels, now, t.snapshotSeq)
 	r.OutputTokens = t.outputLengths[lengthKey{r.Service, r.Account}]
 	r.UsualPrefillTokens = t.usualPrefills[r.Service]
+	first, paced := len(out), false
 	for i, s := range states {
 		out = append(out, t.candidate(r, members[i], s, report, now))
+		paced = paced || s.pace.opened()
 	}
 	for _, m := range sampled {
 		e := t.candidate(r, m, t.state(m.ID), report, now)
 		e.Sampled = true
 		out = append(out, e)
+		paced = paced || e.Paced
+	}
+	if paced {
+		t.applyWindows(out[first:], now)
 	}
 	return out
 }
@@ -215,12 +228,17 @@
 // candidate returns an endpoint with its state. The caller must hold mu.
 func (t *Tracker) candidate(r *Request, m member.Endpoint, s *endpointState, report func(member.Endpoint) Report, now time.Time) Endpoint {
 	if s.reportKey == nil {
-		s.report(report(m), now)
+		t.record(s, report(m), now)
 	}
-	return Endpoint{Endpoint: m, Load: s.load, InFlight: s.inFlight, WaitMs: s.wait(r, now), BacklogMs: s.lowestRankWait(now),
+	t.observePause(s, now)
+	e := Endpoint{Endpoint: m, Load: s.load, InFlight: s.inFlight, WaitMs: s.wait(r, now), BacklogMs: s.lowestRankWait(now),
 		KVUsedTokens: s.kvUsed(now), CachedTokens: s.expected(t.snapshotSeq), Residual: s.residualNow(now), TokenMs: s.backlog.currentTokenMs(),
 		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)),
 		RateLimitedFor: t.rateLimitedFor(s, m.Region, now), RateLimitUsed: s.rateLimiter.used(), RateLimited: s.rateLimiter.limited(), RTT: s.rtt}
+	if s.pace.reason != "" {
+		t.applyPace(r, &e, s, now)
+	}
+	return e
 }
 
 // memberStates holds the endpoint states of a service's members.
