--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -136,6 +136,7 @@
 		gauge("blocked_prompt_parts", "Prompt parts that are not sent because they crash endpoints.", func() int { _, n := p.quarantine.Counts(); return n }),
 		gauge("leaving_endpoints", "Listed endpoints that have announced that they leave.", func() int { return len(p.gateway.Directory.LeavingEndpoints()) }),
 		gauge("rate_limited_endpoints", "Listed endpoints that have announced a rate limit.", func() int { return len(p.gateway.Directory.RateLimits()) }),
+		gauge("paced_endpoints", "Endpoints that take work at a pace since they started or recovered.", func() int { return tracker.PacedEndpoints(time.Now()) }),
 		gauge("held_response_bytes", "Bytes of responses that are held back.", func() int { return int(p.gateway.Responses.Used()) }),
 		gauge("request_body_bytes", "Bytes of callers' request bodies.", func() int { return int(p.gateway.Bodies.Used()) }),
 		gauge("store_lost", "1 while the store doesn't respond.", p.storeLost))
@@ -152,12 +153,22 @@
 	p.gateway.OnRateLimit = p.peerServer.PublishRateLimit
 	p.gateway.OnLeaving = func(i catalog.Incarnation) { p.peerServer.PublishLeaving([]catalog.Incarnation{i}) }
 	tracker.OnEvent(p.peerServer.Publish)
+	if settings.EndpointPace == paceAdaptive {
+		tracker.PaceEndpoints(p.logPace)
+	}
 	p.probeMux = http.NewServeMux()
 	p.probeMux.HandleFunc("GET "+platform.ReadinessPath, p.readiness)
 	p.probeMux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	return p
 }
 
+// logPace logs a step of an endpoint's pace.
+func (p *gatewayProcess) logPace(c route.PaceChange) {
+	p.log.Info("endpoint pace", zap.String("endpoint", c.Endpoint), zap.String("service", c.Service), zap.String("step", string(c.Step)),
+		zap.String("reason", string(c.Reason)), zap.Int("window", int(c.Window)), zap.Int("in_time", c.Answers.InTime),
+		zap.Int("late", c.Answers.Late), zap.Int("refused", c.Answers.Refused))
+}
+
 // memoryShare returns a budget of a share of the process's memory limit, nil if there is no
 // limit.
 func memoryShare(limitBytes int64, share float64) *memory.Budget {
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -11,6 +11,12 @@
 	"github.com/citrontiller/citrontiller/rollout"
 )
 
+// Values of Settings.EndpointPace.
+const (
+	paceAdaptive = "adaptive"
+	paceOff      = "off"
+)
+
 // Settings are the flags of a gateway. Each is also an environment variable. The
 // value of a duration includes its unit. The values that the platform provides are
 // in the file named by --settings.
@@ -28,6 +34,7 @@
 	OverloadOther    float64       `arg:"--overload-other,env:CITRONTILLER_OVERLOAD_OTHER" default:"0.3" help:"as --usual-other, while endpoints have a standing queue"`
 	OverloadOtherMax time.Duration `arg:"--overload-other-max,env:CITRONTILLER_OVERLOAD_OTHER_MAX" default:"150ms" help:"longest expected wait that --overload-other allows"`
 	RolloutShare     int           `arg:"--rollout-share,env:CITRONTILLER_ROLLOUT_SHARE" default:"6" help:"one in this many engines of a model is updated at the same time"`
+	EndpointPace     string        `arg:"--endpoint-pace,env:CITRONTILLER_ENDPOINT_PACE" default:"adaptive" help:"pace of work for a started or recovered engine: adaptive or off"`
 }
 
 // Check returns every setting that is missing or out of range, joined. Each is
@@ -51,5 +58,10 @@
 	default:
 		errs = append(errs, &process.SettingError{Flag: "--rollout-strategy", Value: s.RolloutStrategy, Allowed: "finish, keep or cut"})
 	}
+	switch s.EndpointPace {
+	case paceAdaptive, paceOff:
+	default:
+		errs = append(errs, &process.SettingError{Flag: "--endpoint-pace", Value: s.EndpointPace, Allowed: "adaptive or off"})
+	}
 	return errors.Join(errs...)
 }
