--- a/route/pacing_test.go
+++ b/route/pacing_test.go
@@ -305,6 +305,7 @@
 	s.restart(1, 0)
 	s.run(4*time.Second, 100)
 	is.True(!s.has(1, route.PaceGrown))
+	is.True(s.has(1, route.PaceRefused))
 	t.Logf("%d of 400 requests refused", s.refused)
 	is.True(s.refused > 0 && s.refused < 80)
 	for _, c := range s.changes {
