--- a/route/event.go
+++ b/route/event.go
@@ -86,7 +86,7 @@
 		if e.PromptTokens == 0 {
 			return
 		}
-		if s.pace.reason != "" {
+		if s.pace != nil {
 			s.pace.sent(pacedPrefill{key: key, tokens: e.UncachedTokens, sentAt: now, predictedMs: s.predictedMs(e, now)})
 		}
 		s.backlog.add(pendingPrefill{key: key, rank: e.Rank, arrival: now.Add(e.TransitTime), tokens: e.UncachedTokens}, now)
--- a/route/pace.go
+++ b/route/pace.go
@@ -91,10 +91,9 @@
 }
 
 // pace bounds the prompt tokens that may be pending at an endpoint that has started or
-// recovered. The bound, the window, follows from the endpoint's answers. The zero value is
-// the pace of an established endpoint.
+// recovered. The bound, the window, follows from the endpoint's answers. A nil pace is that
+// of an established endpoint.
 type pace struct {
-	// reason is empty for an established endpoint.
 	reason PaceReason
 	// window is the bound in tokens, 0 until open is called. usual is the usual prefill in
 	// tokens.
@@ -115,7 +114,7 @@
 }
 
 // opened reports whether the pace is in force.
-func (p *pace) opened() bool { return p.window > 0 }
+func (p *pace) opened() bool { return p != nil && p.window > 0 }
 
 // open sets the first window. crashes is the number of earlier starts that each were
 // followed by another one soon.
@@ -153,7 +152,7 @@
 
 // sent records a dispatch of any process.
 func (p *pace) sent(w pacedPrefill) {
-	if p.reason == "" {
+	if p == nil {
 		return
 	}
 	p.pending = append(p.pending, w)
@@ -203,6 +202,9 @@
 
 // dropSender removes the requests that a process has dispatched.
 func (p *pace) dropSender(sender string) {
+	if p == nil {
+		return
+	}
 	p.pending = slices.DeleteFunc(p.pending, func(w pacedPrefill) bool { return w.key.sender == sender })
 }
 
@@ -243,6 +245,9 @@
 
 // index returns the position of a prefill in pending, -1 if it is not there.
 func (p *pace) index(key dispatchKey) int {
+	if p == nil {
+		return -1
+	}
 	return slices.IndexFunc(p.pending, func(w pacedPrefill) bool { return w.key == key })
 }
 
--- a/route/pacing.go
+++ b/route/pacing.go
@@ -115,10 +115,10 @@
 		return
 	}
 	recovery := reason == PaceEjection || reason == PacePause
-	if recovery && s.pace.reason != "" {
+	if recovery && s.pace != nil {
 		return
 	}
-	s.pace = pace{reason: reason, judgedFrom: now}
+	s.pace = &pace{reason: reason, judgedFrom: now}
 }
 
 // observePause begins a pace when a pause that kept requests away is over. The caller must
@@ -228,6 +228,6 @@
 	}
 	switch step {
 	case PaceGrown, PaceUnlimited, PaceTimeout:
-		s.pace = pace{}
+		s.pace = nil
 	}
 }
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -64,7 +64,8 @@
 	// paused is true if the endpoint was paused when it was last a candidate.
 	paused      bool
 	rateLimiter rateLimiter
-	pace        pace
+	// pace is nil for an established endpoint.
+	pace *pace
 	// newestWeights is the newest weights version that the incarnation has reported.
 	newestWeights int64
 
@@ -235,7 +236,7 @@
 		KVUsedTokens: s.kvUsed(now), CachedTokens: s.expected(t.snapshotSeq), Residual: s.residualNow(now), TokenMs: s.backlog.currentTokenMs(),
 		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)),
 		RateLimitedFor: t.rateLimitedFor(s, m.Region, now), RateLimitUsed: s.rateLimiter.used(), RateLimited: s.rateLimiter.limited(), RTT: s.rtt}
-	if s.pace.reason != "" {
+	if s.pace != nil {
 		t.applyPace(r, &e, s, now)
 	}
 	return e
