--- a/route/pacing_test.go
+++ b/route/pacing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citrontiller/citrontiller/member"
 	"github.com/citrontiller/citrontiller/route"
 )
 
@@ -112,10 +113,12 @@
 }
 
 func (s *engineSim) send(f *fixture) {
-	f.now = s.now
-	id, a := f.send(&route.Request{Service: "s", Region: "a", Stream: true, Idempotent: true, Tokens: simPrompt, Seed: s.rng.Uint64()})
+	r := &route.Request{Service: "s", Region: "a", Stream: true, Idempotent: true, Tokens: simPrompt, Seed: s.rng.Uint64()}
+	eps := s.snapshot(f, r)
+	d := f.Choose(r, eps)
 	var n int
-	_, _ = fmt.Sscanf(id, "e%d", &n)
+	_, _ = fmt.Sscanf(d.Chosen, "e%d", &n)
+	a := f.tracker.Dispatch(r, &eps[slices.IndexFunc(eps, func(e route.Endpoint) bool { return e.ID == d.Chosen })], d, s.now)
 	e := s.engines[n]
 	if e.fails {
 		s.after(time.Millisecond, func() { a.Refused(s.now); s.refused++ })
@@ -145,6 +148,12 @@
 	})
 }
 
+// snapshot returns a gateway's candidates. Unlike that of the fixture, it reports no load:
+// one would replace the incarnation that restart has reported.
+func (s *engineSim) snapshot(f *fixture, r *route.Request) []route.Endpoint {
+	return f.tracker.AppendSnapshot(nil, r, f.members, nil, func(member.Endpoint) route.Report { return route.Report{} }, s.now)
+}
+
 // has returns whether the first gateway has reported a step of an engine's pace.
 func (s *engineSim) has(engine int, step route.PaceStep) bool {
 	return slices.ContainsFunc(s.changes, func(c route.PaceChange) bool { return c.Endpoint == fmt.Sprintf("e%04d", engine) && c.Step == step })
@@ -159,8 +168,7 @@
 
 // atPace returns the number of engines that the first gateway leaves out for their pace.
 func (s *engineSim) atPace() (n int) {
-	s.gateways[0].now = s.now
-	for _, e := range s.gateways[0].snapshot(&route.Request{Service: "s", Tokens: simPrompt}) {
+	for _, e := range s.snapshot(s.gateways[0], &route.Request{Service: "s", Tokens: simPrompt}) {
 		if e.AtPace {
 			n++
 		}
