route: a pace opens with the first prompt that any gateway sends

Each gateway opened the window with its own next request. Until then it judged no answer, so that the windows of 20 gateways followed from different answers, and one that opened later took a first window for unused. The dispatch of another gateway opens the window now. The address, which the count of crashes needs, is kept with the endpoint.

--- a/route/event.go
+++ b/route/event.go
@@ -87,6 +87,7 @@
 			return
 		}
 		if s.pace != nil {
+			t.openPaceForRemote(s, now)
 			s.pace.sent(pacedPrefill{key: key, tokens: e.UncachedTokens, sentAt: now, predictedMs: s.predictedMs(e, now)})
 		}
 		s.backlog.add(pendingPrefill{key: key, rank: e.Rank, arrival: now.Add(e.TransitTime), tokens: e.UncachedTokens}, now)
--- a/route/pacing.go
+++ b/route/pacing.go
@@ -138,7 +138,7 @@
 		return
 	}
 	uncached := e.UncachedTokens(r.Tokens)
-	if !s.pace.opened() && !t.openPace(r, e, s, uncached, now) {
+	if !s.pace.opened() && !t.openPaceFor(r, e, s, uncached, now) {
 		return
 	}
 	if step := s.pace.outlived(now); step != "" {
@@ -149,26 +149,42 @@
 	e.AtPace = !s.pace.admits(uncached, now)
 }
 
-// openPace opens the first window of a ready endpoint. It returns false for requests
+// openPaceFor opens the first window of a ready endpoint. It returns false for requests
 // without a prompt. The caller must hold mu.
-func (t *Tracker) openPace(r *Request, e *Endpoint, s *endpointState, uncached float64, now time.Time) bool {
+func (t *Tracker) openPaceFor(r *Request, e *Endpoint, s *endpointState, uncached float64, now time.Time) bool {
 	usual := cmp.Or(t.usualPrefills[r.Service], uncached)
 	if usual <= 0 || r.Tokens == 0 {
 		return false
 	}
+	s.service, s.address = r.Service, e.Address
+	t.openPace(s, usual, now)
+	return true
+}
+
+// openPaceForRemote opens the first window of an endpoint to which another process has
+// sent a prompt, so that the windows of all processes follow from the same answers. The
+// caller must hold mu.
+func (t *Tracker) openPaceForRemote(s *endpointState, now time.Time) {
+	usual := t.usualPrefills[s.service]
+	if s.pace == nil || s.pace.opened() || usual <= 0 {
+		return
+	}
+	t.openPace(s, usual, now)
+}
+
+// openPace opens the first window. The caller must hold mu.
+func (t *Tracker) openPace(s *endpointState, usual float64, now time.Time) {
 	crashes := 0
 	if s.pace.reason == PaceStarted {
-		crashes = t.pacing.countStart(e, now)
+		crashes = t.pacing.countStart(s, now)
 	}
-	s.service = r.Service
 	s.pace.open(usual, crashes, now)
 	t.paceChanged(s, PaceBegin)
-	return true
 }
 
 // countStart records a start of an endpoint and returns the number of crashes before it.
-func (p *pacing) countStart(e *Endpoint, now time.Time) int {
-	keys := []string{e.ID, cmp.Or(e.Address, e.ID)}
+func (p *pacing) countStart(e *endpointState, now time.Time) int {
+	keys := []string{e.id, cmp.Or(e.address, e.id)}
 	crashes := 0
 	for _, k := range keys {
 		if s, ok := p.starts.Get(k); ok && now.Sub(s.at) < crashWindow {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -34,8 +34,8 @@
 // endpointState is the tracked state of one endpoint.
 type endpointState struct {
 	id string
-	// region is set when the endpoint has been a candidate.
-	region string
+	// region and address are set when the endpoint has been a candidate.
+	region, address string
 	// load is the last reported load, reportedAt the time of the report and reportKey
 	// its Report.Key.
 	load       Load
@@ -261,7 +261,7 @@
 	l = memberStates{members, make([]*endpointState, len(members))}
 	for i := range members {
 		l.states[i] = t.state(members[i].ID)
-		l.states[i].service, l.states[i].region = service, members[i].Region
+		l.states[i].service, l.states[i].region, l.states[i].address = service, members[i].Region, members[i].Address
 	}
 	t.serviceStates[service] = l
 	return l.states
