route: a started endpoint's answers are judged by those of its service

A first token was late from 1.5 times the prediction, at least 75 ms. The prediction has no part for a new connection to another region, for an endpoint slower than its service or for its own error, and a single late answer halved the window.

Each service has a mean and mean deviation of the ratio of observed to predicted time over the first tokens of established endpoints, of all gateways that this one hears. Late is above the mean and two deviations and more than 100 ms beyond the prediction; until 20 answers are known, more than 250 ms beyond it. Late answers halve the window if there are two and they are at least half of those since its last change. The first window is two usual prefills. A growth needs most answers in time. A refusal or failure halves the window as before.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -69,7 +69,7 @@
 	if a.crossRegion {
 		transit = crossRegionTransit
 	}
-	s.pace.sent(pacedPrefill{key: a.key(), tokens: uncached, sentAt: now, predictedMs: a.predictedMs})
+	t.pacePrefill(s, a.key(), uncached, prediction{now, a.predictedMs})
 	s.backlog.add(pendingPrefill{key: a.key(), rank: r.Rank, arrival: now.Add(transit), tokens: uncached}, now)
 	a.emit(Event{Kind: Dispatched, Endpoint: s.id, Seq: a.seq, Levels: r.shared(), PromptTokens: r.Tokens, Rank: r.Rank, TransitTime: transit, UncachedTokens: uncached})
 	return a
@@ -162,7 +162,7 @@
 	if a.request.Stream {
 		a.state.observe(ms(now.Sub(a.start)), a.predictedMs, now)
 		a.tracker.observeServed(a.state, a.state.backlog.started(a.key(), now))
-		a.tracker.paceChanged(a.state, a.state.pace.started(a.key(), now))
+		a.tracker.paceStarted(a, now)
 		a.emit(Event{Kind: Started, Endpoint: a.state.id, Seq: a.seq, Slowdown: a.state.load.Slowdown})
 	}
 	if a.state.ejection > 0 {
--- a/route/event.go
+++ b/route/event.go
@@ -86,10 +86,7 @@
 		if e.PromptTokens == 0 {
 			return
 		}
-		if s.pace != nil {
-			t.openPaceForRemote(s, now)
-			s.pace.sent(pacedPrefill{key: key, tokens: e.UncachedTokens, sentAt: now, predictedMs: s.predictedMs(e, now)})
-		}
+		t.paceRemotePrefill(s, key, e, now)
 		s.backlog.add(pendingPrefill{key: key, rank: e.Rank, arrival: now.Add(e.TransitTime), tokens: e.UncachedTokens}, now)
 		s.kv.add(key, e.Levels, float64(e.PromptTokens), now)
 		t.collectHoldings(e.Levels, s, now)
@@ -100,10 +97,10 @@
 			s.backlog.setSlowdown(e.Slowdown, now)
 		}
 		t.observeServed(s, s.backlog.started(key, now))
-		t.paceChanged(s, s.pace.started(key, now))
+		t.paceRemoteStarted(s, key, now)
 	case Ended:
 		s.backlog.drop(key)
-		s.pace.drop(key)
+		t.paceRemoteEnded(s, key)
 		s.kv.release(key, now)
 	}
 }
--- a/route/pace.go
+++ b/route/pace.go
@@ -6,23 +6,25 @@
 )
 
 const (
+	// paceFirst is the first window in usual prefills. With one, the endpoint is idle from
+	// each first token until the next prompt arrives.
+	paceFirst = 2
 	// paceEstablished is the window, in usual prefills, above which an endpoint is
-	// established.
+	// established: after two growths from the first window.
 	paceEstablished = 4
+	// paceMinLate is the least number of late answers that halves a window. Some answers of
+	// established endpoints are late too, so that a single one is no evidence.
+	paceMinLate = 2
 	// paceQuiet is the time without an exclusion after which an endpoint is established.
 	paceQuiet = 5 * time.Second
 	// maxPace bounds the pace of an endpoint that has answered. One that is slower than its service for good answers
 	// late for ever; the backlog and the residual limit its work then.
 	maxPace = 30 * time.Second
-	// paceLate is the ratio of the observed to the predicted time to first token above
-	// which an answer is late, and minPacePredictedMs the least prediction, in
-	// milliseconds.
-	paceLate, minPacePredictedMs = 1.5, 50
 	// paceBaseMs is the assumed time to first token of an idle endpoint with the whole
 	// prompt cached, in milliseconds, for requests of other processes.
 	paceBaseMs = 30
-	// maxPaceScale bounds the factor by which crashes reduce the first window. The first
-	// window of an endpoint with this factor is the smallest one.
+	// maxPaceScale bounds the factor by which crashes reduce the first window. The smallest
+	// window is a usual prefill divided by it.
 	maxPaceScale = 8
 	// paceStaleAfter is the time after which a prefill is no longer counted as pending: the
 	// event of its first token may have been lost.
@@ -51,9 +53,9 @@
 const (
 	// PaceBegin means that the pace begins.
 	PaceBegin PaceStep = "begin"
-	// PaceLate and PaceRefused mean that a late first token, or a refusal or failure, has
+	// PaceLate and PaceRefused mean that late first tokens, or a refusal or failure, have
 	// halved the window.
-	PaceLate    PaceStep = "halved by late first token"
+	PaceLate    PaceStep = "halved by late first tokens"
 	PaceRefused PaceStep = "halved by refusal"
 	// PaceGrown, PaceUnlimited and PaceTimeout mean that the endpoint is established:
 	// because its window has grown, has excluded no request for some time, or has lasted
@@ -74,20 +76,18 @@
 	key    dispatchKey
 	tokens float64
 	sentAt time.Time
-	// predictedMs is the predicted time to first token in milliseconds.
-	predictedMs float64
+	// lateAfter is the time from sentAt after which the first token is late.
+	lateAfter time.Duration
 	// ended is true if the request ended without a first token.
 	ended bool
 }
 
-// lateFrom is the time from which the first token is late.
-func (w *pacedPrefill) lateFrom() time.Time {
-	return w.sentAt.Add(time.Duration(paceLate * max(minPacePredictedMs, w.predictedMs) * float64(time.Millisecond)))
-}
+// late reports whether a first token that arrives now is late.
+func (w *pacedPrefill) late(now time.Time) bool { return now.Sub(w.sentAt) > w.lateAfter }
 
 // obsolete reports whether the prefill no longer counts as pending.
 func (w *pacedPrefill) obsolete(now time.Time) bool {
-	return w.ended && now.After(w.lateFrom()) || now.Sub(w.sentAt) > paceStaleAfter
+	return w.ended && w.late(now) || now.Sub(w.sentAt) > paceStaleAfter
 }
 
 // pace bounds the prompt tokens that may be pending at an endpoint that has started or
@@ -101,8 +101,10 @@
 	// answersPerGrowth is the number of windows answered in time that a growth needs.
 	answersPerGrowth float64
 	// answered is the number of tokens answered in time since the last change of the window,
-	// peak the largest number of pending tokens, and limited whether a request was excluded.
+	// inTime and late are the numbers of first tokens, peak is the largest number of pending
+	// tokens, and limited whether a request was excluded.
 	answered, peak float64
+	inTime, late   int
 	limited        bool
 	// openedAt is when the window was opened, limitedAt when it last excluded a request.
 	openedAt, limitedAt time.Time
@@ -120,7 +122,7 @@
 // followed by another one soon.
 func (p *pace) open(usual float64, crashes int, now time.Time) {
 	scale := min(maxPaceScale, float64(int(1)<<crashes))
-	p.usual, p.window, p.answersPerGrowth = usual, usual/scale, scale
+	p.usual, p.window, p.answersPerGrowth = usual, paceFirst*usual/scale, scale
 	p.openedAt, p.limitedAt = now, now
 }
 
@@ -165,13 +167,33 @@
 	if !ok || !p.opened() {
 		return ""
 	}
-	if now.After(w.lateFrom()) {
-		p.answers.Late++
-		return p.halve(w.sentAt, PaceLate, now)
+	if w.late(now) {
+		return p.startedLate(w.sentAt, now)
+	}
+	return p.startedInTime(w.tokens, now)
+}
+
+// startedLate records a late first token of a request that was sent at a time. The window
+// halves if at least half of the answers since its last change were late.
+func (p *pace) startedLate(sentAt, now time.Time) PaceStep {
+	p.answers.Late++
+	if sentAt.Before(p.judgedFrom) {
+		return ""
+	}
+	p.late++
+	if p.late < paceMinLate || p.late < p.inTime {
+		return ""
 	}
+	return p.halve(sentAt, PaceLate, now)
+}
+
+// startedInTime records a first token in time. The window grows if enough tokens were
+// answered in time and most answers since its last change were.
+func (p *pace) startedInTime(tokens float64, now time.Time) PaceStep {
 	p.answers.InTime++
-	p.answered += min(w.tokens, p.window)
-	if p.answered < p.window*p.answersPerGrowth || !p.used() {
+	p.inTime++
+	p.answered += min(tokens, p.window)
+	if p.answered < p.window*p.answersPerGrowth || p.inTime <= p.late || !p.used() {
 		return ""
 	}
 	p.setWindow(2*p.window, now)
@@ -229,6 +251,7 @@
 
 func (p *pace) setWindow(tokens float64, now time.Time) {
 	p.window, p.answered, p.limited = tokens, 0, false
+	p.inTime, p.late = 0, 0
 	p.peak = p.pendingTokens(now)
 }
 
--- a/route/pacing.go
+++ b/route/pacing.go
@@ -48,7 +48,8 @@
 	// firstReportAt is the time of the first load report.
 	firstReportAt time.Time
 	// starts holds the last start by endpoint id and by address.
-	starts *lru.Cache[string, endpointStart]
+	starts   *lru.Cache[string, endpointStart]
+	lateness lateness
 }
 
 // PaceEndpoints turns on the pace of started and recovered endpoints. It must be called
@@ -61,7 +62,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pacing = &pacing{onChange: onChange, starts: starts}
+	t.pacing = &pacing{onChange: onChange, starts: starts, lateness: newLateness()}
 }
 
 // PacedEndpoints returns the number of endpoints that take work at a pace.
@@ -233,6 +234,58 @@
 	return paceBaseMs + ms(e.TransitTime) + s.backlog.wait(e.Rank, now) + e.UncachedTokens*s.backlog.currentTokenMs()
 }
 
+// pacePrefill records a prompt sent to a paced endpoint. The caller must hold mu.
+func (t *Tracker) pacePrefill(s *endpointState, key dispatchKey, tokens float64, p prediction) {
+	if s.pace == nil {
+		return
+	}
+	after := t.pacing.lateness.spreads[s.service].lateAfter(p.predictedMs)
+	s.pace.sent(pacedPrefill{key: key, tokens: tokens, sentAt: p.sentAt, lateAfter: after})
+}
+
+// paceRemotePrefill records another process's dispatch of a prompt. The caller must hold mu.
+func (t *Tracker) paceRemotePrefill(s *endpointState, key dispatchKey, e Event, now time.Time) {
+	if t.pacing == nil {
+		return
+	}
+	p := prediction{sentAt: now, predictedMs: s.predictedMs(e, now)}
+	t.pacing.lateness.predictions.Add(key, p)
+	t.openPaceForRemote(s, now)
+	t.pacePrefill(s, key, e.UncachedTokens, p)
+}
+
+// paceRemoteStarted records the first token of another process's request. The caller must
+// hold mu.
+func (t *Tracker) paceRemoteStarted(s *endpointState, key dispatchKey, now time.Time) {
+	if t.pacing == nil {
+		return
+	}
+	if p, ok := t.pacing.lateness.takePrediction(key); ok && s.pace == nil && s.service != "" {
+		t.pacing.lateness.observe(s.service, p, now)
+	}
+	t.paceChanged(s, s.pace.started(key, now))
+}
+
+// paceStarted records the first token of an attempt. The caller must hold mu.
+func (t *Tracker) paceStarted(a *Attempt, now time.Time) {
+	if t.pacing == nil {
+		return
+	}
+	if a.state.pace == nil {
+		t.pacing.lateness.observe(a.request.Service, prediction{a.start, a.predictedMs}, now)
+	}
+	t.paceChanged(a.state, a.state.pace.started(a.key(), now))
+}
+
+// paceRemoteEnded records the end of another process's request. The caller must hold mu.
+func (t *Tracker) paceRemoteEnded(s *endpointState, key dispatchKey) {
+	if t.pacing == nil {
+		return
+	}
+	t.pacing.lateness.predictions.Remove(key)
+	s.pace.drop(key)
+}
+
 // paceChanged reports a step of an endpoint's pace, and ends the pace if the step does. An
 // empty step has no effect. The caller must hold mu.
 func (t *Tracker) paceChanged(s *endpointState, step PaceStep) {
