route: late answers beyond a window are no evidence against it

A gateway whose window for a started endpoint had not grown as soon as others' saw them fill it. It halved its window once a queue length, down to 500 tokens, for answers to requests that its window would not have admitted. A late first token counts only if the request was within the window when it was sent; one request at a time always is.

The tests of route pass.

--- a/route/pace.go
+++ b/route/pace.go
@@ -78,6 +78,8 @@
 	sentAt time.Time
 	// lateAfter is the time from sentAt after which the first token is late.
 	lateAfter time.Duration
+	// beyond is true if the window was exceeded with this prompt.
+	beyond bool
 	// ended is true if the request ended without a first token.
 	ended bool
 }
@@ -157,6 +159,7 @@
 	if p == nil {
 		return
 	}
+	w.beyond = !p.admits(w.tokens, w.sentAt)
 	p.pending = append(p.pending, w)
 	p.peak = max(p.peak, p.pendingTokens(w.sentAt))
 }
@@ -168,23 +171,24 @@
 		return ""
 	}
 	if w.late(now) {
-		return p.startedLate(w.sentAt, now)
+		return p.startedLate(w, now)
 	}
 	return p.startedInTime(w.tokens, now)
 }
 
-// startedLate records a late first token of a request that was sent at a time. The window
-// halves if at least half of the answers since its last change were late.
-func (p *pace) startedLate(sentAt, now time.Time) PaceStep {
+// startedLate records a late first token. The window halves if at least half of the answers
+// since its last change were late. A request that was sent beyond the window doesn't count:
+// other processes have established the endpoint, or have not heard of each other yet.
+func (p *pace) startedLate(w pacedPrefill, now time.Time) PaceStep {
 	p.answers.Late++
-	if sentAt.Before(p.judgedFrom) {
+	if w.beyond || w.sentAt.Before(p.judgedFrom) {
 		return ""
 	}
 	p.late++
 	if p.late < paceMinLate || p.late < p.inTime {
 		return ""
 	}
-	return p.halve(sentAt, PaceLate, now)
+	return p.halve(w.sentAt, PaceLate, now)
 }
 
 // startedInTime records a first token in time. The window grows if enough tokens were
--- a/route/pace_test.go
+++ b/route/pace_test.go
@@ -94,6 +94,21 @@
 	is.Equal(steps, []PaceStep{PaceGrown})
 }
 
+// Guards against a process whose window falls because others, which have established the
+// endpoint, fill it.
+func TestPaceIgnoresLateAnswersBeyondTheWindow(t *testing.T) {
+	is := is.New(t)
+	p := openPaceAt(0)
+	for i := range 9 {
+		p.send(uint64(i), 0, 1500)
+	}
+	for i := range 9 {
+		is.Equal(p.started(dispatchKey{seq: uint64(i)}, at(100)), PaceStep(""))
+	}
+	is.Equal(p.answers.Late, 9)
+	is.Equal(p.window, 2000.0)
+}
+
 // Guards against a pace that never ends for an endpoint without much work, or for one that
 // is slower than its service for good, and against one that ends while it limits.
 func TestPaceEnds(t *testing.T) {
