--- a/route/pace_test.go
+++ b/route/pace_test.go
@@ -84,6 +84,13 @@
 	is.Equal(len(answer("iiiLL")), 0)
 	is.Equal(answer("iiLL"), []PaceStep{PaceLate})
 	is.Equal(answer("iLiiii"), []PaceStep{PaceGrown})
+	p := openPaceAt(0)
+	for i, after := range []int{80, 70, 70} { // one of two in time is no majority, two of three are
+		is.Equal(p.window, 2000.0)
+		p.send(uint64(i), i*100, 2000)
+		p.started(dispatchKey{seq: uint64(i)}, at(i*100+after))
+	}
+	is.Equal(p.window, 4000.0)
 }
 
 // Guards against a process whose window falls because others, which have established the
