quota: a smaller share takes effect from before its cause was noticed

Cause: after a cut, both sides use the whole level and refill until they notice it up to 1.2 s later. Only what was left then was divided, so that the spending until then was paid from the whole bucket on both sides. Weights take effect up to 3.2 s late. When the share falls, the level at the cut and the refill since then are divided, and the spending since then is charged whole. What a side has spent beyond its part becomes a debt. The loss is that lost gateways' spending shortly before the cut is charged as well.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -28,6 +28,9 @@
 	slot  int
 	level float64
 	at    time.Time
+	// spent is the sum of all charges. past has earlier levels.
+	spent float64
+	past  history
 	// since is the time at which the bucket was made, and left the time at which its
 	// account lost its limit, zero if it has one.
 	since, left time.Time
@@ -54,27 +57,47 @@
 
 // spend lowers the level by a cost in units. The debt is bounded.
 func (b *bucket) spend(cost, share float64) {
-	lowest := -b.limit.Burst - share*b.limit.PerSecond*debtLimit.Seconds()
-	b.level = max(b.level-cost, min(b.level, lowest))
+	level := max(b.level-cost, min(b.level, b.lowest(share)))
+	b.spent += b.level - level
+	b.level = level
+}
+
+// lowest returns the level of the largest debt, in units.
+func (b *bucket) lowest(share float64) float64 {
+	return -b.limit.Burst - share*b.limit.PerSecond*debtLimit.Seconds()
 }
 
 // refund raises the level by a cost in units.
 func (b *bucket) refund(cost, share float64) {
-	b.level = min(b.level+cost, b.capacity(share))
+	level := min(b.level+cost, b.capacity(share))
+	b.spent += b.level - level
+	b.level = level
+}
+
+// remember keeps the present level. The bucket must be settled.
+func (b *bucket) remember(now time.Time) { b.past.add(b.sample(now)) }
+
+func (b *bucket) sample(now time.Time) sample {
+	return sample{at: now, level: b.level, spent: b.spent}
 }
 
-// rescale follows a change of the share. A positive level shrinks with the share and doesn't
-// grow with it: what a returning gateway had left is unknown here. The bucket must be settled.
-func (b *bucket) rescale(from, to float64) {
-	if to < from && b.level > 0 {
-		b.level *= to / from
+// rescale follows a change of the share. A smaller share takes effect from a time in the past on:
+// the gateways that left have used their part of the level since then, and what the others spent
+// beyond their own part becomes a debt. The level doesn't grow with the share: what a returning
+// gateway had left is unknown here. The bucket must be settled.
+func (b *bucket) rescale(from, to float64, since, now time.Time) {
+	if to >= from {
+		return
 	}
+	level := b.past.divide(to/from, since, b.sample(now)).level
+	b.level = min(max(level, b.lowest(to)), b.capacity(to))
 }
 
 // change replaces the limit. The bucket must be settled at the old one.
 func (b *bucket) change(limit Limit, share float64) {
 	if b.limit.Unit != limit.Unit {
 		b.level = 0
+		b.past.clear()
 	}
 	b.limit = limit
 	b.level = min(b.level, b.capacity(share))
--- a/quota/contact.go
+++ b/quota/contact.go
@@ -11,6 +11,12 @@
 const (
 	// contactTimeout is the time without a report after which a gateway isn't heard.
 	contactTimeout = 700 * time.Millisecond
+	// lossNoticed is the time within which both sides notice that a link has failed, in one or
+	// both directions: the timeout, and for each way a report's turn and delay.
+	lossNoticed = contactTimeout + 2*(ReportInterval+150*time.Millisecond)
+	// weightNoticed is the time within which a link that fails between two others takes effect
+	// on weights: it has to last for a whole period of unreachableTime.
+	weightNoticed = lossNoticed + 2*unreachableTime
 	// fleetGrace is the time for which a gateway that knows other registered names is
 	// still taken to hear this one. One registration reaches all gateways within it.
 	fleetGrace = 2 * time.Second
@@ -158,19 +164,28 @@
 	return first
 }
 
+// change is what a report changes in the contacts.
+type change struct {
+	// started is set if contact with the sender has started, and share if the share may
+	// have changed.
+	started, share bool
+	// ago is how long ago the cause of a smaller share can have begun.
+	ago time.Duration
+}
+
 // hear records the contact figures of a report. It returns the sender, nil if the report has
-// to be ignored, whether contact with it has started, and whether the share has changed.
-func (c *contacts) hear(from string, r Report, now time.Time) (p *peer, started, changed bool) {
-	p = c.peers[from]
+// to be ignored, and what has changed.
+func (c *contacts) hear(from string, r Report, now time.Time) (*peer, change) {
+	p := c.peers[from]
 	if p == nil || p.isStale(r.Boot) {
-		return nil, false, false
+		return nil, change{}
 	}
 	p.resume(r, now)
 	p.heard = now
 	c.confirm(p, r, now)
 	was, weight := p.contact, p.weight
 	p.contact = p.inContact(now)
-	started = p.contact && !was
+	started := p.contact && !was
 	if started {
 		p.since = now
 		c.next = earliest(c.next, now.Add(contactTimeout))
@@ -181,7 +196,11 @@
 	if r.Fleet == c.current().hash {
 		p.weight = p.unreachable.weight(r.Heard, c.reachable, now)
 	}
-	return p, started, p.contact != was || p.weight != weight
+	ago := lossNoticed
+	if p.contact && p.weight < weight {
+		ago = weightNoticed
+	}
+	return p, change{started: started, share: p.contact != was || p.weight != weight, ago: ago}
 }
 
 // confirm reads whether the sender of a report hears this gateway. A report by a fleet that
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -80,7 +80,7 @@
 	defer l.mu.Unlock()
 	l.refresh(now)
 	l.contacts.setFleet(gateways)
-	l.reshare(now)
+	l.reshare(0, now)
 }
 
 // Admit decides on a request and charges its cost in units if it is admitted. Requests of
@@ -158,11 +158,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	p, started, changed := l.contacts.hear(from, r, now)
-	if changed {
-		l.reshare(now)
+	p, change := l.contacts.hear(from, r, now)
+	if change.share {
+		l.reshare(change.ago, now)
 	}
-	if started {
+	if change.started {
 		l.fullDue = fullReports
 	}
 	if p == nil {
@@ -228,19 +228,19 @@
 		l.started = now
 	}
 	if l.contacts.expire(now) {
-		l.reshare(now)
+		l.reshare(lossNoticed, now)
 	}
 }
 
-// reshare follows a change of the fleet or of the contacts.
-func (l *Ledger) reshare(now time.Time) {
+// reshare follows a change of the fleet or of the contacts that began so long ago.
+func (l *Ledger) reshare(ago time.Duration, now time.Time) {
 	share := l.contacts.share()
 	if share == l.share {
 		return
 	}
 	l.settle(now)
 	for _, b := range l.accounts.buckets {
-		b.rescale(l.share, share)
+		b.rescale(l.share, share, now.Add(-ago), now)
 	}
 	l.share = share
 }
@@ -274,6 +274,7 @@
 			continue
 		}
 		b.settle(l.share, now)
+		b.remember(now)
 		if full && b.own.units > 0 || b.own.due(b, l.share, len(l.contacts.names), now) {
 			spending = append(spending, b.own.report(b.account, now))
 		}
