quota: a loss is dated from the last report heard, and own unseen spending is added

Cause: a loss dated 1.2 s back also charged what the lost gateways had reported until then. A gateway cut off from 19 others got a debt that its share pays in up to 20 s, and so would one that stalled for the contact timeout. Change: a contact that times out is dated from its last report; no spending of that gateway is charged after it. The gateway's own spending of the 250 ms before, which the other side may not have seen, is charged in addition.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -78,7 +78,7 @@
 func (b *bucket) remember(now time.Time) { b.past.add(b.sample(now)) }
 
 func (b *bucket) sample(now time.Time) sample {
-	return sample{at: now, level: b.level, spent: b.spent}
+	return sample{at: now, level: b.level, spent: b.spent, own: b.own.units}
 }
 
 // rescale follows a change of the share. A smaller share takes effect from a time in the past on:
--- a/quota/contact.go
+++ b/quota/contact.go
@@ -11,9 +11,11 @@
 const (
 	// contactTimeout is the time without a report after which a gateway isn't heard.
 	contactTimeout = 700 * time.Millisecond
-	// lossNoticed is the time within which both sides notice that a link has failed, in one or
-	// both directions: the timeout, and for each way a report's turn and delay.
-	lossNoticed = contactTimeout + 2*(ReportInterval+150*time.Millisecond)
+	// reportNoticed is the time within which a report that is due reaches the others: its turn
+	// and the link's delay.
+	reportNoticed = ReportInterval + 150*time.Millisecond
+	// lossNoticed is the time within which a gateway that others don't hear learns of it.
+	lossNoticed = contactTimeout + 2*reportNoticed
 	// weightNoticed is the time within which a link that fails between two others takes effect
 	// on weights: it has to last for a whole period of unreachableTime.
 	weightNoticed = lossNoticed + 2*unreachableTime
@@ -131,20 +133,20 @@
 	return share
 }
 
-// expire ends the contacts that have timed out and returns whether any has.
-func (c *contacts) expire(now time.Time) bool {
+// expire ends the contacts that have timed out. It returns whether any has, and when the last of
+// them was heard.
+func (c *contacts) expire(now time.Time) (heard time.Time, ended bool) {
 	if now.Before(c.next) {
-		return false
+		return time.Time{}, false
 	}
 	c.next = now.Add(contactTimeout)
-	ended := false
 	for _, p := range c.peers {
 		if !p.contact {
 			continue
 		}
 		if !p.inContact(now) {
 			p.contact = false
-			ended = true
+			heard, ended = latest(heard, p.heard), true
 			continue
 		}
 		c.next = earliest(c.next, p.heard.Add(contactTimeout), p.confirmed.Add(fleetGrace))
@@ -152,7 +154,14 @@
 	if ended {
 		c.mark()
 	}
-	return ended
+	return heard, ended
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func earliest(first time.Time, others ...time.Time) time.Time {
@@ -169,8 +178,8 @@
 	// started is set if contact with the sender has started, and share if the share may
 	// have changed.
 	started, share bool
-	// ago is how long ago the cause of a smaller share can have begun.
-	ago time.Duration
+	// since is the time at which the cause of a smaller share can have begun.
+	since time.Time
 }
 
 // hear records the contact figures of a report. It returns the sender, nil if the report has
@@ -196,11 +205,11 @@
 	if r.Fleet == c.current().hash {
 		p.weight = p.unreachable.weight(r.Heard, c.reachable, now)
 	}
-	ago := lossNoticed
+	since := now.Add(-lossNoticed)
 	if p.contact && p.weight < weight {
-		ago = weightNoticed
+		since = now.Add(-weightNoticed)
 	}
-	return p, change{started: started, share: p.contact != was || p.weight != weight, ago: ago}
+	return p, change{started: started, share: p.contact != was || p.weight != weight, since: since}
 }
 
 // confirm reads whether the sender of a report hears this gateway. A report by a fleet that
--- a/quota/history.go
+++ b/quota/history.go
@@ -9,8 +9,9 @@
 // sample is the state of a bucket at a time.
 type sample struct {
 	at time.Time
-	// level and spent are the level and the sum of all charges, in units.
-	level, spent float64
+	// level is the level, spent the sum of all charges and own that of this gateway's, in
+	// units.
+	level, spent, own float64
 }
 
 // history is a ring of a bucket's latest samples.
@@ -48,7 +49,8 @@
 }
 
 // divide returns the state that a bucket would have now if it had kept only a part of its level
-// and of its refill since a time. Spending since then is charged whole. Later samples change in
+// and of its refill since a time. Spending since then is charged whole, and so is that of this
+// gateway shortly before, which the gateways that left haven't seen. Later samples change in
 // the same way, so that several losses of contact in turn have the effect of a single one.
 func (h *history) divide(part float64, since time.Time, now sample) sample {
 	if h.size == 0 {
@@ -56,11 +58,15 @@
 	}
 	from := h.before(since)
 	base := *h.get(from)
+	unseen := max(base.own-h.get(h.before(since.Add(-reportNoticed))).own, 0) * (1 - part)
 	for i := from; i < h.size; i++ {
 		s := h.get(i)
 		*s = s.divided(base, part)
+		s.level -= unseen
 	}
-	return now.divided(base, part)
+	now = now.divided(base, part)
+	now.level -= unseen
+	return now
 }
 
 // divided returns a sample with only a part of the level at an earlier one and of the refill
--- a/quota/history_test.go
+++ b/quota/history_test.go
@@ -26,10 +26,10 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var h history
-			h.add(sample{after(-time.Second), 3, 0})
-			h.add(sample{cut, c.level, 0})
-			h.add(sample{after(ReportInterval), c.level - c.spent/2, c.spent / 2})
-			now := sample{after(time.Second), c.level - c.spent, c.spent}
+			h.add(sample{after(-time.Second), 3, 0, 0})
+			h.add(sample{cut, c.level, 0, 0})
+			h.add(sample{after(ReportInterval), c.level - c.spent/2, c.spent / 2, 0})
+			now := sample{after(time.Second), c.level - c.spent, c.spent, 0}
 			for _, part := range c.parts {
 				now = h.divide(part, after(ReportInterval/2), now)
 			}
@@ -43,11 +43,22 @@
 	is := is.New(t)
 	cut := time.Unix(1_000_000_000, 0)
 	var h history
-	h.add(sample{cut, 0, 0})
-	now := h.divide(0.5, cut, sample{cut.Add(time.Second), 60, 40})
+	h.add(sample{cut, 0, 0, 0})
+	now := h.divide(0.5, cut, sample{cut.Add(time.Second), 60, 40, 0})
 	is.Equal(now.level, 10.0) // half of a refill of 100, less 40
 }
 
+// Guards against spending shortly before a cut that the other side hasn't seen and so doesn't pay.
+func TestUnseenSpendingBeforeACut(t *testing.T) {
+	is := is.New(t)
+	cut := time.Unix(1_000_000_000, 0)
+	var h history
+	h.add(sample{cut.Add(-time.Second), 100, 0, 0})
+	h.add(sample{cut, 80, 20, 20})
+	now := h.divide(0.5, cut, sample{cut.Add(time.Second), 80, 20, 20})
+	is.Equal(now.level, 30.0) // half of 80, less half of 20
+}
+
 // Guards against samples that are lost or out of order once the ring is full.
 func TestHistoryKeepsLatestSamples(t *testing.T) {
 	is := is.New(t)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -80,7 +80,7 @@
 	defer l.mu.Unlock()
 	l.refresh(now)
 	l.contacts.setFleet(gateways)
-	l.reshare(0, now)
+	l.reshare(now, now)
 }
 
 // Admit decides on a request and charges its cost in units if it is admitted. Requests of
@@ -160,7 +160,7 @@
 	l.refresh(now)
 	p, change := l.contacts.hear(from, r, now)
 	if change.share {
-		l.reshare(change.ago, now)
+		l.reshare(change.since, now)
 	}
 	if change.started {
 		l.fullDue = fullReports
@@ -227,20 +227,20 @@
 	if l.started.IsZero() {
 		l.started = now
 	}
-	if l.contacts.expire(now) {
-		l.reshare(lossNoticed, now)
+	if heard, ended := l.contacts.expire(now); ended {
+		l.reshare(heard, now)
 	}
 }
 
-// reshare follows a change of the fleet or of the contacts that began so long ago.
-func (l *Ledger) reshare(ago time.Duration, now time.Time) {
+// reshare follows a change of the fleet or of the contacts that began at a time.
+func (l *Ledger) reshare(since, now time.Time) {
 	share := l.contacts.share()
 	if share == l.share {
 		return
 	}
 	l.settle(now)
 	for _, b := range l.accounts.buckets {
-		b.rescale(l.share, share, now.Add(-ago), now)
+		b.rescale(l.share, share, since, now)
 	}
 	l.share = share
 }
