--- a/quota/contact.go
+++ b/quota/contact.go
@@ -11,6 +11,17 @@
 const (
 	// contactTimeout is the time without a report after which a gateway isn't heard.
 	contactTimeout = 700 * time.Millisecond
+	// reportNoticed is the time within which a report that is due reaches the others: its turn
+	// and the link's delay.
+	reportNoticed = ReportInterval + 150*time.Millisecond
+	// lossNoticed is the time within which a gateway that others don't hear learns of it.
+	lossNoticed = contactTimeout + 2*reportNoticed
+	// weightNoticed is the time within which a link that fails between two others takes effect
+	// on weights: it has to last for a whole period of unreachableTime.
+	weightNoticed = lossNoticed + 2*unreachableTime
+	// silenceTimeout is the time without a report after which the part of a gateway isn't
+	// spent until it is heard again. Reports that are delayed by up to 150 ms keep within it.
+	silenceTimeout = 300 * time.Millisecond
 	// fleetGrace is the time for which a gateway that knows other registered names is
 	// still taken to hear this one. One registration reaches all gateways within it.
 	fleetGrace = 2 * time.Second
@@ -38,8 +49,10 @@
 	peers map[string]*peer
 	// reachable has a bit for each name, set for this gateway and those in contact.
 	reachable []byte
-	// next is the earliest time at which a contact can end.
+	// next is the earliest time at which a gateway can fall silent or a contact can end.
 	next time.Time
+	// silent has the gateways in contact that aren't heard.
+	silent silent
 }
 
 // setFleet replaces the registered gateways.
@@ -65,9 +78,32 @@
 		peers[name] = p
 	}
 	c.peers = peers
+	c.next = time.Time{}
 	c.mark()
 }
 
+// silent describes the gateways in contact that haven't been heard for silenceTimeout.
+type silent struct {
+	// weight is the sum of their weights, and since the time at which the last of them was
+	// heard.
+	weight float64
+	since  time.Time
+}
+
+// add counts a gateway.
+func (s *silent) add(p *peer) {
+	s.weight += p.weight
+	s.since = latest(s.since, p.heard)
+}
+
+// heldPart returns the part of the share that may be spent, from 0 to 1, and since when.
+func (c *contacts) heldPart(share float64) (part float64, since time.Time) {
+	if c.silent.weight == 0 || share <= 0 {
+		return 1, time.Time{}
+	}
+	return 1 - c.silent.weight/(share*float64(len(c.names))), c.silent.since
+}
+
 // mark notes which gateways are in contact.
 func (c *contacts) mark() {
 	c.reachable = newSet(len(c.names))
@@ -125,28 +161,41 @@
 	return share
 }
 
-// expire ends the contacts that have timed out and returns whether any has.
-func (c *contacts) expire(now time.Time) bool {
+// expire ends the contacts that have timed out and notes which gateways are silent. It returns whether any has, and when the last of
+// them was heard.
+func (c *contacts) expire(now time.Time) (heard time.Time, ended bool) {
 	if now.Before(c.next) {
-		return false
+		return time.Time{}, false
 	}
-	c.next = now.Add(contactTimeout)
-	ended := false
+	c.next = now.Add(silenceTimeout)
+	c.silent = silent{}
 	for _, p := range c.peers {
 		if !p.contact {
 			continue
 		}
 		if !p.inContact(now) {
 			p.contact = false
-			ended = true
+			heard, ended = latest(heard, p.heard), true
 			continue
 		}
-		c.next = earliest(c.next, p.heard.Add(contactTimeout), p.confirmed.Add(fleetGrace))
+		silence := p.heard.Add(silenceTimeout)
+		if !now.Before(silence) {
+			c.silent.add(p)
+			silence = p.heard.Add(contactTimeout)
+		}
+		c.next = earliest(c.next, silence, p.confirmed.Add(fleetGrace))
 	}
 	if ended {
 		c.mark()
 	}
-	return ended
+	return heard, ended
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func earliest(first time.Time, others ...time.Time) time.Time {
@@ -158,22 +207,34 @@
 	return first
 }
 
+// change is what a report changes in the contacts.
+type change struct {
+	// started is set if contact with the sender has started, and share if the share may
+	// have changed.
+	started, share bool
+	// since is the time at which the cause of a smaller share can have begun.
+	since time.Time
+}
+
 // hear records the contact figures of a report. It returns the sender, nil if the report has
-// to be ignored, whether contact with it has started, and whether the share has changed.
-func (c *contacts) hear(from string, r Report, now time.Time) (p *peer, started, changed bool) {
-	p = c.peers[from]
+// to be ignored, and what has changed.
+func (c *contacts) hear(from string, r Report, now time.Time) (*peer, change) {
+	p := c.peers[from]
 	if p == nil || p.isStale(r.Boot) {
-		return nil, false, false
+		return nil, change{}
 	}
 	p.resume(r, now)
 	p.heard = now
 	c.confirm(p, r, now)
 	was, weight := p.contact, p.weight
 	p.contact = p.inContact(now)
-	started = p.contact && !was
+	started := p.contact && !was
 	if started {
 		p.since = now
-		c.next = earliest(c.next, now.Add(contactTimeout))
+		c.next = earliest(c.next, now.Add(silenceTimeout))
+	}
+	if c.silent.weight > 0 {
+		c.next = now
 	}
 	if p.contact != was {
 		c.mark()
@@ -181,7 +242,11 @@
 	if r.Fleet == c.current().hash {
 		p.weight = p.unreachable.weight(r.Heard, c.reachable, now)
 	}
-	return p, started, p.contact != was || p.weight != weight
+	since := now.Add(-lossNoticed)
+	if p.contact && p.weight < weight {
+		since = now.Add(-weightNoticed)
+	}
+	return p, change{started: started, share: p.contact != was || p.weight != weight, since: since}
 }
 
 // confirm reads whether the sender of a report hears this gateway. A report by a fleet that
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -80,7 +80,7 @@
 	defer l.mu.Unlock()
 	l.refresh(now)
 	l.contacts.setFleet(gateways)
-	l.reshare(now)
+	l.reshare(now, now)
 }
 
 // Admit decides on a request and charges its cost in units if it is admitted. Requests of
@@ -93,7 +93,7 @@
 		return Verdict{Admitted: true}
 	}
 	cost = clean(cost)
-	admitted := b.admits(cost, l.share, l.slackShare(now), l.slack)
+	admitted := l.admits(b, cost, now)
 	verdict := Verdict{Admitted: admitted, Share: l.share}
 	if admitted {
 		l.charge(b, cost, now)
@@ -104,6 +104,17 @@
 	return verdict
 }
 
+// admits returns whether a bucket has capacity for a cost. The part of gateways that are silent
+// isn't spent.
+func (l *Ledger) admits(b *bucket, cost float64, now time.Time) bool {
+	level, slackShare := b.level, l.slackShare(now)
+	part, since := l.contacts.heldPart(l.share)
+	if part < 1 {
+		level = min(level, b.held(part, since, now))
+	}
+	return b.admits(cost, level, l.share*part, slackShare*part, l.slack)
+}
+
 // Charge charges a cost in units without a decision.
 func (l *Ledger) Charge(account string, cost float64, now time.Time) {
 	l.mu.Lock()
@@ -158,11 +169,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	p, started, changed := l.contacts.hear(from, r, now)
-	if changed {
-		l.reshare(now)
+	p, change := l.contacts.hear(from, r, now)
+	if change.share {
+		l.reshare(change.since, now)
 	}
-	if started {
+	if change.started {
 		l.fullDue = fullReports
 	}
 	if p == nil {
@@ -227,20 +238,20 @@
 	if l.started.IsZero() {
 		l.started = now
 	}
-	if l.contacts.expire(now) {
-		l.reshare(now)
+	if heard, ended := l.contacts.expire(now); ended {
+		l.reshare(heard, now)
 	}
 }
 
-// reshare follows a change of the fleet or of the contacts.
-func (l *Ledger) reshare(now time.Time) {
+// reshare follows a change of the fleet or of the contacts that began at a time.
+func (l *Ledger) reshare(since, now time.Time) {
 	share := l.contacts.share()
 	if share == l.share {
 		return
 	}
 	l.settle(now)
 	for _, b := range l.accounts.buckets {
-		b.rescale(l.share, share)
+		b.rescale(l.share, share, since, now)
 	}
 	l.share = share
 }
@@ -274,6 +285,7 @@
 			continue
 		}
 		b.settle(l.share, now)
+		b.remember(now)
 		if full && b.own.units > 0 || b.own.due(b, l.share, len(l.contacts.names), now) {
 			spending = append(spending, b.own.report(b.account, now))
 		}
