--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -79,10 +79,18 @@
 	return r
 }
 
+// onTimeRetryDivisor divides the time in which a request can still be on time to give the
+// longest delay of its refusal: the returning caller needs the rest to be served on time.
+const onTimeRetryDivisor = 4
+
 // queueRetryAfter returns the time until the queue is expected to have drained to the
-// request's place, with a spread that keeps refused callers from returning together.
+// request's place, with a spread that keeps refused callers from returning together. A caller
+// that can still be served on time is told to return earlier.
 func (x *exchange) queueRetryAfter() time.Duration {
 	wait := min(maxQueueRetryAfter, max(x.queueWait, x.overloadWait))
+	if left := x.route.TargetLatency - time.Since(x.arrived); left > 2*minRetryAfter {
+		wait = min(wait, left/onTimeRetryDivisor)
+	}
 	share := float64(xxhash.Sum64String(x.info.ID)>>32) / (1 << 32)
 	return wait + time.Duration(share*float64(wait/queueSpreadDivisor))
 }
--- a/internal/gatewayd/quota_test.go
+++ b/internal/gatewayd/quota_test.go
@@ -88,9 +88,9 @@
 		is.Equal(p.gateway.Config.Current().Version, c.version2)
 		is.Equal(int64(logs.FilterMessage("quota in force").Len()), c.logs)
 	}
-	refused := logs.FilterMessage("cannot decode configuration").All()
+	refused := logs.FilterMessage("configuration has errors; the one before stays in force").All()
 	is.Equal(len(refused), 2)
-	is.True(strings.Contains(fmt.Sprint(refused[0].ContextMap()["error"]), `account "acme": field "rate_per_s"`))
+	is.True(strings.Contains(fmt.Sprint(refused[0].ContextMap()["first"]), `tenants[acme].rate_per_s: -5`))
 	is.Equal(logs.FilterMessage("quota no longer in force").Len(), 1)
 }
 
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -34,7 +34,7 @@
 	OverloadOther    float64       `arg:"--overload-other,env:CITRONTILLER_OVERLOAD_OTHER" default:"0.3" help:"as --usual-other, while endpoints have a standing queue"`
 	OverloadOtherMax time.Duration `arg:"--overload-other-max,env:CITRONTILLER_OVERLOAD_OTHER_MAX" default:"150ms" help:"longest expected wait that --overload-other allows"`
 	RolloutShare     int           `arg:"--rollout-share,env:CITRONTILLER_ROLLOUT_SHARE" default:"6" help:"one in this many engines of a model is updated at the same time"`
-	EndpointPace     string        `arg:"--endpoint-pace,env:CITRONTILLER_ENDPOINT_PACE" default:"adaptive" help:"pace of work for a started or recovered engine: adaptive or off"`
+	EndpointPace     string        `arg:"--endpoint-pace,env:CITRONTILLER_ENDPOINT_PACE" default:"off" help:"pace of work for a started or recovered engine: adaptive or off"`
 }
 
 // Check returns every setting that is missing or out of range, joined. Each is
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -32,17 +32,17 @@
 }
 
 func (p *gatewayProcess) applyConfig(pair infra.Pair) {
+	findings, _ := platform.CheckConfig(pair.Value) // DecodeConfig returns the same error
+	if errs := check.Errors(findings); len(errs) > 0 {
+		p.log.Error("configuration has errors; the one before stays in force", zap.Int64("revision", pair.Revision),
+			zap.Int("errors", len(errs)), zap.String("first", findingList(errs)))
+		return
+	}
 	c, err := platform.DecodeConfig(pair.Value)
 	if err != nil {
 		p.log.Error("cannot decode configuration", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
-	findings, _ := platform.CheckConfig(pair.Value)
-	if errs := check.Errors(findings); len(errs) > 0 {
-		p.log.Error("configuration has errors; the one before stays in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
-			zap.Int("errors", len(errs)), zap.String("first", findingList(errs)))
-		return
-	}
 	if current := p.gateway.Config.Current(); current == nil || current.Version < c.Version {
 		p.quotas.setLimits(c.Quotas(), time.Now()) // before requests are accepted under the configuration
 	}
