soak: an account with a limit, checked from what the endpoints ran

Guards against a limit that gateways exceed together while they are killed, paused and stopped in series.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,8 @@
 	bodyDelay time.Duration
 	// lasts is how long its run lasts, if the path says so.
 	lasts time.Duration
+	// credential is usualKey if it is empty.
+	credential string
 }
 
 // result is what a caller sees of a request.
@@ -103,8 +106,8 @@
 // exchange sends a request and reads the head of the answer, which may come before the last
 // byte is written.
 func (c *connection) exchange(r *result) (*http.Response, error) {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: key\r\n"+
-		"Citrontiller-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\n", r.method, r.path, r.id, r.deadline.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: %s\r\n"+
+		"Citrontiller-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\n", r.method, r.path, r.id, cmp.Or(r.credential, usualKey), r.deadline.Milliseconds())
 	if r.bodyDelay > 0 {
 		_, _ = io.WriteString(c, head) // an error shows when the answer is read
 		time.Sleep(r.bodyDelay)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,9 +42,9 @@
 	graceTime = 8 * time.Second
 	// soakMemoryMB is the gateways' memory_mb setting.
 	soakMemoryMB = 200
-	// firstLongStream and stopStream select sequences of random numbers of a seed. Smaller ones
+	// firstLongStream, stopStream and limitedStream select sequences of random numbers of a seed. Smaller ones
 	// are the faults' and those of the callers of short requests.
-	firstLongStream, stopStream = 100, 1000
+	firstLongStream, stopStream, limitedStream = 100, 1000, 2000
 )
 
 // runSeed injects the faults of a seed under load and checks that requests are
@@ -65,6 +65,8 @@
 		rng := rand.New(rand.NewPCG(uint64(seed), uint64(i)+2))
 		wg.Go(func() { s.sendRequests(ctx, &next, rng) })
 	}
+	limitedRng := rand.New(rand.NewPCG(uint64(seed), limitedStream))
+	wg.Go(func() { s.sendLimited(ctx, &next, limitedRng) })
 	longCtx, cancelLong := context.WithCancel(ctx)
 	defer cancelLong()
 	for i, p := range s.processes {
@@ -96,12 +98,14 @@
 	cancel()
 	wg.Wait()
 	s.checkRefused()
+	s.checkQuota()
 	for _, p := range s.processes {
 		if peak := p.peakMemoryMB(t); peak >= soakMemoryMB {
 			s.fail("gateway %s has taken %d MB of memory", p.name, peak)
 		}
 	}
 	t.Logf("seed %d: %d requests, %d served, %d in the last second, %d ran that were sent late in a planned stop", seed, next.Load(), after, after-before, s.ranLate.Load())
+	t.Log(s.quotaSummary())
 	is.True(after-before > 50) // served again after the faults
 	is.Equal(s.failures.Load(), int64(0))
 }
@@ -137,7 +141,7 @@
 }
 
 // Guards against a non-idempotent request that runs twice, a false "not run", a wrong or
-// mixed-up response, a request that ran and is cut by a planned stop although it was sent late
+// mixed-up response, an account beyond its limit over all gateways, a request that ran and is cut by a planned stop although it was sent late
 // in it, a gateway that doesn't end within its grace, and gateways that stay unavailable, all
 // under overlapping faults: kills, planned stops in series, noticed late or on a busy host,
 // pauses, stalled and reset connections, store outages, stores that hang or return in an older
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -65,7 +65,10 @@
 	failures atomic.Int64
 	// settling is whether the faults are over and the long requests cancelled.
 	settling atomic.Bool
-	served   atomic.Int64
+	// limited are the runs of the account with a limit, overLimit counts its refusals.
+	limited   limitedRuns
+	overLimit atomic.Int64
+	served    atomic.Int64
 }
 
 func (s *system) fail(format string, args ...any) {
@@ -96,7 +99,7 @@
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":3},
  {"name":"long","host":"h","prefix":"/stream/lasts/","kind":"stream","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,"service":"s","max_attempts":2,"resumable":true}],
- "services":[{"name":"s"}],"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":["key","key-%d"]}]}`
+ "services":[{"name":"s"}],"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":["key","key-%d"]},{"name":"limited","api_keys":["limited"],"rate_per_s":20,"burst":20}]}`
 
 // putConfig stores a configuration, as the operator does.
 func (s *system) putConfig(version int64) {
@@ -165,8 +168,8 @@
 		p := &process{name: fmt.Sprintf("g%d", i), listenAddr: testaddr.Reserve(t), readyAddr: testaddr.Reserve(t), binary: binary}
 		p.settingsPath, p.logPath = filepath.Join(dir, p.name+".yaml"), filepath.Join(dir, p.name+".log")
 		text := fmt.Sprintf("node: %s\nip: 127.0.0.1\nzone: z\nregion: r\nzones: {z: r}\nlisten: {front: %q, ready: %q, control: %q}\n"+
-			"limits: {memory_mb: %d}\nbounds: {grace_s: %d, version_ms: 12000, retry_budget_ratio: 0.2}\nplatform: {address: %q}\n",
-			p.name, p.listenAddr, p.readyAddr, testaddr.Reserve(t), memoryMB, int(graceTime.Seconds()), storeProxy.Addr())
+			"limits: {memory_mb: %d}\nbounds: {grace_s: %d, version_ms: 12000, retry_budget_ratio: 0.2, quota_slack: %d}\nplatform: {address: %q}\n",
+			p.name, p.listenAddr, p.readyAddr, testaddr.Reserve(t), memoryMB, int(graceTime.Seconds()), quotaSlack, storeProxy.Addr())
 		if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
