quota: usual names, and a comment on the history's length that holds

Several unexported names were figurative (clean, graded, lowest, largest, remember, mark, leave, asked) or hid package-level terms (at, change), and two divisors were described as parts. The comment on historySize said that the samples reach further back than weightNoticed; they reach 3.1 s of 3.2 s.

Renames only; chargeable moves to bucket.go beside the other checks of units.

--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -40,7 +40,7 @@
 		a.left--
 		a.limited++
 	}
-	b.change(limit, share)
+	b.setLimit(limit, share)
 }
 
 // add makes an empty bucket that has no limit yet.
@@ -63,8 +63,8 @@
 	return a.slots - 1
 }
 
-// leave takes the limit from the chosen accounts.
-func (a *accounts) leave(chosen func(*bucket) bool, now time.Time) {
+// removeLimits takes the limit from the chosen accounts.
+func (a *accounts) removeLimits(chosen func(*bucket) bool, now time.Time) {
 	for _, b := range a.buckets {
 		if b.limited() && chosen(b) {
 			b.left = now
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -6,16 +6,17 @@
 )
 
 const (
-	// largeShare is the smallest share at which a full bucket admits a request that costs
+	// minLargeShare is the smallest share at which a full bucket admits a request that costs
 	// more than its level. Fewer than four groups without contact can have it at once.
-	largeShare = 0.3
-	// allowanceParts is the part of the slack that levels may go below zero. The rest
-	// covers spending that the other gateways have not reported yet.
-	allowanceParts = 4
+	minLargeShare = 0.3
+	// allowanceDivisor divides the slack: levels may go below zero by one such part. The
+	// rest covers spending that the other gateways have not reported yet.
+	allowanceDivisor = 4
 	// debtLimit bounds a debt to what the rate pays in this time, beside one burst. It is
 	// longer than the window in which limits are judged.
 	debtLimit = 10 * time.Second
-	// maxUnits is the largest cost or counter that is taken as valid.
+	// maxUnits is the largest cost or counter that is taken as valid. A float64 holds
+	// whole units exactly up to it.
 	maxUnits = 1e15
 )
 
@@ -28,16 +29,17 @@
 	slot  int
 	level float64
 	at    time.Time
-	// spent is the sum of all charges. past has earlier levels.
+	// spent is the sum of all charges, in units.
 	spent float64
-	past  history
+	// history has earlier levels and charges.
+	history history
 	// since is the time at which the bucket was made, and left the time at which its
 	// account lost its limit, zero if it has one.
 	since, left time.Time
 	own         counter
-	// asked is the number of requests that were decided in debt.
-	asked uint64
-	retry retrySlots
+	// debtDecisions is the number of requests that were decided in debt.
+	debtDecisions uint64
+	retry         retrySlots
 }
 
 // limited returns whether the bucket's account has a limit now.
@@ -57,13 +59,13 @@
 
 // spend lowers the level by a cost in units. The debt is bounded.
 func (b *bucket) spend(cost, share float64) {
-	level := max(b.level-cost, min(b.level, b.lowest(share)))
+	level := max(b.level-cost, min(b.level, b.minLevel(share)))
 	b.spent += b.level - level
 	b.level = level
 }
 
-// lowest returns the level of the largest debt, in units.
-func (b *bucket) lowest(share float64) float64 {
+// minLevel returns the level of the largest debt, in units.
+func (b *bucket) minLevel(share float64) float64 {
 	return -b.limit.Burst - share*b.limit.PerSecond*debtLimit.Seconds()
 }
 
@@ -74,8 +76,8 @@
 	b.level = level
 }
 
-// remember keeps the present level. The bucket must be settled.
-func (b *bucket) remember(now time.Time) { b.past.add(b.sample(now)) }
+// addSample adds the present state to the history. The bucket must be settled.
+func (b *bucket) addSample(now time.Time) { b.history.add(b.sample(now)) }
 
 func (b *bucket) sample(now time.Time) sample {
 	return sample{at: now, level: b.level, spent: b.spent, own: b.own.units}
@@ -89,15 +91,15 @@
 	if to >= from {
 		return
 	}
-	level := b.past.divide(to/from, since, b.sample(now)).level
-	b.level = min(max(level, b.lowest(to)), b.capacity(to))
+	level := b.history.divide(to/from, since, b.sample(now)).level
+	b.level = min(max(level, b.minLevel(to)), b.capacity(to))
 }
 
-// change replaces the limit. The bucket must be settled at the old one.
-func (b *bucket) change(limit Limit, share float64) {
+// setLimit replaces the limit. The bucket must be settled at the old one.
+func (b *bucket) setLimit(limit Limit, share float64) {
 	if b.limit.Unit != limit.Unit {
 		b.level = 0
-		b.past.clear()
+		b.history.clear()
 	}
 	b.limit = limit
 	b.level = min(b.level, b.capacity(share))
@@ -107,42 +109,42 @@
 // It is at most a burst, since the slack is meant for tokens: as a number of requests, it
 // would leave small limits without effect.
 func (b *bucket) allowance(slack float64) float64 {
-	return min(slack/allowanceParts, b.limit.Burst)
+	return min(slack/allowanceDivisor, b.limit.Burst)
 }
 
 // held returns the level that is left if only a part of the share has been there since a time.
 // The bucket must be settled.
 func (b *bucket) held(part float64, since, now time.Time) float64 {
-	return b.past.levelDivided(part, since, b.sample(now))
+	return b.history.levelDivided(part, since, b.sample(now))
 }
 
 // admits returns whether a level, at most that of the bucket, is enough for a cost. slackShare is
 // the share of the slack. The bucket must be settled.
 func (b *bucket) admits(cost, level, share, slackShare, slack float64) bool {
-	if level+slackShare*b.allowance(slack)*b.graded(level) >= cost {
+	if level+slackShare*b.allowance(slack)*b.allowancePart(level) >= cost {
 		return true
 	}
-	if share < largeShare || cost > b.largest(slack) {
+	if share < minLargeShare || cost > b.maxCost(slack) {
 		return false
 	}
 	return level >= min(cost, b.capacity(share))
 }
 
-// graded returns the part of the allowance for the next request at a level. In debt it varies from request
-// to request: all gateways see about the same level, and a common threshold would have them
-// admit and refuse in turns.
-func (b *bucket) graded(level float64) float64 {
+// allowancePart returns the part of the allowance, from 0 to 1, for the next request at a level.
+// In debt it varies from request to request: all gateways see about the same level, and a common
+// threshold would have them admit and refuse in turns.
+func (b *bucket) allowancePart(level float64) float64 {
 	if level >= 0 {
 		return 1
 	}
-	b.asked++
-	_, part := math.Modf(float64(b.asked) * goldenRatio)
+	b.debtDecisions++
+	_, part := math.Modf(float64(b.debtDecisions) * goldenRatio)
 	return part
 }
 
-// largest returns the highest cost of a request that a full bucket admits. The header that
+// maxCost returns the highest cost of a request that a full bucket admits. The header that
 // states a cost comes from the caller, so that any number can be in it.
-func (b *bucket) largest(slack float64) float64 {
+func (b *bucket) maxCost(slack float64) float64 {
 	return b.limit.Burst + b.limit.PerSecond + slack/2
 }
 
@@ -170,3 +172,12 @@
 	}
 	return limit, true
 }
+
+// chargeable returns a cost that can be charged: 0 for one that is not a positive number, at
+// most maxUnits.
+func chargeable(cost float64) float64 {
+	if !(cost > 0) {
+		return 0
+	}
+	return min(cost, maxUnits)
+}
--- a/quota/charges.go
+++ b/quota/charges.go
@@ -11,19 +11,19 @@
 	if b == nil || !validUnits(s.Units) {
 		return
 	}
-	known := at(p.units, b.slot)
+	known := counterAt(p.units, b.slot)
 	if s.Units <= known {
 		return
 	}
 	p.record(b.slot, s.Units)
 	b.settle(l.share, now)
-	b.spend(p.weight*l.toCharge(p, b, known, s.Units, now), l.share)
+	b.spend(p.weight*l.costOf(p, b, known, s.Units, now), l.share)
 }
 
-// toCharge returns the cost to charge for a counter. A gateway without contact pays from its own
+// costOf returns the cost to charge for a counter. A gateway without contact pays from its own
 // share, except for what it spent before the end of contact was noticed.
-func (l *Ledger) toCharge(p *peer, b *bucket, known, units float64, now time.Time) float64 {
-	before := at(p.before, b.slot)
+func (l *Ledger) costOf(p *peer, b *bucket, known, units float64, now time.Time) float64 {
+	before := counterAt(p.before, b.slot)
 	switch {
 	case !math.IsNaN(known) && p.contact:
 		return units - known
@@ -35,7 +35,7 @@
 		return 0
 	}
 	// New spending, or the report of all counters was lost.
-	return min(units, b.largest(l.slack))
+	return min(units, b.maxCost(l.slack))
 }
 
 // isBaseline returns whether the first counter of an account tells what was spent before
--- a/quota/contact.go
+++ b/quota/contact.go
@@ -65,7 +65,7 @@
 	}
 	c.names = names
 	c.known = true
-	c.remember()
+	c.addView()
 	peers := make(map[string]*peer, len(c.names))
 	for i, name := range c.names {
 		if name == c.self {
@@ -79,7 +79,7 @@
 	}
 	c.peers = peers
 	c.next = time.Time{}
-	c.mark()
+	c.updateReachable()
 }
 
 // silent describes the gateways in contact that haven't been heard for silenceTimeout.
@@ -104,8 +104,8 @@
 	return 1 - c.silent.weight/(share*float64(len(c.names))), c.silent.since
 }
 
-// mark notes which gateways are in contact.
-func (c *contacts) mark() {
+// updateReachable sets the bits of the gateways in contact.
+func (c *contacts) updateReachable() {
 	c.reachable = newSet(len(c.names))
 	setBit(c.reachable, c.current().self)
 	for _, p := range c.peers {
@@ -122,8 +122,8 @@
 	return &peer{}
 }
 
-// remember makes the present names the current view.
-func (c *contacts) remember() {
+// addView makes the present names the current view.
+func (c *contacts) addView() {
 	self, _ := slices.BinarySearch(c.names, c.self)
 	current := view{hash: fleetHash(c.names), self: self}
 	c.views = slices.DeleteFunc(c.views, func(v view) bool { return v.hash == current.hash })
@@ -161,8 +161,8 @@
 	return share
 }
 
-// expire ends the contacts that have timed out and notes which gateways are silent. It returns whether any has, and when the last of
-// them was heard.
+// expire ends the contacts that have timed out and notes which gateways are silent. It returns
+// whether a contact has ended, and when the last of those gateways was heard.
 func (c *contacts) expire(now time.Time) (heard time.Time, ended bool) {
 	if now.Before(c.next) {
 		return time.Time{}, false
@@ -186,7 +186,7 @@
 		c.next = earliest(c.next, silence, p.confirmed.Add(fleetGrace))
 	}
 	if ended {
-		c.mark()
+		c.updateReachable()
 	}
 	return heard, ended
 }
@@ -207,8 +207,8 @@
 	return first
 }
 
-// change is what a report changes in the contacts.
-type change struct {
+// contactChange is what a report changes in the contacts.
+type contactChange struct {
 	// started is set if contact with the sender has started, and share if the share may
 	// have changed.
 	started, share bool
@@ -218,10 +218,10 @@
 
 // hear records the contact figures of a report. It returns the sender, nil if the report has
 // to be ignored, and what has changed.
-func (c *contacts) hear(from string, r Report, now time.Time) (*peer, change) {
+func (c *contacts) hear(from string, r Report, now time.Time) (*peer, contactChange) {
 	p := c.peers[from]
 	if p == nil || p.isStale(r.Boot) {
-		return nil, change{}
+		return nil, contactChange{}
 	}
 	p.resume(r, now)
 	p.heard = now
@@ -237,7 +237,7 @@
 		c.next = now
 	}
 	if p.contact != was {
-		c.mark()
+		c.updateReachable()
 	}
 	if r.Fleet == c.current().hash {
 		p.weight = p.unreachable.weight(r.Heard, c.reachable, now)
@@ -246,7 +246,7 @@
 	if p.contact && p.weight < weight {
 		since = now.Add(-weightNoticed)
 	}
-	return p, change{started: started, share: p.contact != was || p.weight != weight, since: since}
+	return p, contactChange{started: started, share: p.contact != was || p.weight != weight, since: since}
 }
 
 // confirm reads whether the sender of a report hears this gateway. A report by a fleet that
--- a/quota/counter.go
+++ b/quota/counter.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// reportParts is the part of the burst, divided by the number of gateways, that may
-	// stay unreported while the bucket is well filled.
-	reportParts = 4
+	// reportDivisor, times the number of gateways, divides the burst: one such part may stay
+	// unreported while the bucket is well filled.
+	reportDivisor = 4
 	// reportAge is the longest time for which any spending stays unreported.
 	reportAge = time.Second
 	// lowLevel is the part of a full bucket below which each change is reported at once.
@@ -42,7 +42,7 @@
 	if unreported <= 0 {
 		return !c.repeat.IsZero() && !now.Before(c.repeat)
 	}
-	return unreported > b.limit.Burst/float64(reportParts*gateways) ||
+	return unreported > b.limit.Burst/float64(reportDivisor*gateways) ||
 		now.Sub(c.changed) >= reportAge ||
 		b.level < lowLevel*b.capacity(share)
 }
--- a/quota/history.go
+++ b/quota/history.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// historySize is the number of samples kept. At one in each ReportInterval they reach further
-// back than weightNoticed.
+// historySize is the number of samples kept. At one in each ReportInterval they reach 3.1 s
+// back. A loss that is dated back by weightNoticed (3.2 s) begins at the oldest one.
 const historySize = 32
 
 // sample is the state of a bucket at a time.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -66,7 +66,7 @@
 			l.accounts.set(account, limit, l.share, now)
 		}
 	}
-	l.accounts.leave(func(b *bucket) bool {
+	l.accounts.removeLimits(func(b *bucket) bool {
 		_, limited := usable(limits[b.account])
 		return !limited
 	}, now)
@@ -80,7 +80,7 @@
 	defer l.mu.Unlock()
 	l.refresh(now)
 	l.contacts.setFleet(gateways)
-	l.reshare(now, now)
+	l.updateShare(now, now)
 }
 
 // Admit decides on a request and charges its cost in units if it is admitted. Requests of
@@ -92,7 +92,7 @@
 	if b == nil {
 		return Verdict{Admitted: true}
 	}
-	cost = clean(cost)
+	cost = chargeable(cost)
 	admitted := l.admits(b, cost, now)
 	verdict := Verdict{Admitted: admitted, Share: l.share}
 	if admitted {
@@ -120,7 +120,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.find(account, now); b != nil {
-		l.charge(b, clean(cost), now)
+		l.charge(b, chargeable(cost), now)
 	}
 }
 
@@ -129,8 +129,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.find(account, now); b != nil {
-		b.refund(clean(cost), l.share)
-		b.own.subtract(clean(cost))
+		b.refund(chargeable(cost), l.share)
+		b.own.subtract(chargeable(cost))
 	}
 }
 
@@ -171,7 +171,7 @@
 	l.refresh(now)
 	p, change := l.contacts.hear(from, r, now)
 	if change.share {
-		l.reshare(change.since, now)
+		l.updateShare(change.since, now)
 	}
 	if change.started {
 		l.fullDue = fullReports
@@ -239,12 +239,13 @@
 		l.started = now
 	}
 	if heard, ended := l.contacts.expire(now); ended {
-		l.reshare(heard, now)
+		l.updateShare(heard, now)
 	}
 }
 
-// reshare follows a change of the fleet or of the contacts that began at a time.
-func (l *Ledger) reshare(since, now time.Time) {
+// updateShare computes the share after a change of the fleet or of the contacts that began at
+// a time, and adapts the levels accordingly.
+func (l *Ledger) updateShare(since, now time.Time) {
 	share := l.contacts.share()
 	if share == l.share {
 		return
@@ -285,18 +286,10 @@
 			continue
 		}
 		b.settle(l.share, now)
-		b.remember(now)
+		b.addSample(now)
 		if full && b.own.units > 0 || b.own.due(b, l.share, len(l.contacts.names), now) {
 			spending = append(spending, b.own.report(b.account, now))
 		}
 	}
 	return spending
 }
-
-// clean returns a cost that can be charged.
-func clean(cost float64) float64 {
-	if !(cost > 0) {
-		return 0
-	}
-	return min(cost, maxUnits)
-}
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -114,7 +114,7 @@
 		}
 	}
 	is.True(admitted > 0)
-	is.True(admitted <= testSlack/allowanceParts/unknownFleet)
+	is.True(admitted <= testSlack/allowanceDivisor/unknownFleet)
 	_, ok := l.Report(now)
 	is.True(!ok)
 }
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// at returns the counter of a slot, NaN if unknown.
-func at(counters []float64, slot int) float64 {
+// counterAt returns the counter of a slot, NaN if unknown.
+func counterAt(counters []float64, slot int) float64 {
 	if slot >= len(counters) {
 		return math.NaN()
 	}
--- a/quota/property_test.go
+++ b/quota/property_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// Guards the window bound over cuts of any link at any time and level, restarts, changed limits and reports that come late,
-// repeated or not at all. It has to fail if share, empty start, charged reports or cumulative
+// Guards the window bound over cuts of any link at any time and level, restarts, changed limits
+// and reports that come late, repeated or not at all. It has to fail if share, empty start, charged reports or cumulative
 // counters are taken out.
 func TestWindowBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
