--- a/internal/gatewayd/quota.go
+++ b/internal/gatewayd/quota.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// maxQuotaAccounts bounds the accounts that have metrics of their own.
+	// maxQuotaAccounts bounds the accounts that have metrics of their own, and so the number of
+	// time series.
 	maxQuotaAccounts = 512
 	// otherAccounts is the label of all others.
 	otherAccounts = "(other)"
@@ -45,16 +46,17 @@
 	created time.Time
 	// limits are those in force. The map is replaced, not changed.
 	limits atomic.Pointer[map[string]quota.Limit]
-	// tracks holds what is counted by account. The map is replaced, not changed.
-	tracks atomic.Pointer[map[string]*quotaTrack]
-	// other counts for the accounts that are not in tracks.
-	other *quotaTrack
+	// counters holds those of the accounts with metrics of their own. The map is replaced, not
+	// changed.
+	counters atomic.Pointer[map[string]*accountCounters]
+	// other counts for the accounts that are not in counters.
+	other *accountCounters
 	// fleet is the list last given to the ledger. Only report uses it.
 	fleet []string
 }
 
-// quotaTrack counts the requests of an account.
-type quotaTrack struct {
+// accountCounters counts the requests of an account.
+type accountCounters struct {
 	admitted, refused, charged, refunded prometheus.Counter
 	// unlogged counts the refusals since the last log line. mayLogAt is the least time of the
 	// next one, in nanoseconds after the quotas were created.
@@ -64,9 +66,9 @@
 // newQuotas returns quotas without limits.
 func newQuotas(ledger quotaLedger, log *zap.Logger) *quotas {
 	q := &quotas{ledger: ledger, log: log, metrics: newQuotaMetrics(), created: time.Now()}
-	q.other = q.metrics.track(otherAccounts)
+	q.other = q.metrics.newCounters(otherAccounts)
 	q.limits.Store(&map[string]quota.Limit{})
-	q.tracks.Store(&map[string]*quotaTrack{})
+	q.counters.Store(&map[string]*accountCounters{})
 	return q
 }
 
@@ -75,7 +77,7 @@
 func (q *quotas) setLimits(limits map[string]quota.Limit, now time.Time) {
 	old := *q.limits.Load()
 	q.limits.Store(&limits)
-	q.setTracks(limits)
+	q.setCounters(limits)
 	q.ledger.SetLimits(limits, now)
 	for _, account := range slices.Sorted(maps.Keys(old)) {
 		if _, ok := limits[account]; !ok {
@@ -91,26 +93,27 @@
 	}
 }
 
-// setTracks replaces the accounts that are counted by the first maxQuotaAccounts by name.
-func (q *quotas) setTracks(limits map[string]quota.Limit) {
+// setCounters keeps counters for the first maxQuotaAccounts accounts by name, and removes those
+// of all others.
+func (q *quotas) setCounters(limits map[string]quota.Limit) {
 	names := slices.Sorted(maps.Keys(limits))
-	old, tracks := *q.tracks.Load(), map[string]*quotaTrack{}
+	old, counters := *q.counters.Load(), map[string]*accountCounters{}
 	for _, account := range names[:min(len(names), maxQuotaAccounts)] {
-		if tracks[account] = old[account]; tracks[account] == nil {
-			tracks[account] = q.metrics.track(account)
+		if counters[account] = old[account]; counters[account] == nil {
+			counters[account] = q.metrics.newCounters(account)
 		}
 	}
-	q.tracks.Store(&tracks)
+	q.counters.Store(&counters)
 	for account := range old {
-		if tracks[account] == nil {
+		if counters[account] == nil {
 			q.metrics.remove(account)
 		}
 	}
 }
 
-// track returns what counts for an account.
-func (q *quotas) track(account string) *quotaTrack {
-	if t := (*q.tracks.Load())[account]; t != nil {
+// countersOf returns the counters of an account: other if it has none of its own.
+func (q *quotas) countersOf(account string) *accountCounters {
+	if t := (*q.counters.Load())[account]; t != nil {
 		return t
 	}
 	return q.other
@@ -118,7 +121,7 @@
 
 // Admit implements gateway.Quotas.
 func (q *quotas) Admit(account string, cost float64, now time.Time) quota.Verdict {
-	v, t := q.ledger.Admit(account, cost, now), q.track(account)
+	v, t := q.ledger.Admit(account, cost, now), q.countersOf(account)
 	if v.Admitted {
 		t.admitted.Inc()
 		t.charged.Add(cost)
@@ -135,8 +138,9 @@
 	return v
 }
 
-// mayLog reports whether a refusal is logged, so long after the quotas were created.
-func (t *quotaTrack) mayLog(at time.Duration) bool {
+// mayLog reports whether a refusal may be logged, at most one in each quotaLogInterval. at is
+// the time since the quotas were created.
+func (t *accountCounters) mayLog(at time.Duration) bool {
 	from := t.mayLogAt.Load()
 	return int64(at) >= from && t.mayLogAt.CompareAndSwap(from, int64(at+quotaLogInterval))
 }
@@ -144,13 +148,13 @@
 // Charge implements gateway.Quotas.
 func (q *quotas) Charge(account string, cost float64, now time.Time) {
 	q.ledger.Charge(account, cost, now)
-	q.track(account).charged.Add(cost)
+	q.countersOf(account).charged.Add(cost)
 }
 
 // Refund implements gateway.Quotas.
 func (q *quotas) Refund(account string, cost float64, now time.Time) {
 	q.ledger.Refund(account, cost, now)
-	q.track(account).refunded.Add(cost)
+	q.countersOf(account).refunded.Add(cost)
 }
 
 // used returns the used share of an account's limit, from 0 to 1.
--- a/internal/gatewayd/quotametrics.go
+++ b/internal/gatewayd/quotametrics.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// track returns what counts for an account.
-func (m quotaMetrics) track(account string) *quotaTrack {
-	return &quotaTrack{admitted: m.requests.WithLabelValues(account, "admitted"), refused: m.requests.WithLabelValues(account, "refused"),
+// newCounters returns the counters for a value of the label account.
+func (m quotaMetrics) newCounters(account string) *accountCounters {
+	return &accountCounters{admitted: m.requests.WithLabelValues(account, "admitted"), refused: m.requests.WithLabelValues(account, "refused"),
 		charged: m.charged.WithLabelValues(account), refunded: m.refunded.WithLabelValues(account)}
 }
 
@@ -53,15 +53,15 @@
 // Collect implements prometheus.Collector. At most maxQuotaAccounts accounts have metrics of
 // their own.
 func (q *quotas) Collect(ch chan<- prometheus.Metric) {
-	tracks := *q.tracks.Load()
-	if len(tracks) == 0 {
+	counters := *q.counters.Load()
+	if len(counters) == 0 {
 		return
 	}
 	for _, c := range []*prometheus.CounterVec{q.metrics.requests, q.metrics.charged, q.metrics.refunded} {
 		c.Collect(ch)
 	}
 	for _, a := range q.ledger.Accounts(time.Now()) {
-		if tracks[a.Account] != nil {
+		if counters[a.Account] != nil {
 			ch <- prometheus.MustNewConstMetric(q.metrics.level, prometheus.GaugeValue, a.Level, a.Account)
 			ch <- prometheus.MustNewConstMetric(q.metrics.share, prometheus.GaugeValue, a.Share, a.Account)
 		}
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -32,7 +32,7 @@
 }
 
 func (p *gatewayProcess) applyConfig(pair infra.Pair) {
-	findings, _ := platform.CheckConfig(pair.Value) // DecodeConfig returns the same error
+	findings, _ := platform.CheckConfig(pair.Value) // what can't be decoded is a finding too
 	if errs := check.Errors(findings); len(errs) > 0 {
 		p.log.Error("configuration has errors; the one before stays in force", zap.Int64("revision", pair.Revision),
 			zap.Int("errors", len(errs)), zap.String("first", findingList(errs)))
