--- a/mirror/share.go
+++ b/mirror/share.go
@@ -126,8 +126,8 @@
 // Revision returns the revision of the copy.
 func (m *Mirror) Revision() int64 { return m.position() }
 
-// IsLive reports whether changes that are applied now were made just before. It is false for
-// those of the first list, and of an outage until rejoinGrace after it.
+// IsLive reports whether changes that are applied now were made just before. It is false while
+// the first list is applied, during an outage of the store, and until rejoinGrace after it.
 func (m *Mirror) IsLive() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/rollout/naming.go
+++ b/rollout/naming.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxClockAge bounds the age of a version that a time of day tells. Decisions depend only on
-// ages below the deadline.
+// maxClockAge bounds the age of a version that a time of day tells, which may be wrong by any
+// amount. Decisions depend only on ages below the deadline.
 const maxClockAge = 24 * time.Hour
 
 // naming is what a process knows of the time at which a version was named. Its times are
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -49,14 +49,14 @@
 const maxTargets = 32
 
 // SetIfNewer adds a wanted version if it is newer than the known ones, and reports
-// whether it was. The process has seen it being named at a time.
+// whether it was. now counts as its naming time: the process has seen it being named.
 func (t *Targets) SetIfNewer(want catalog.Target, now time.Time) bool {
 	return t.setIfNewer(want, naming{foundAt: now, witnessedAt: now})
 }
 
 // SetFoundIfNewer is SetIfNewer for a version that the process found when it started, or
-// after it was cut off from the store: it was named earlier. The time counts until another process tells its age, or the store the
-// time of day.
+// after it was cut off from the store: it was named earlier. now counts as its naming time
+// until another process tells its age, or the store the time of day.
 func (t *Targets) SetFoundIfNewer(want catalog.Target, now time.Time) bool {
 	return t.setIfNewer(want, naming{foundAt: now})
 }
