--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -50,70 +50,9 @@
 	Running int64
 }
 
-// Plan is the state of a model's rollout as announced by the holder of the lock.
-type Plan struct {
-	Model   string `json:"model"`
-	Version int64  `json:"version"`
-	// Updating holds the ids of the engines that load the version or are about to.
-	Updating []string `json:"updating"`
-	// Named is when the operator named the version, by this process's monotonic clock.
-	// Witnessed is true if a process has seen it; see Targets.NamedAt.
-	Named     time.Time `json:"-"`
-	Witnessed bool      `json:"-"`
-	// NamedMs is the same time of day in Unix milliseconds, for processes that start later
-	// or are of an earlier release; 0 when not known.
-	NamedMs int64 `json:"named_ms"`
-	// Current holds the ids of the engines that the holder has updated to the version.
-	Current []string `json:"current"`
-	// Fence is the fencing token of the holder of the lock, 0 when unknown. Number
-	// counts the holder's plans for the model.
-	Fence  int64 `json:"fence"`
-	Number int64 `json:"number"`
-}
-
-// Backdate tells targets when the plan's version was named. now is the present time.
-func (p Plan) Backdate(t *Targets, now time.Time) {
-	want := catalog.Target{Model: p.Model, Version: p.Version}
-	if p.Witnessed {
-		t.Backdate(want, p.Named)
-		return
-	}
-	t.BackdateByClock(want, p.NamedMs, now)
-}
-
-// ClockMs returns a past time as a time of day in Unix milliseconds by the present clock,
-// whatever the clock showed then; 0 for the zero time.
-func ClockMs(at, now time.Time) int64 {
-	if at.IsZero() {
-		return 0
-	}
-	return now.UnixMilli() - now.Sub(at).Milliseconds()
-}
-
-// Newer reports whether p was announced after old. Plans may arrive twice and out of
-// order. A plan without a fence, from a process of an older release, counts as newer.
-func (p Plan) Newer(old Plan) bool {
-	if p.Fence == 0 || p.Fence != old.Fence {
-		return p.Fence == 0 || p.Fence > old.Fence
-	}
-	return p.Number > old.Number
-}
-
-// PlanPrefix is the key prefix of plans in the store; the model's name follows.
-const PlanPrefix = "citrontiller/rollout/"
-
 // LockKey is the key of the lock whose holder sends orders to the engines.
 const LockKey = "citrontiller/rollout-lock"
 
-// ParsePlan decodes a stored plan.
-func ParsePlan(value []byte) (Plan, error) {
-	var p Plan
-	if err := json.Unmarshal(value, &p); err != nil {
-		return Plan{}, fmt.Errorf("decode rollout plan: %w", err)
-	}
-	return p, nil
-}
-
 // Coordinator updates the engines to the wanted versions while it holds the lock.
 type Coordinator struct {
 	KV      infra.KV
