--- a/operator/check.go
+++ b/operator/check.go
@@ -73,7 +73,8 @@
 	return c.status(findings)
 }
 
-// readInForce reads the configuration in force. Its own findings don't matter.
+// readInForce reads the configuration in force. Its findings are left out: only the new
+// configuration is checked.
 func (c *Check) readInForce() (*check.Document, error) {
 	data, err := os.ReadFile(c.InForce)
 	if err != nil {
