quota: comments on the fields of peer and unreachable, and terms in the package doc

Several fields had no comment or one that reads in two ways ('before those from before the gap'), and the package doc didn't say what a share or a contact is.

--- a/quota/charges.go
+++ b/quota/charges.go
@@ -23,14 +23,14 @@
 // costOf returns the cost to charge for a counter. A gateway without contact pays from its own
 // share, except for what it spent before the end of contact was noticed.
 func (l *Ledger) costOf(p *peer, b *bucket, known, units float64, now time.Time) float64 {
-	before := counterAt(p.before, b.slot)
+	beforeGap := counterAt(p.beforeGap, b.slot)
 	switch {
 	case !math.IsNaN(known) && p.contact:
 		return units - known
 	case !math.IsNaN(known):
 		return 0
-	case !math.IsNaN(before):
-		return max(units-before, 0) * p.unseenPart()
+	case !math.IsNaN(beforeGap):
+		return max(units-beforeGap, 0) * p.unseenPart()
 	case !p.contact || l.isBaseline(p, b, now):
 		return 0
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -14,7 +14,8 @@
 const (
 	// fullGap is the shortest time between two reports of all counters.
 	fullGap = 700 * time.Millisecond
-	// fullReports is the number of them after a start of contact, as one may be lost.
+	// fullReports is the number of reports of all counters after a start of contact: one may
+	// be lost.
 	fullReports = 2
 )
 
--- a/quota/peer.go
+++ b/quota/peer.go
@@ -16,6 +16,7 @@
 
 // peer is another registered gateway.
 type peer struct {
+	// boot identifies its process, and previous the process before.
 	boot, previous uint64
 	// heard is the time of its last report and confirmed that of the last one that said
 	// whether it hears this gateway, which is in hearsUs.
@@ -35,8 +36,9 @@
 	fresh bool
 	// gap is the time without a report before those that are heard now.
 	gap time.Duration
-	// units are its counters by slot, NaN if unknown, and before those from before the gap.
-	units, before []float64
+	// units are its counters by slot, NaN if unknown, and beforeGap the last ones known before
+	// the gap.
+	units, beforeGap []float64
 }
 
 // inContact returns whether each of the two gateways hears the other.
@@ -51,7 +53,7 @@
 
 // forget drops the counters of a slot.
 func (p *peer) forget(slot int) {
-	for _, counters := range [][]float64{p.units, p.before} {
+	for _, counters := range [][]float64{p.units, p.beforeGap} {
 		if slot < len(counters) {
 			counters[slot] = math.NaN()
 		}
@@ -86,7 +88,7 @@
 	p.units[slot] = units
 }
 
-// isStale returns whether a report is from an earlier process of the gateway.
+// isStale returns whether a report, by its boot id, is a late one of the previous process.
 func (p *peer) isStale(boot uint64) bool {
 	return !p.heard.IsZero() && boot == p.previous && boot != p.boot
 }
@@ -98,22 +100,22 @@
 		p.previous, p.boot = p.boot, r.Boot
 		p.fresh = countBits(r.Heard) <= 1
 		p.hearsUs = false
-		p.units, p.before = p.units[:0], p.before[:0]
+		p.units, p.beforeGap = p.units[:0], p.beforeGap[:0]
 		p.since = now
 	case !p.hears(now):
 		p.gap = now.Sub(p.heard)
-		p.keepBefore()
+		p.keepBeforeGap()
 	}
 }
 
-// keepBefore takes the known counters as those from before a gap. Counters that weren't
+// keepBeforeGap takes the known counters as those from before a gap. Counters that weren't
 // reported since the gap before stay.
-func (p *peer) keepBefore() {
+func (p *peer) keepBeforeGap() {
 	for slot, units := range p.units {
-		if slot >= len(p.before) {
-			p.before = append(p.before, units)
+		if slot >= len(p.beforeGap) {
+			p.beforeGap = append(p.beforeGap, units)
 		} else if !math.IsNaN(units) {
-			p.before[slot] = units
+			p.beforeGap[slot] = units
 		}
 	}
 	p.units = p.units[:0]
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,6 +1,12 @@
 // Package quota enforces the rate limits of client accounts over all gateways together.
 // It makes decisions only: time, demand and the reports of other gateways come in,
 // verdicts and reports go out.
+//
+// Each gateway keeps one token bucket per account for the whole fleet, and charges it with its
+// own requests and with the spending that others report. Two gateways are in contact while each
+// hears the other's reports. A gateway that isn't in contact with all others fills its buckets
+// only with the share of the limit that belongs to those in contact. docs/design/quotas.md has
+// the rules and their reasons.
 package quota
 
 import "time"
--- a/quota/unreachable.go
+++ b/quota/unreachable.go
@@ -9,12 +9,13 @@
 // has an effect. A gateway that stops or starts isn't noticed by all others at once.
 const unreachableTime = time.Second
 
-// unreachable follows the gateways that another one hears without contact to this one. If the links
-// between them have failed, both count on the share of the gateway between them.
+// unreachable tracks the gateways that a peer hears and that this gateway isn't in contact with.
+// They count on the peer's share as this gateway does.
 type unreachable struct {
+	// since is the start of the present period of unreachableTime.
 	since time.Time
-	// always has those heard in all reports since then, and lasting those of the time
-	// before.
+	// always has a bit for each such gateway, set for those in all reports of the present period,
+	// and lasting for those in all reports of the period before.
 	always, lasting []byte
 }
 
