--- a/admit/drainrate.go
+++ b/admit/drainrate.go
@@ -8,9 +8,9 @@
 const (
 	// drainMemory is the time over which a queue's drain rate is averaged.
 	drainMemory = 2 * time.Second
-	// minDrainSeconds is the time in which requests must have waited until the rate is known.
-	// At the begin of an overload no request leaves the queue before the endpoints have caught
-	// up with what they were sent before.
+	// minDrainSeconds is the busy time from which the rate is known, which an empty history
+	// reaches after 0.86 s of waiting. At the start of an overload no request leaves the queue
+	// before the endpoints have caught up with what they were sent before.
 	minDrainSeconds = 0.7
 )
 
@@ -39,8 +39,8 @@
 	}
 }
 
-// timeFor returns the expected time for a number of dispatches, 0 if it isn't known. It counts one dispatch more
-// than were seen, so that little evidence of a slow drain doesn't count as none at all.
+// timeFor returns the expected time for a number of dispatches, 0 if it isn't known. It counts
+// one dispatch more than were seen, so that the time is finite before the first one.
 func (d *drainRate) timeFor(n int) time.Duration {
 	if d.busy < minDrainSeconds {
 		return 0
--- a/admit/patience.go
+++ b/admit/waitlimit.go
@@ -9,17 +9,17 @@
 	minSilence    = 2 * time.Second
 	silentTargets = 4
 	silentGaps    = 8
-	// patienceDivisor divides the time for which a caller waits to give the longest wait in
+	// callerWaitDivisor divides the time for which a caller waits to give the longest wait in
 	// a queue: a caller that is refused then has time to be served elsewhere.
-	patienceDivisor = 2
+	callerWaitDivisor = 2
 	// urgentDivisor divides the target latency of requests with priority 0 to give their
 	// longest wait in a queue. With that of other requests, fewer are on time in a crest of
 	// urgent requests (see docs/design/overload-queue.md).
 	urgentDivisor = 2
 )
 
-// Patience tells for how long the caller of a request waits.
-type Patience struct {
+// WaitLimit gives the longest wait of a request in a queue by what its caller tolerates.
+type WaitLimit struct {
 	// Priority is that of the request's route; 0 is the most urgent.
 	Priority int
 	// Target is the target latency. GapAim is the longest pause between two events that
@@ -29,14 +29,14 @@
 	Stream bool
 }
 
-// LongestWait returns the longest wait in a queue of a request that times out after left.
-func (p Patience) LongestWait(left time.Duration) time.Duration {
-	if p.Stream {
-		left = min(left, max(minSilence, silentTargets*p.Target, silentGaps*p.GapAim))
+// Longest returns the longest wait in a queue of a request that times out after left.
+func (l WaitLimit) Longest(left time.Duration) time.Duration {
+	if l.Stream {
+		left = min(left, max(minSilence, silentTargets*l.Target, silentGaps*l.GapAim))
 	}
-	longest := left / patienceDivisor
-	if p.Priority == 0 {
-		longest = min(longest, p.Target/urgentDivisor)
+	longest := left / callerWaitDivisor
+	if l.Priority == 0 {
+		longest = min(longest, l.Target/urgentDivisor)
 	}
 	return max(0, longest)
 }
--- a/admit/waitload_test.go
+++ b/admit/waitload_test.go
@@ -12,14 +12,14 @@
 
 // kind is a kind of request in a load.
 type kind struct {
-	Patience
+	WaitLimit
 	// firstEvent is the time from the start to the first event.
 	deadline, service, firstEvent time.Duration
 }
 
 var (
-	shortKind = kind{Patience{Priority: 0, Target: 500 * time.Millisecond, Stream: true}, 3 * time.Second, 100 * time.Millisecond, 50 * time.Millisecond}
-	longKind  = kind{Patience{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}, 15 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond}
+	shortKind = kind{WaitLimit{Priority: 0, Target: 500 * time.Millisecond, Stream: true}, 3 * time.Second, 100 * time.Millisecond, 50 * time.Millisecond}
+	longKind  = kind{WaitLimit{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}, 15 * time.Second, 400 * time.Millisecond, 300 * time.Millisecond}
 )
 
 // behaviour tells when a caller sends a refused request again.
@@ -127,7 +127,7 @@
 }
 
 func (s *servers) arrive(a *arrival, now time.Time) {
-	longest := a.kind.LongestWait(a.deadline.Sub(now))
+	longest := a.kind.Longest(a.deadline.Sub(now))
 	w := &Waiting{Priority: a.kind.Priority, Account: a.account, LatestStart: a.deadline.Add(-a.kind.firstEvent),
 		OnTimeUntil: now.Add(a.kind.Target - a.kind.firstEvent), Until: now.Add(longest)}
 	if !s.queue.MustWait(w, s.used(a.account), now) && s.try(a, nil, now) {
--- a/admit/waitqueue_test.go
+++ b/admit/waitqueue_test.go
@@ -134,14 +134,14 @@
 // requests that are late for waiting.
 func TestLongestWait(t *testing.T) {
 	is := is.New(t)
-	long := Patience{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}
-	is.Equal(long.LongestWait(15*time.Second), 3*time.Second)
-	is.Equal(long.LongestWait(4*time.Second), 2*time.Second)
+	long := WaitLimit{Priority: 1, Target: 1500 * time.Millisecond, Stream: true}
+	is.Equal(long.Longest(15*time.Second), 3*time.Second)
+	is.Equal(long.Longest(4*time.Second), 2*time.Second)
 	long.GapAim = time.Second
-	is.Equal(long.LongestWait(15*time.Second), 4*time.Second)
+	is.Equal(long.Longest(15*time.Second), 4*time.Second)
 	long.Stream = false
-	is.Equal(long.LongestWait(15*time.Second), 7500*time.Millisecond)
-	urgent := Patience{Target: 500 * time.Millisecond, Stream: true}
-	is.Equal(urgent.LongestWait(3*time.Second), 250*time.Millisecond)
-	is.Equal(urgent.LongestWait(-time.Second), time.Duration(0))
+	is.Equal(long.Longest(15*time.Second), 7500*time.Millisecond)
+	urgent := WaitLimit{Target: 500 * time.Millisecond, Stream: true}
+	is.Equal(urgent.Longest(3*time.Second), 250*time.Millisecond)
+	is.Equal(urgent.Longest(-time.Second), time.Duration(0))
 }
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -73,11 +73,11 @@
 // newWaiter returns the request as the queue sees it. Its wait is counted from its arrival,
 // since when its caller waits.
 func (x *exchange) newWaiter() *waiter {
-	patience := admit.Patience{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
+	limit := admit.WaitLimit{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
 	usual, _ := x.g.firstEvents.Quantile(x.route.Name, 0.5)
 	return &waiter{wake: make(chan struct{}, 1), target: x.route.TargetLatency, Waiting: admit.Waiting{Priority: x.route.Priority, Account: x.accountName(),
 		LatestStart: x.deadline.Add(-usual), OnTimeUntil: x.arrived.Add(x.route.TargetLatency - x.expectedFirstEvent()),
-		Until: x.arrived.Add(patience.LongestWait(x.deadline.Sub(x.arrived)))}}
+		Until: x.arrived.Add(limit.Longest(x.deadline.Sub(x.arrived)))}}
 }
 
 // expectedFirstEvent returns the expected time from the send to the first event: at the endpoint
