--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -34,7 +34,7 @@
 	var latest *endpointRecord
 	for _, id := range ids {
 		if r := d.endpoints[id]; latest == nil || latest.startedMs() == 0 || r.succeeds(latest) {
-			latest = r
+			latest = r // an unknown start time is succeeded by any
 		}
 	}
 	for _, id := range ids {
@@ -53,10 +53,10 @@
 // clock of their host may have jumped in between.
 const maxClockJumpMs = 10_000
 
-// succeeds reports whether the endpoint started after another one at its address. Start times
-// that differ a little don't decide, since the clock of the host may have jumped: the endpoint
-// that started later has written its entry later. A restored store keeps no such order with
-// entries of before. Equal start times are those of one process.
+// succeeds reports whether the endpoint started after another one at its address. Within
+// maxClockJumpMs the order of the store's revisions decides, as the endpoint that started later
+// has written its entry later. That doesn't hold for entries from before and after a restore of
+// the store. Equal start times are those of one process.
 func (r *endpointRecord) succeeds(other *endpointRecord) bool {
 	started, before := r.startedMs(), other.startedMs()
 	if started == 0 || before == 0 || started == before {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,7 +104,7 @@
 	return p, err
 }
 
-// sendUncharged is send without the quota.
+// sendUncharged is send without charging the quota.
 func (x *exchange) sendUncharged(c choice, lastEventID string) (*response, error) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	var connected, reused atomic.Bool
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -75,7 +75,7 @@
 // quotaRefusal returns the refusal of a request whose account has exceeded its limit.
 func (x *exchange) quotaRefusal() *Refusal {
 	retryAfter := x.quota.verdict.RetryAfter
-	if x.queueEnd != "" {
+	if x.queueEnd != "" { // the verdict is that of a turn in the queue, some time ago
 		retryAfter = max(minRetryAfter, time.Until(x.quota.retryAt))
 	}
 	return &Refusal{Status: http.StatusTooManyRequests, Outcome: "quota", RetryAfter: retryAfter}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -25,6 +25,9 @@
 	maxQueueRetryAfter = 8 * time.Second
 	// queueSpreadDivisor divides the delay that a queue adds to give its spread.
 	queueSpreadDivisor = 4
+	// onTimeRetryDivisor divides the time in which a request can still be on time to give the
+	// longest delay of its refusal: the returning caller needs the rest to be served on time.
+	onTimeRetryDivisor = 4
 )
 
 // Refusal is an error response that the gateway generates itself.
@@ -79,10 +82,6 @@
 	return r
 }
 
-// onTimeRetryDivisor divides the time in which a request can still be on time to give the
-// longest delay of its refusal: the returning caller needs the rest to be served on time.
-const onTimeRetryDivisor = 4
-
 // queueRetryAfter returns the time until the queue is expected to have drained to the
 // request's place, with a spread that keeps refused callers from returning together. A caller
 // that can still be served on time is told to return earlier.
--- a/gateway/servicequeue.go
+++ b/gateway/servicequeue.go
@@ -20,57 +20,6 @@
 	usedInterval = 100 * time.Millisecond
 )
 
-// waitEnd is how the wait of a request has ended, or why there was none.
-type waitEnd string
-
-const (
-	waitSent       waitEnd = "sent"
-	waitExpired    waitEnd = "expired"
-	waitEvicted    waitEnd = "evicted"
-	waitClosing    waitEnd = "closing"
-	waitCallerLeft waitEnd = "caller_left"
-	waitNoEndpoint waitEnd = "no_endpoint"
-)
-
-// overload reports whether the request was refused because of the queue.
-func (e waitEnd) overload() bool {
-	switch e {
-	case waitExpired, waitEvicted, waitEnd(admit.TooLate), waitEnd(admit.LongQueue), waitEnd(admit.QueueFull):
-		return true
-	}
-	return false
-}
-
-// waiter is a waiting request.
-type waiter struct {
-	admit.Waiting
-	// wake receives a value when the request has its turn or its wait has ended.
-	wake chan struct{}
-	// target is the request's target latency.
-	target time.Duration
-	// The following fields are guarded by serviceQueue.mu.
-
-	// round is the last round in which the request had its turn.
-	round uint64
-	// heldUntil is the time before which the request has no turn since its account's quota is
-	// not expected to have room.
-	heldUntil time.Time
-	// end is empty while the request waits.
-	end waitEnd
-	// drainedIn is the expected time until the queue has drained, at the end of the wait.
-	drainedIn time.Duration
-}
-
-// shedClass is what the load shedder distinguishes: if it has refused a request in a round,
-// it refuses others of the class.
-type shedClass struct {
-	priority int
-	target   time.Duration
-	late     bool
-}
-
-func (w *waiter) class() shedClass { return shedClass{w.Priority, w.target, w.Late()} }
-
 // serviceQueue holds the requests that wait for an endpoint of a service. A goroutine runs
 // while there are any. Requests choose one after the other: the one whose turn it is wakes
 // the next when it has chosen.
@@ -97,48 +46,6 @@
 	usedAt time.Time
 }
 
-// waitQueues holds the queue of each service. The zero value is ready for use.
-type waitQueues struct {
-	mu     sync.RWMutex
-	queues map[string]*serviceQueue
-}
-
-// find returns the queue of a service, nil if no request has ever waited there.
-func (w *waitQueues) find(service string) *serviceQueue {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	return w.queues[service]
-}
-
-// get returns the queue of a service. Services come from the configuration, which bounds
-// their number.
-func (w *waitQueues) get(service string) *serviceQueue {
-	if q := w.find(service); q != nil {
-		return q
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.queues == nil {
-		w.queues = map[string]*serviceQueue{}
-	}
-	if w.queues[service] == nil {
-		w.queues[service] = &serviceQueue{responses: make(chan struct{}, 1), waiters: map[*admit.Waiting]*waiter{}}
-	}
-	return w.queues[service]
-}
-
-// responseStarted tells a service's queue that a response has started.
-func (w *waitQueues) responseStarted(service string) {
-	q := w.find(service)
-	if q == nil {
-		return
-	}
-	select {
-	case q.responses <- struct{}{}:
-	default: // the queue hasn't taken notice of an earlier response
-	}
-}
-
 // empty reports whether no request waits.
 func (q *serviceQueue) empty() bool {
 	q.mu.Lock()
@@ -224,8 +131,8 @@
 }
 
 // passTurn gives the turn to the first request that hasn't had it in this round and is of no
-// class that was shed in it, or ends the round. Requests that are held don't count among the
-// first. The caller holds mu.
+// class that was shed in it, or ends the round. Requests that wait for their account's quota
+// don't count among the first. The caller holds mu.
 func (q *serviceQueue) passTurn() {
 	q.turn = nil
 	if q.failed >= turnsPerRound {
@@ -249,13 +156,6 @@
 	}
 }
 
-func (w *waiter) notify() {
-	select {
-	case w.wake <- struct{}{}:
-	default: // it has not yet seen an earlier value
-	}
-}
-
 // end ends the wait of a request that was removed from the queue. The caller holds mu.
 func (q *serviceQueue) end(removed *admit.Waiting, how waitEnd, now time.Time) {
 	w := q.waiters[removed]
@@ -268,16 +168,16 @@
 	}
 }
 
-// turnOf returns how a request's wait has ended, "" if it still waits, and whether it is a late
+// waitState returns how a request's wait has ended, "" if it still waits, and whether it is a late
 // one.
-func (q *serviceQueue) turnOf(w *waiter) (end waitEnd, late bool) {
+func (q *serviceQueue) waitState(w *waiter) (end waitEnd, late bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return w.end, w.Late()
 }
 
-// sent removes a request that has chosen its endpoint. It may have been removed while it
-// chose.
+// sent removes a request that has chosen its endpoint. If its wait ended while it chose, it is
+// sent all the same.
 func (q *serviceQueue) sent(w *waiter, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -41,18 +41,18 @@
 }
 
 // waitInQueue waits in the queue of the service until the request has chosen an endpoint. It
-// returns false, with queueEnd set, if the request is refused or its caller leaves. A request
-// that waits isn't charged to its account's quota, but again when it is sent.
+// returns false, with queueEnd set, if the request is refused or its caller leaves. The request
+// gives its charge back while it waits, and is charged again in its turn; otherwise requests that
+// are refused in the end would use up their account's quota.
 func (x *exchange) waitInQueue() (choice, bool) {
 	q := x.g.waiting.get(x.service)
 	x.refundQuota()
 	w, entered := x.newWaiter(), time.Now()
 	entry, length := q.enter(x.g, w, entered)
+	fields := x.queueFields(w, entry, length, entered)
 	if entry.Refused != "" {
 		x.queueEnd, x.queueWait = waitEnd(entry.Refused), entry.Expected
-		x.g.Log.Info("not queued", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.String("reason", string(entry.Refused)),
-			zap.Duration("expected_wait", entry.Expected), zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", entry.Place),
-			zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)))
+		x.g.Log.Info("not queued", append(fields, zap.String("reason", string(entry.Refused)), zap.Float64("used", x.g.quotaUsed(w.Account)))...)
 		return choice{}, false
 	}
 	x.g.Metrics.waiting.Inc()
@@ -61,33 +61,46 @@
 	c, end := x.awaitTurn(q, w)
 	x.inQueue = false
 	x.queueEnd = end
-	_, x.late = q.turnOf(w)
+	_, x.late = q.waitState(w)
 	waited := time.Since(entered)
 	x.g.Metrics.waits.WithLabelValues(string(x.route.Kind)).Observe(waited.Seconds())
-	x.g.Log.Info("waited", zap.String("request", x.info.ID), zap.String("account", w.Account), zap.Duration("wait", waited),
-		zap.Duration("expected_wait", entry.Expected), zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", entry.Place),
-		zap.Int("queue_length", length), zap.Float64("used", x.g.quotaUsed(w.Account)), zap.Int("priority", w.Priority), zap.Bool("late", x.late), zap.String("outcome", string(end)))
+	x.g.Log.Info("waited", append(fields, zap.Duration("wait", waited), zap.Float64("used", x.g.quotaUsed(w.Account)),
+		zap.Int("priority", w.Priority), zap.Bool("late", x.late), zap.String("outcome", string(end)))...)
 	return c, end == waitSent
 }
 
+// queueFields describe the queue's decision on a request, for the log.
+func (x *exchange) queueFields(w *waiter, e admit.Entry, length int, entered time.Time) []zap.Field {
+	return []zap.Field{zap.String("request", x.info.ID), zap.String("account", w.Account), zap.Duration("expected_wait", e.Expected),
+		zap.Duration("longest_wait", w.Until.Sub(entered)), zap.Int("place", e.Place), zap.Int("queue_length", length)}
+}
+
 // newWaiter returns the request as the queue sees it. Its wait is counted from its arrival,
 // since when its caller waits.
 func (x *exchange) newWaiter() *waiter {
 	limit := admit.WaitLimit{Priority: x.route.Priority, Target: x.route.TargetLatency, GapAim: x.route.GapAim, Stream: x.route.Kind == catalog.Stream}
-	usual, _ := x.g.firstEvents.Quantile(x.route.Name, 0.5)
-	return &waiter{wake: make(chan struct{}, 1), target: x.route.TargetLatency, Waiting: admit.Waiting{Priority: x.route.Priority, Account: x.accountName(),
-		LatestStart: x.deadline.Add(-usual), OnTimeUntil: x.arrived.Add(x.route.TargetLatency - x.expectedFirstEvent()),
-		Until: x.arrived.Add(limit.Longest(x.deadline.Sub(x.arrived)))}}
+	usual, _ := x.g.firstEvents.Quantile(x.route.Name, 0.5) // 0 until enough are known
+	return &waiter{
+		wake:   make(chan struct{}, 1),
+		target: x.route.TargetLatency,
+		Waiting: admit.Waiting{
+			Priority:    x.route.Priority,
+			Account:     x.accountName(),
+			LatestStart: x.deadline.Add(-usual),
+			OnTimeUntil: x.arrived.Add(x.route.TargetLatency - x.expectedFirstEvent()),
+			Until:       x.arrived.Add(limit.Longest(x.deadline.Sub(x.arrived))),
+		},
+	}
 }
 
 // expectedFirstEvent returns the expected time from the send to the first event: at the endpoint
-// that was last chosen, or of the route if none was.
+// that was last chosen, or by the route's latest responses if none was.
 func (x *exchange) expectedFirstEvent() time.Duration {
 	if x.timing.FirstEvent > 0 {
 		return x.timing.FirstEvent
 	}
-	most, _ := x.g.firstEvents.Quantile(x.route.Name, onTimeQuantile)
-	return most
+	usual, _ := x.g.firstEvents.Quantile(x.route.Name, onTimeQuantile) // 0 until enough are known
+	return usual
 }
 
 // awaitTurn chooses an endpoint each time that it is the request's turn and its account's quota
@@ -101,7 +114,7 @@
 		case <-x.ctx.Done():
 			return choice{}, q.leave(w, x.contextEnd(), time.Now())
 		}
-		end, late := q.turnOf(w)
+		end, late := q.waitState(w)
 		if end != "" {
 			x.queueWait = w.drainedIn
 			return choice{}, end
@@ -144,6 +157,6 @@
 	return waitExpired
 }
 
-// refusedByQueue reports whether the request is refused because of the queue. A request
-// whose wait ended while no endpoint took requests isn't.
+// refusedByQueue reports whether the request is refused because of the queue, and not because
+// no endpoint took requests when its wait ended.
 func (x *exchange) refusedByQueue() bool { return x.queueEnd.overload() && !x.noneAvailable }
