route: split tracker.go and pacing.go, and name paces in plainer terms

A pace's step "end, not the limit" and "halved by refusal", which also stood for failures, are now "end, window not reached" and "halved by refusal or failure". outlived is endStep, and resort, which reads like a sort, is filterRelaxed.

--- a/plugins/ready/ready.go
+++ b/plugins/ready/ready.go
@@ -17,7 +17,8 @@
 	Paused = "paused"
 	// RateLimited means that the gateways have sent as many requests as the endpoint takes.
 	RateLimited = "rate limit"
-	// Pace means that the endpoint has started or recovered and has enough work for now.
+	// Pace means that the endpoint has started or recovered and has as much work as its pace
+	// permits.
 	Pace = "pace"
 	// Ejected means that the endpoint receives only probes, after failures.
 	Ejected = "ejected"
@@ -25,7 +26,8 @@
 
 // Filter keeps the ready endpoints that have the required weights and that the request
 // has not tried. It keeps an ejected endpoint for an idempotent request when its next
-// probe is due, and for any request as a last resort, as it keeps one at its pace.
+// probe is due, and for any request as a last resort. It keeps one at the limit of its pace if
+// no other is available.
 type Filter struct{}
 
 // Exclude implements route.Filter.
--- a/route/pace.go
+++ b/route/pace.go
@@ -17,8 +17,8 @@
 	paceMinLate = 2
 	// paceQuiet is the time without an exclusion after which an endpoint is established.
 	paceQuiet = 5 * time.Second
-	// maxPace bounds the pace of an endpoint that has answered. One that is slower than its service for good answers
-	// late for ever; the backlog and the residual limit its work then.
+	// maxPace bounds the pace of an endpoint that has answered. All answers of one that is slower
+	// than its service for good are late; the backlog and the residual limit its work then.
 	maxPace = 30 * time.Second
 	// paceBaseMs is the assumed time to first token of an idle endpoint with the whole
 	// prompt cached, in milliseconds, for requests of other processes.
@@ -56,12 +56,12 @@
 	// PaceLate and PaceRefused mean that late first tokens, or a refusal or failure, have
 	// halved the window.
 	PaceLate    PaceStep = "halved by late first tokens"
-	PaceRefused PaceStep = "halved by refusal"
+	PaceRefused PaceStep = "halved by refusal or failure"
 	// PaceGrown, PaceUnlimited and PaceTimeout mean that the endpoint is established:
 	// because its window has grown, has excluded no request for some time, or has lasted
 	// for the longest time.
 	PaceGrown     PaceStep = "end, grown"
-	PaceUnlimited PaceStep = "end, not the limit"
+	PaceUnlimited PaceStep = "end, window not reached"
 	PaceTimeout   PaceStep = "end, timeout"
 )
 
@@ -110,8 +110,8 @@
 	limited        bool
 	// openedAt is when the window was opened, limitedAt when it last excluded a request.
 	openedAt, limitedAt time.Time
-	// judgedFrom is the dispatch time from which answers may halve the window: those of
-	// requests sent before tell of a window that no longer applies.
+	// judgedFrom is the dispatch time from which answers may halve the window: requests sent
+	// earlier were admitted by a window that no longer applies.
 	judgedFrom time.Time
 	pending    []pacedPrefill
 	answers    PaceAnswers
@@ -141,8 +141,8 @@
 // suspend records that the window is not applied now. Late answers don't halve it then.
 func (p *pace) suspend(now time.Time) { p.judgedFrom = now }
 
-// outlived returns the step that ends the pace at the time now, empty if it goes on.
-func (p *pace) outlived(now time.Time) PaceStep {
+// endStep returns the step by which the pace ends at the time now, empty if it continues.
+func (p *pace) endStep(now time.Time) PaceStep {
 	switch {
 	case !p.opened():
 		return ""
--- a/route/pace_test.go
+++ b/route/pace_test.go
@@ -113,15 +113,15 @@
 func TestPaceEnds(t *testing.T) {
 	is := is.New(t)
 	p := openPaceAt(0)
-	is.Equal(p.outlived(at(5000)), PaceStep(""))
-	is.Equal(p.outlived(at(5001)), PaceUnlimited)
+	is.Equal(p.endStep(at(5000)), PaceStep(""))
+	is.Equal(p.endStep(at(5001)), PaceUnlimited)
 	for i := range 30 {
 		p.exclude(at(i * 1000))
 	}
-	is.Equal(p.outlived(at(30_000)), PaceStep(""))
-	is.Equal(p.outlived(at(30_001)), PaceStep("")) // it has answered nothing
+	is.Equal(p.endStep(at(30_000)), PaceStep(""))
+	is.Equal(p.endStep(at(30_001)), PaceStep("")) // it has answered nothing
 	p.answers.Late++
-	is.Equal(p.outlived(at(30_001)), PaceTimeout)
+	is.Equal(p.endStep(at(30_001)), PaceTimeout)
 }
 
 // Guards against more pending tokens than the window, whatever the order of answers,
--- a/route/pacing.go
+++ b/route/pacing.go
@@ -10,19 +10,9 @@
 	"github.com/citrontiller/citrontiller/member"
 )
 
-const (
-	// paceSettle is the time from the first load report of this process during which
-	// endpoints that appear, and changes of them, are what the process learns at its start.
-	paceSettle = 5 * time.Second
-	// crashWindow is the time from an endpoint's start within which another start counts as
-	// a crash.
-	crashWindow = 30 * time.Second
-	// maxPaceCrashes is the number of crashes that gives the largest scale.
-	maxPaceCrashes = 3
-	// maxStarts bounds the endpoint ids and addresses whose last start is remembered. The
-	// largest fleet has 3,000 endpoints.
-	maxStarts = 16 << 10
-)
+// paceSettle is the time from the first load report of this process during which
+// endpoints that appear, and changes of them, are what the process learns at its start.
+const paceSettle = 5 * time.Second
 
 // PaceChange is a step of an endpoint's pace, for the log.
 type PaceChange struct {
@@ -34,13 +24,6 @@
 	Answers PaceAnswers
 }
 
-// endpointStart is the last start of an endpoint and the number of starts before it that
-// each followed the previous one within crashWindow.
-type endpointStart struct {
-	at      time.Time
-	crashes int
-}
-
 // pacing is the state of a tracker that paces endpoints.
 type pacing struct {
 	// onChange receives each step of a pace.
@@ -71,7 +54,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, s := range t.endpoints {
-		if s.pace.opened() && s.pace.outlived(now) == "" {
+		if s.pace.opened() && s.pace.endStep(now) == "" {
 			n++
 		}
 	}
@@ -142,7 +125,7 @@
 	if !s.pace.opened() && !t.openPaceFor(r, e, s, uncached, now) {
 		return
 	}
-	if step := s.pace.outlived(now); step != "" {
+	if step := s.pace.endStep(now); step != "" {
 		t.paceChanged(s, step)
 		return
 	}
@@ -183,22 +166,6 @@
 	t.paceChanged(s, PaceBegin)
 }
 
-// countStart records a start of an endpoint and returns the number of crashes before it.
-func (p *pacing) countStart(e *endpointState, now time.Time) int {
-	keys := []string{e.id, cmp.Or(e.address, e.id)}
-	crashes := 0
-	for _, k := range keys {
-		if s, ok := p.starts.Get(k); ok && now.Sub(s.at) < crashWindow {
-			crashes = max(crashes, s.crashes+1)
-		}
-	}
-	crashes = min(crashes, maxPaceCrashes)
-	for _, k := range keys {
-		p.starts.Add(k, endpointStart{now, crashes})
-	}
-	return crashes
-}
-
 // applyWindows records which candidates are excluded by their window. If more than half of
 // the candidates that can take work are paced, the others can't take the work of these, so
 // that none is excluded. The caller must hold mu.
--- a/route/route.go
+++ b/route/route.go
@@ -52,7 +52,7 @@
 	Seed uint64
 	// Exclude holds the ids of endpoints at which this request was refused or failed.
 	Exclude map[string]bool
-	// IgnorePace permits endpoints at their pace because no other is available.
+	// IgnorePace permits endpoints at the limit of their pace because no other is available.
 	IgnorePace bool
 	// LastResort permits ejected endpoints because no other is available.
 	LastResort bool
@@ -207,7 +207,7 @@
 // Values of Decision.Reason.
 const (
 	ReasonLowest     = "lowest cost"
-	ReasonPaced      = "only endpoints at their pace left"
+	ReasonPaced      = "only endpoints at the limit of their pace available"
 	ReasonLastResort = "only ejected endpoints left"
 	ReasonProbe      = "probe of an ejected endpoint"
 	ReasonNone       = "no endpoint available"
--- a/route/scheduler.go
+++ b/route/scheduler.go
@@ -54,7 +54,7 @@
 	d := Decision{RequestID: r.ID, Service: r.Service, Reason: ReasonLowest, Total: len(endpoints)}
 	kept := s.filter(r, endpoints, &d)
 	if len(kept) == 0 {
-		kept = s.resort(r, endpoints, &d)
+		kept = s.filterRelaxed(r, endpoints, &d)
 	}
 	if len(kept) == 0 {
 		d.Reason = ReasonNone
@@ -85,8 +85,9 @@
 	return d
 }
 
-// resort returns the endpoints of the first resort that has any.
-func (s *Scheduler) resort(r *Request, endpoints []Endpoint, d *Decision) []Endpoint {
+// filterRelaxed is filter for a request that has no endpoint: it relaxes the request's conditions
+// step by step until an endpoint fulfils them.
+func (s *Scheduler) filterRelaxed(r *Request, endpoints []Endpoint, d *Decision) []Endpoint {
 	last := *r
 	var kept []Endpoint
 	for len(kept) == 0 && last.relax(d) {
@@ -96,8 +97,8 @@
 	return kept
 }
 
-// relax permits the endpoints of the next resort: first those at their pace, then ejected
-// ones. It records the reason, and returns false if all are permitted.
+// relax permits further endpoints: first those at the limit of their pace, then ejected ones. It
+// records the reason, and returns false if all are permitted.
 func (r *Request) relax(d *Decision) bool {
 	switch {
 	case r.LastResort:
