--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -59,7 +59,8 @@
 	catalog.Endpoint
 	load           Load
 	weightsVersion int64
-	// revision is that of the first entry which this process has seen of the incarnation.
+	// revision is that of the first entry that this process has seen of the incarnation at the
+	// address. Later entries of an incarnation tell nothing about its start.
 	revision int64
 	// superseded is true while an endpoint that started later is listed at the same address.
 	superseded bool
@@ -249,40 +250,6 @@
 	return v
 }
 
-// Engines returns the engines that have weights of a model.
-func (d *Directory) Engines(model string) []rollout.Engine {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []rollout.Engine
-	for id, r := range d.endpoints {
-		if _, ok := r.Weights[model]; ok {
-			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !r.superseded && !d.announced(r.Incarnation()).leaving, Running: r.load.Running})
-		}
-	}
-	return out
-}
-
-// ApplyPlan applies a plan of the holder of the rollout lock: it marks the engines
-// that are being updated and records the version of those that already have it. It
-// returns false for a plan that is not newer than the last one of its model.
-func (d *Directory) ApplyPlan(p rollout.Plan) bool {
-	d.planMu.Lock()
-	defer d.planMu.Unlock()
-	if !p.Newer(d.plans[p.Model]) {
-		return false
-	}
-	d.plans[p.Model] = p
-	updating := make(map[string]bool, len(p.Updating))
-	for _, id := range p.Updating {
-		updating[id] = true
-	}
-	d.SetUpdating(updating)
-	for _, id := range p.Current {
-		d.Observe(id, ResponseInfo{WeightsVersion: p.Version})
-	}
-	return true
-}
-
 // Incarnation returns the listed incarnation of an endpoint, with only the id if it is
 // not listed.
 func (d *Directory) Incarnation(id string) catalog.Incarnation {
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -218,8 +218,8 @@
 func TestWaitingRequestIsChargedWhenSent(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// full is true if the account has no room at first when the request has its turn, room if
-		// it has later, and free if the endpoint has room.
+		// full is true if the account has no room in the request's first turn, room if it has some
+		// in later turns, and free if the endpoint has room.
 		full, room, free bool
 		want             string
 		outcome          string
