--- a/route/event.go
+++ b/route/event.go
@@ -86,7 +86,7 @@
 		if e.PromptTokens == 0 {
 			return
 		}
-		t.paceRemotePrefill(s, key, e, now)
+		t.paceRemotePrefill(s, key, e, now) // predicts by the backlog without this request
 		s.backlog.add(pendingPrefill{key: key, rank: e.Rank, arrival: now.Add(e.TransitTime), tokens: e.UncachedTokens}, now)
 		s.kv.add(key, e.Levels, float64(e.PromptTokens), now)
 		t.collectHoldings(e.Levels, s, now)
