--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -17,6 +17,12 @@
 	paceOff      = "off"
 )
 
+// Values of Settings.OverloadQueue.
+const (
+	queueLimited = "limited"
+	queueOff     = "off"
+)
+
 // Settings are the flags of a gateway. Each is also an environment variable. The
 // value of a duration includes its unit. The values that the platform provides are
 // in the file named by --settings.
@@ -35,6 +41,7 @@
 	OverloadOtherMax time.Duration `arg:"--overload-other-max,env:CITRONTILLER_OVERLOAD_OTHER_MAX" default:"150ms" help:"longest expected wait that --overload-other allows"`
 	RolloutShare     int           `arg:"--rollout-share,env:CITRONTILLER_ROLLOUT_SHARE" default:"6" help:"one in this many engines of a model is updated at the same time"`
 	EndpointPace     string        `arg:"--endpoint-pace,env:CITRONTILLER_ENDPOINT_PACE" default:"off" help:"pace of work for a started or recovered engine: adaptive or off"`
+	OverloadQueue    string        `arg:"--overload-queue,env:CITRONTILLER_OVERLOAD_QUEUE" default:"off" help:"whether requests wait in a queue in an overload: limited (while an account has a limit) or off"`
 }
 
 // Check returns every setting that is missing or out of range, joined. Each is
@@ -63,5 +70,10 @@
 	default:
 		errs = append(errs, &process.SettingError{Flag: "--endpoint-pace", Value: s.EndpointPace, Allowed: "adaptive or off"})
 	}
+	switch s.OverloadQueue {
+	case queueLimited, queueOff:
+	default:
+		errs = append(errs, &process.SettingError{Flag: "--overload-queue", Value: s.OverloadQueue, Allowed: "limited or off"})
+	}
 	return errors.Join(errs...)
 }
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -61,7 +61,7 @@
 		CallerAddress: testaddr.Reserve(t), ReadinessAddress: testaddr.Reserve(t), PeerAddress: testaddr.Reserve(t),
 		StoreAddress: storeServer.Listener.Addr().String(), Grace: stopGrace, WeightsDeadline: 10 * time.Second, RetryPercent: 20}
 	settings := Settings{PollWait: time.Second, DrainDelay: stopDrainDelay, LeaseTTL: 3 * time.Second, UsualUrgent: 2, UsualOther: 2,
-		OverloadUrgent: 2, OverloadOther: 2, RolloutShare: 6, RolloutStrategy: "keep", EndpointPace: paceAdaptive}
+		OverloadUrgent: 2, OverloadOther: 2, RolloutShare: 6, RolloutStrategy: "keep", EndpointPace: paceAdaptive, OverloadQueue: queueLimited}
 	p := newProcess(settings, host, zap.NewNop(), func() int64 { return 0 })
 	p.clock = clock
 	p.pulse = process.NewPulse(clock)
