admit: one lookup of a route's latest durations

ShareOver and Quantile looked up the ring and judged its size each for itself. Behaviour is the same; admit passes under the race detector, and the tests of the queue and of stops in gateway.

--- a/admit/durations.go
+++ b/admit/durations.go
@@ -51,14 +51,10 @@
 func (d *Durations) ShareOver(route string, limit time.Duration) (float64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.routes == nil {
-		return 0, false
-	}
-	ring, ok := d.routes.Peek(route)
-	if !ok || ring.n < minDurationSamples {
+	known := d.latest(route)
+	if known == nil {
 		return 0, false
 	}
-	known := ring.ms[:min(ring.n, durationSamples)]
 	over := 0
 	for _, ms := range known {
 		if int64(ms) > limit.Milliseconds() {
@@ -73,14 +69,23 @@
 func (d *Durations) Quantile(route string, quantile float64) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.routes == nil {
+	known := slices.Sorted(slices.Values(d.latest(route)))
+	if known == nil {
 		return 0, false
 	}
+	at := min(len(known)-1, int(quantile*float64(len(known))))
+	return time.Duration(known[at]) * time.Millisecond, true
+}
+
+// latest returns the durations of a route's latest requests in milliseconds, nil if too few are
+// known. The caller holds mu.
+func (d *Durations) latest(route string) []uint32 {
+	if d.routes == nil {
+		return nil
+	}
 	ring, ok := d.routes.Peek(route)
 	if !ok || ring.n < minDurationSamples {
-		return 0, false
+		return nil
 	}
-	known := slices.Sorted(slices.Values(ring.ms[:min(ring.n, durationSamples)]))
-	at := min(len(known)-1, int(quantile*float64(len(known))))
-	return time.Duration(known[at]) * time.Millisecond, true
+	return ring.ms[:min(ring.n, durationSamples)]
 }
