--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,7 +20,8 @@
 
 // cases maps the names of the cases to their functions, which return whether the rule was broken.
 var cases = map[string]func(*record, bool) (bool, error){
-	"lease": playLease,
+	"lease":   playLease,
+	"restart": playRestart,
 }
 
 func main() {
