--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*record, bool) (bool, error){
 	"lease":   playLease,
 	"restart": playRestart,
+	"drain":   playDrain,
 	"wall":    playWall,
 }
 
