--- a/review/standin2/restart.go
+++ b/review/standin2/restart.go
@@ -1,19 +1,20 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
 
 const (
 	// restarts is the number of restarts of a gateway.
-	restarts = 9
+	restarts = 8
 	// restartEngines is the number of engines of the case.
 	restartEngines = 38
-	// copyAge is how old the copy is from which the store comes back. It is more than the length of
-	// the lease of the lock.
-	copyAge = 4 * time.Second
-	// renewalDelay is the time from a renewal of the lock's lease until the store is away.
+	// minHeld is the time for which the lock has been held when new weights are named. It grows by
+	// heldStep from round to round.
+	minHeld, heldStep = 1100 * time.Millisecond, 80 * time.Millisecond
+	// renewalDelay is the time from that renewal until the store is away.
 	renewalDelay = 300 * time.Millisecond
 	// restartRewrite is the time from a drill until the operator and the engines have written again.
 	restartRewrite = 50 * time.Millisecond
@@ -21,8 +22,8 @@
 	restartRollout = 5 * time.Second
 )
 
-// playRestart restarts gateways that don't hold the rollout lock, while new weights are rolled out.
-// With trouble, there is a drill of the store as each starts again.
+// playRestart restarts the gateway that holds the rollout lock in turn, while new weights are rolled
+// out by the next holder. With trouble, there is a drill of the store as the first one starts again.
 func playRestart(r *record, trouble bool) (bool, error) {
 	s, err := newSystem(r, restartEngines)
 	defer s.close()
@@ -30,39 +31,48 @@
 		return false, err
 	}
 	time.Sleep(restartRollout)
-	for range restarts {
-		if err := s.restartRound(trouble); err != nil {
+	for round := range restarts {
+		if err := s.restartRound(minHeld+time.Duration(round)*heldStep, trouble); err != nil {
 			return false, err
 		}
 	}
 	return s.checkOrders(), nil
 }
 
-// restartRound restarts a gateway.
-func (s *system) restartRound(trouble bool) error {
-	holder, l, err := s.awaitHolder()
+// restartRound restarts the holder. held is how long the next one has the lock when new weights are
+// named. The copy of the store is from the moment between the two holders,
+// when nobody held the lock.
+func (s *system) restartRound(held time.Duration, trouble bool) error {
+	old, l, err := s.awaitHolder()
 	if err != nil {
 		return err
 	}
-	g := s.gateways[0]
-	if g == holder {
-		g = s.gateways[1]
+	s.record.add("%s holds the rollout lock, revision %d; SIGTERM to it", old.name, l.Revision)
+	s.setLeaving(old)
+	ended := make(chan struct{})
+	go func() {
+		old.terminate()
+		close(ended)
+	}()
+	if err := s.awaitRelease(); err != nil {
+		return err
 	}
-	s.record.add("%s holds the rollout lock, revision %d; SIGTERM to %s", holder.name, l.Revision, g.name)
 	restore, copied := s.store.Snapshot(), time.Now()
-	s.setLeaving(g)
-	g.terminate()
-	s.record.add("%s has ended", g.name)
+	<-ended
+	s.record.add("%s has ended", old.name)
+	next, l, err := s.awaitHolder()
+	if err != nil {
+		return err
+	}
+	s.record.add("%s holds the rollout lock, revision %d", next.name, l.Revision)
+	time.Sleep(held)
 	s.nameVersion()
-	if trouble {
-		time.Sleep(time.Until(copied.Add(copyAge - awayTime)))
-		if err := s.awaitRenewal(l.Lease); err != nil {
-			return err
-		}
-		time.Sleep(renewalDelay)
+	if err := s.awaitRenewal(l.Lease); err != nil {
+		return err
 	}
-	s.record.add("%s starts again", g.name)
-	if err := g.start(); err != nil {
+	time.Sleep(renewalDelay)
+	s.record.add("%s starts again", old.name)
+	if err := old.start(); err != nil {
 		return err
 	}
 	if trouble {
@@ -70,7 +80,17 @@
 	}
 	time.Sleep(restartRollout)
 	s.setLeaving(nil)
-	return g.awaitReady()
+	return old.awaitReady()
+}
+
+// awaitRelease waits until nobody holds the rollout lock.
+func (s *system) awaitRelease() error {
+	for end := time.Now().Add(holderTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, held := s.readLock(); !held {
+			return nil
+		}
+	}
+	return errors.New("the rollout lock isn't released")
 }
 
 // awaitRenewal waits until a lease is renewed.
