gateway: a response of status 000 is covered

Callers of other systems got a response whose status was 000 as an answer. It can't happen here: httpclient.Transport, which all HTTP calls to endpoints and services share, returns statuses from 200 to 599 only.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -174,7 +174,7 @@
 // its reader would wait past the deadline for the rest of the connection, or the caller
 // would take what follows for another protocol.
 func TestStatusThatAnswersNoRequest(t *testing.T) {
-	for _, status := range []string{"101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x", "101 Switching Protocols", "099 None", "600 None", "999 None"} {
+	for _, status := range []string{"101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x", "101 Switching Protocols", "000 None", "099 None", "600 None", "999 None"} {
 		for path, repeatable := range map[string]bool{"/book/1": false, "/read/1": true, "/draft/1": false, "/tag/1": true} {
 			t.Run(status[:3]+path, func(t *testing.T) {
 				is := is.New(t)
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -50,6 +50,7 @@
 	for name, head := range map[string]string{
 		"switched protocol": "101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
 		"bare 101":          "101 Switching Protocols\r\n",
+		"zero":              "000 None\r\nContent-Length: 5\r\n",
 		"below 100":         "099 None\r\nContent-Length: 5\r\n",
 		"above 599":         "600 None\r\nContent-Length: 5\r\n",
 	} {
