httpclient: a response with a malformed field name is no response

What callers saw: an endpoint's response in whose head the name of a field held a blank was returned as a success. Where the field frames the body ('Content-Length : 4', 'Transfer-Encoding : chunked') the body was another one than the endpoint's, with chunk sizes or all that followed until the connection's end.

Cause: net/http rejects control bytes and separators in names, but accepts blanks (golang.org/issue/34540) and keeps such a field under a name that no reader asks for. The server drops it when it writes the head to the caller, so the line itself isn't passed on.

Evidence: TestMalformedFieldNameIsNoAnswer and TestMalformedFieldNameIsRetried failed before in all cases with a blank; the cases with control bytes passed. TestSoundHeadsAreDelivered passed before and after.

Fix: the transport that all HTTP calls share checks the names of a response's fields and closes the connection of a malformed one, also where net/http has put it back among the idle ones; the rest of such a response would be read as the next one. The failure counts as one after which the request may have run.

--- /dev/null
+++ b/gateway/brokenresponse_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// addHeads adds an endpoint that answers each request with the request's id, the stamp, more
+// header lines and what follows the head, and closes the connection.
+func (f *fleet) addHeads(t *testing.T, id, lines, rest string) {
+	f.addRaw(t, id, func(c net.Conn, r *bufio.Reader, _ int) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\n%s\r\n%s", readRequest(r), lines, rest)
+	})
+}
+
+// Guards against a response in whose head the name of a field holds a byte that no name may
+// hold. net/http accepts blanks in names: a field that frames the body isn't recognized, and
+// the caller got bytes that aren't the body as a complete success.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	const body = "id: 1\ndata: a\n\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	for name, tc := range map[string]struct{ lines, rest string }{
+		"blank in the name":         {length + "X Y: 1\r\n", body},
+		"blank after the name":      {length + "X-Y : 1\r\n", body},
+		"blank after the length":    {fmt.Sprintf("Content-Length : %d\r\n", len(body)), body + body},
+		"blank before the chunks":   {"Transfer-Encoding : chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		"blank in a second length":  {length + "Content-Length : 1\r\n", body},
+		"blank after the tab":       {length + "X\t Y: 1\r\n", body},
+		"tab":                       {length + "X-Y\t: 1\r\n", body},
+		"zero byte":                 {length + "X\x00Y: 1\r\n", body},
+		"control byte":              {length + "X\x1bY: 1\r\n", body},
+		"carriage return":           {length + "X\rY: 1\r\n", body},
+		"delete":                    {length + "X\x7fY: 1\r\n", body},
+		"control byte first":        {"\x01X-Y: 1\r\n" + length, body},
+		"control byte in framing":   {"Content-Length\x01: 1\r\n" + length, body},
+		"separator":                 {length + "X(Y): 1\r\n", body},
+		"byte that isn't ASCII":     {length + "X\xe9Y: 1\r\n", body},
+		"no name":                   {length + ": 1\r\n", body},
+		"line without a field":      {length + "X-Y\r\n", body},
+		"control byte in its value": {length + "X-Y: \x01\r\n", body},
+	} {
+		for _, path := range []string{"/book/1", "/draft/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				f := newFleet(t)
+				f.addHeads(t, "e0", tc.lines, tc.rest)
+				status, _ := f.callID(t, path, "x")
+				is.New(t).Equal(status, http.StatusBadGateway) // it may have run
+			})
+		}
+	}
+}
+
+// Guards against a request that fails although it may be repeated: its first response is
+// malformed.
+func TestMalformedFieldNameIsRetried(t *testing.T) {
+	for _, path := range []string{"/read/1", "/tag/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.addHeads(t, "e0", "Content-Length : 4\r\n", "fine")
+			status, _ := f.callID(t, path, "x")
+			is.Equal(status, http.StatusBadGateway)
+			f.add(t, "e1", []responder{ok("own\n\n")})
+			status, text := f.callID(t, path, "x")
+			is.Equal(status, http.StatusOK)
+			is.Equal(text, "own\n\n")
+		})
+	}
+}
+
+// tokenBytes are all bytes of which names of fields consist.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
+// Guards against sound responses that are taken for malformed ones.
+func TestSoundHeadsAreDelivered(t *testing.T) {
+	const body = "id: 1\ndata: a\n\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	chunks := fmt.Sprintf("%x;ext=1\r\n%s\r\n0\r\nTrailing: 1\r\n\r\n", len(body), body)
+	for name, tc := range map[string]struct{ lines, rest string }{
+		"blanks in values":       {length + "X-Y: \t a b\tc \t\r\nX-Z:\r\nX-A:1\r\n", body},
+		"long value":             {length + "X-Y: " + strings.Repeat("long value ", 5000) + "\r\n", body},
+		"many fields":            {length + strings.Repeat("X-Y: 1\r\n", 2000), body},
+		"all bytes of names":     {length + tokenBytes + ": 1\r\n", body},
+		"bytes outside of ASCII": {length + "X-Y: \xe9\xff\r\n", body},
+		"colons in values":       {length + "X-Y: :a: b:\r\n", body},
+		"line feeds only":        {strings.ReplaceAll(length, "\r", "") + "X-Y: 1\n", body},
+		"chunks":                 {"Transfer-Encoding: chunked\r\nTrailer: Trailing\r\n", chunks},
+		"no framing":             {"X-Y: 1\r\n", body},
+		"closed":                 {length + "Connection: close\r\n", body},
+	} {
+		for _, path := range []string{"/book/1", "/read/1", "/draft/1", "/tag/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t)
+				f.addHeads(t, "e0", tc.lines, tc.rest)
+				status, text := f.callID(t, path, "x")
+				is.Equal(status, http.StatusOK)
+				is.Equal(text, body)
+			})
+		}
+	}
+	t.Run("names and values", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		f.addHeads(t, "e0", length+tokenBytes+": a \t b \r\n", body)
+		resp, err := f.open(f.request(t, http.MethodPost, "/book/1", "x", "b"))
+		is.NoErr(err)
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(tokenBytes), "a \t b")
+	})
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -3,12 +3,15 @@
 package httpclient
 
 import (
-	"fmt"
+	"context"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 )
 
-// Transport is an http.Transport that returns final responses only. Their bodies end with
-// the request's context. It is safe for concurrent use.
+// Transport is an http.Transport that returns final, well-formed responses only. Their
+// bodies end with the request's context. It is safe for concurrent use.
 type Transport struct {
 	*http.Transport
 	// SendOnce makes a request fail where http.Transport would send it again by itself, as
@@ -16,34 +19,38 @@
 	SendOnce bool
 }
 
-// StatusError reports a response whose status answers no request.
-type StatusError struct{ Status int }
-
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("response status %d is not that of a final response", e.Status)
-}
-
-// RoundTrip implements http.RoundTripper. It returns a *StatusError for a status that is
-// not a final one, and closes the connection. After a 101, net/http would return the
-// connection itself as the body, which neither the request's context nor the transport
-// closes any more. Requests don't ask for another protocol.
+// RoundTrip implements http.RoundTripper. It returns a *StatusError or a *FieldNameError for
+// a response that answers no request or is malformed, and closes its connection.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	send := t.Transport.RoundTrip
 	if t.SendOnce && mayBeRepeated(req) {
 		send = t.sendOnce
 	}
-	resp, err := send(req)
+	var used usedConn
+	resp, err := send(req.WithContext(used.trace(req.Context())))
 	if err != nil {
 		return nil, err
 	}
-	if !isFinal(resp.StatusCode) {
+	resp.Request = req
+	if err := checkHead(resp); err != nil {
 		_ = resp.Body.Close() // the response is not used
-		return nil, &StatusError{resp.StatusCode}
+		used.close()
+		return nil, err
 	}
 	return resp, nil
 }
 
-// isFinal reports whether a status is that of a final response.
-func isFinal(status int) bool {
-	return status >= http.StatusOK && status < 600
+// usedConn is the connection that a request was sent on last.
+type usedConn struct{ conn atomic.Pointer[net.Conn] }
+
+// trace returns a context for a request that records its connection.
+func (u *usedConn) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { u.conn.Store(&c.Conn) }})
+}
+
+// close closes the connection, which http.Transport keeps after a response without a body.
+func (u *usedConn) close() {
+	if c := u.conn.Load(); c != nil {
+		_ = (*c).Close() // it may have been closed
+	}
 }
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -170,3 +170,37 @@
 	req.Header.Set(header, "k")
 	return req
 }
+
+// Guards against a response whose head is malformed although net/http accepts it, and
+// against the rest of one on a connection that is used again: the next request would get it
+// as its response.
+func TestMalformedHeadEndsConnection(t *testing.T) {
+	for name, lines := range map[string]string{
+		"blank after the name":     "Content-Length: 2\r\nX-Y : 1\r\n",
+		"blank in the name":        "Content-Length: 2\r\nX Y: 1\r\n",
+		"blank after the length":   "Content-Length : 2\r\n",
+		"blank after a 2nd length": "Content-Length: 0\r\nContent-Length : 2\r\n",
+		"blank before the chunks":  "Content-Length: 0\r\nTransfer-Encoding : chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, closed := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", lines)
+				}
+			})
+			transport := &Transport{Transport: &http.Transport{}}
+			defer transport.CloseIdleConnections()
+			req := newRequest(http.MethodPost, "A", strings.NewReader("b"))
+			req.URL.Host = addr
+			_, err := transport.RoundTrip(req)
+			var malformed *FieldNameError
+			is.True(errors.As(err, &malformed))
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the connection is still open")
+			}
+		})
+	}
+}
--- a/plugins/internal/exchange/exchange_test.go
+++ b/plugins/internal/exchange/exchange_test.go
@@ -1,9 +1,11 @@
 package exchange
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -114,3 +116,31 @@
 		is.True(strings.HasPrefix(tc.body, s.body.String()))
 	}
 }
+
+// Guards against a broken response that an endpoint's driver forwards: one whose status
+// answers no request, or in whose head the name of a field holds a blank or a control byte.
+func TestBrokenHeadIsNotForwarded(t *testing.T) {
+	for _, head := range []string{"000 None", "200 OK\r\nContent-Length : 1", "200 OK\r\nX Y: 1", "200 OK\r\nX\x01Y: 1"} {
+		t.Run(head, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go func() {
+				for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n\r\nbody", head)
+					_ = c.Close()
+				}
+			}()
+			c := New(kernel.Settings{})
+			defer c.Close()
+			var s sink
+			err = c.Do(t.Context(), agent.Endpoint{Address: l.Addr().String()}, &agent.Request{ID: "r", Method: http.MethodPost, Path: "/"}, []byte("b"), &s)
+			var de *agent.DriverError
+			is.True(errors.As(err, &de))
+			is.Equal(de.Run, call.Unknown) // it may have run
+			is.True(s.head == nil)
+		})
+	}
+}
