httpclient: a reset that the sender is told of is no end of a response

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being sent. The part reached the caller as a complete answer.

Cause: Linux reports the failure of a connection once, to the first call. When the write of the request body gets the ECONNRESET, the read that waits for more of the body returns 0, which is the end of a body without framing. Unacknowledged data (ETIMEDOUT by TCP_USER_TIMEOUT) and an unreachable peer are reported in the same way.

Fix: the connections of the shared transport remember the failure that a write has returned, and a read returns it in place of the end. A read that comes to the end waits for a write in progress, whose goroutine may not have run since the system told it, and ends it by its deadline: the peer needs no more data after its last byte. The rule is kept in the connection and not by the request's trace, because net/http flushes the last 4 KB after that has ended.

--- a/gateway/brokenresponse_test.go
+++ b/gateway/brokenresponse_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -118,3 +119,92 @@
 		is.Equal(resp.Header.Get(tokenBytes), "a \t b")
 	})
 }
+
+// uploadBytes is the size of a request body that doesn't fit into the buffers of a
+// connection whose peer doesn't read.
+const uploadBytes = 16 << 20
+
+// allowUploads sets a limit of request bodies that allows uploadBytes.
+func (f *fleet) allowUploads() {
+	c := testConfig
+	c.Version++
+	c.Limits.MaxBodyBytes = uploadBytes
+	c.Index()
+	f.gateway.Config.SetIfNewer(&c)
+}
+
+// Guards against a response without framing that its endpoint resets while the request body
+// is still being sent, and that reaches the caller as a complete success: the reset is
+// reported to the sender of the body, and the reader sees the end of the connection.
+func TestResetDuringUploadIsNotTheEnd(t *testing.T) {
+	const tries = 20
+	for _, path := range []string{"/book/1", "/draft/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.allowUploads()
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, n int) {
+				answerEarly(c, r, "200 OK", "", "id: 1\ndata: a\n\n")
+				time.Sleep(time.Duration(n%4) * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
+			})
+			body := strings.Repeat("b", uploadBytes)
+			for i := range tries {
+				resp, err := f.open(f.request(t, http.MethodPost, path, fmt.Sprint("r", i), body))
+				is.NoErr(err)
+				_, err = io.ReadAll(resp.Body)
+				is.NoErr(resp.Body.Close())
+				is.True(err != nil || resp.StatusCode == http.StatusBadGateway)
+			}
+		})
+	}
+}
+
+// answerEarly answers a request before its body has been read.
+func answerEarly(c net.Conn, r *bufio.Reader, status, lines, rest string) {
+	if req, err := http.ReadRequest(r); err == nil {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\nStamp: s\r\n%s\r\n%s", status, req.Header.Get("Id"), lines, rest)
+	}
+}
+
+// Guards against a sound response that is taken for one that was cut off, because its
+// endpoint answers while the request body is still being sent. The endpoint reads on, or
+// reads nothing more.
+func TestEarlyResponseIsDelivered(t *testing.T) {
+	const text = "id: 1\ndata: a\n\n"
+	framings := map[string]struct{ lines, rest string }{
+		"length": {fmt.Sprintf("Content-Length: %d\r\n", len(text)), text},
+		"chunks": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text)},
+		"none":   {"", text},
+	}
+	endings := map[string]func(t *testing.T, r *bufio.Reader){
+		"reads on":      func(_ *testing.T, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) },
+		"reads no more": func(t *testing.T, _ *bufio.Reader) { <-t.Context().Done() },
+	}
+	body := strings.Repeat("b", uploadBytes)
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusRequestEntityTooLarge} {
+		for framing, head := range framings {
+			for ending, end := range endings {
+				t.Run(fmt.Sprint(status, framing, ending), func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t)
+					f.allowUploads()
+					f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+						answerEarly(c, r, fmt.Sprintf("%d Early", status), head.lines, head.rest)
+						_ = c.(*net.TCPConn).CloseWrite()
+						end(t, r)
+					})
+					for _, path := range []string{"/book/1", "/draft/1"} {
+						resp, err := f.open(f.request(t, http.MethodPost, path, "x", body))
+						is.NoErr(err)
+						got, err := io.ReadAll(resp.Body)
+						is.NoErr(err)
+						is.NoErr(resp.Body.Close())
+						is.Equal(resp.StatusCode, status)
+						is.Equal(string(got), text)
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/httpclient/conn.go
@@ -0,0 +1,82 @@
+package httpclient
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// conn is a connection whose reader learns of a failure that its writer was told of. The
+// operating system reports the failure of a connection once, to the first call; later reads
+// return io.EOF. A response that lasts until the end of its connection would look complete.
+type conn struct {
+	net.Conn
+	// writing is held during writes and guards failure.
+	writing sync.Mutex
+	// failure is the failure of the connection that a write has returned.
+	failure error
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.failure == nil && isConnFailure(err) {
+		c.failure = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if the peer has ended its side.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		if failure := c.endWrite(); failure != nil {
+			return n, failure
+		}
+	}
+	return n, err
+}
+
+// endWrite ends a write in progress, whose data the peer doesn't need after its last byte,
+// and returns the failure of the connection that a write has returned.
+func (c *conn) endWrite() error {
+	_ = c.SetWriteDeadline(time.Unix(0, 0)) // fails only on a closed connection, where writes end too
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.failure
+}
+
+// isConnFailure reports whether the error of a write means that the connection has failed
+// before its peer ended its side. After that, a reset is an EPIPE.
+func isConnFailure(err error) bool {
+	switch {
+	case err == nil, errors.Is(err, syscall.EPIPE), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+		return false
+	}
+	return true
+}
+
+// dialer opens a connection.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// watched returns a dialer of connections that report failures to their readers. The
+// default dialer is that of the operating system.
+func watched(dial dialer) dialer {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 )
 
@@ -17,11 +18,14 @@
 	// SendOnce makes a request fail where http.Transport would send it again by itself, as
 	// it does on kept connections that break, depending on its method, headers and body.
 	SendOnce bool
+
+	watchConns sync.Once
 }
 
 // RoundTrip implements http.RoundTripper. It returns a *StatusError or a *FieldNameError for
 // a response that answers no request or is malformed, and closes its connection.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	t.watchConns.Do(func() { t.DialContext = watched(t.DialContext) })
 	send := t.Transport.RoundTrip
 	if t.SendOnce && mayBeRepeated(req) {
 		send = t.sendOnce
--- a/plugins/internal/exchange/exchange_test.go
+++ b/plugins/internal/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -144,3 +145,29 @@
 		})
 	}
 }
+
+// Guards against a part of a response that is forwarded as a whole one: the endpoint sends it
+// without framing and resets the connection while the request body is still being sent.
+func TestResetDuringUploadIsTruncation(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
+			_ = c.Close()
+		}
+	}()
+	c := New(kernel.Settings{})
+	defer c.Close()
+	body := make([]byte, 16<<20) // more than the buffers hold
+	for range 20 {
+		err := c.Do(t.Context(), agent.Endpoint{Address: l.Addr().String()}, &agent.Request{ID: "r", Method: http.MethodPost, Path: "/"}, body, &sink{})
+		var de *agent.DriverError
+		is.True(errors.As(err, &de))
+	}
+}
