httpclient: a response with a folded line is no response

What callers saw: an endpoint's response in whose head a line began with a blank, before the name of a field, was returned as a success. net/http joined the line to the value before it: the stamp reached the caller with the line behind it, and where the line was 'Transfer-Encoding: chunked' the body held the chunk sizes.

Cause: it is that of the malformed names: net/http reads a head in which a field can't be recognized, and here the parsed head doesn't show it any more. RFC 9112, section 5.2, lets a gateway reject folded lines, which no sender may write.

Evidence: the four cases of TestMalformedFieldNameIsNoAnswer that begin with a blank or a tab failed before for requests of two kinds. TestFoldedLines and TestFoldedLineOnKeptConnection are of new code. TestSoundHeadsAreDelivered passed before and after.

Fix: the connections of the shared transport look at the lines of each head, from the moment at which a request is assigned the connection, past interim responses, to the empty line of the final one, and report a line that begins with a blank in its place. Bodies aren't looked at.

--- a/gateway/brokenresponse_test.go
+++ b/gateway/brokenresponse_test.go
@@ -22,8 +22,9 @@
 }
 
 // Guards against a response in whose head the name of a field holds a byte that no name may
-// hold. net/http accepts blanks in names: a field that frames the body isn't recognized, and
-// the caller got bytes that aren't the body as a complete success.
+// hold. net/http accepts blanks in names, and takes a line that begins with one for a part of
+// the value before it: a field that frames the body isn't recognized, and the caller got
+// bytes that aren't the body as a complete success.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
 	const body = "id: 1\ndata: a\n\n"
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
@@ -31,8 +32,12 @@
 		"blank in the name":         {length + "X Y: 1\r\n", body},
 		"blank after the name":      {length + "X-Y : 1\r\n", body},
 		"blank after the length":    {fmt.Sprintf("Content-Length : %d\r\n", len(body)), body + body},
-		"blank before the chunks":   {"Transfer-Encoding : chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
+		"blank after the framing":   {"Transfer-Encoding : chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
 		"blank in a second length":  {length + "Content-Length : 1\r\n", body},
+		"blank first":               {" X-Y: 1\r\n" + length, body},
+		"tab first":                 {"\tX-Y: 1\r\n" + length, body},
+		"blank before the length":   {" " + length, body + body},
+		"blank before the framing":  {" Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)},
 		"blank after the tab":       {length + "X\t Y: 1\r\n", body},
 		"tab":                       {length + "X-Y\t: 1\r\n", body},
 		"zero byte":                 {length + "X\x00Y: 1\r\n", body},
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -14,8 +14,10 @@
 // conn is a connection whose reader learns of a failure that its writer was told of. The
 // operating system reports the failure of a connection once, to the first call; later reads
 // return io.EOF. A response that lasts until the end of its connection would look complete.
+// It also rejects folded lines in the heads of responses.
 type conn struct {
 	net.Conn
+	heads headScanner
 	// writing is held during writes and guards failure.
 	writing sync.Mutex
 	// failure is the failure of the connection that a write has returned.
@@ -33,14 +35,21 @@
 	return n, err
 }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has ended its side.
+// Read implements net.Conn. It returns io.EOF only if the peer has ended its side, and
+// ErrFoldedLine in place of a folded line.
 func (c *conn) Read(b []byte) (int, error) {
+	if _, err := c.heads.scan(nil); err != nil {
+		return 0, err // net/http may read on after an error behind a whole line
+	}
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		if failure := c.endWrite(); failure != nil {
-			return n, failure
+			err = failure
 		}
 	}
+	if sound, foldedErr := c.heads.scan(b[:n]); foldedErr != nil {
+		return sound, foldedErr
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/internal/httpclient/folded_test.go
@@ -0,0 +1,96 @@
+package httpclient
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a folded line of a head that isn't found, or a line of a body or a value
+// that is taken for one. The responses arrive on one connection, also byte by byte.
+func TestFoldedLines(t *testing.T) {
+	const next = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		responses []string
+		folded    bool
+	}{
+		"sound":                   {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\nB: \t 2 3 \r\nC:\r\n\r\n", next}, false},
+		"no fields":               {[]string{"HTTP/1.1 200 OK\r\n\r\n", next}, false},
+		"blank lines in the body": {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n x\r\n\r\n\ty\n z\n", next}, false},
+		"line feeds only":         {[]string{"HTTP/1.1 200 OK\nA: 1\n\n x\n", next}, false},
+		"interim response":        {[]string{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n x\r\n", next}, false},
+		"first field":             {[]string{"HTTP/1.1 200 OK\r\n A: 1\r\n\r\n"}, true},
+		"blank":                   {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
+		"tab":                     {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n\tB: 1\r\n\r\n"}, true},
+		"blanks only":             {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n  \r\n\r\n"}, true},
+		"after line feeds only":   {[]string{"HTTP/1.1 200 OK\nA: 1\n B: 1\n\n"}, true},
+		"second response":         {[]string{next, "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
+		"after interim response":  {[]string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
+		"after odd status line":   {[]string{"HTTP/1.1   100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
+		"in interim response":     {[]string{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
+	} {
+		readers := map[string]func(io.Reader) io.Reader{"at once": func(r io.Reader) io.Reader { return r }, "byte by byte": iotest.OneByteReader}
+		for how, reader := range readers {
+			t.Run(name+" "+how, func(t *testing.T) {
+				is := is.New(t)
+				var s headScanner
+				var err error
+				for _, response := range tc.responses {
+					s.expect()
+					_, copyErr := io.Copy(scanWriter{&s}, onlyReader{reader(strings.NewReader(response))})
+					err = errors.Join(err, copyErr)
+				}
+				is.Equal(errors.Is(err, ErrFoldedLine), tc.folded)
+			})
+		}
+	}
+}
+
+// scanWriter writes to a headScanner.
+type scanWriter struct{ s *headScanner }
+
+func (w scanWriter) Write(b []byte) (int, error) { return w.s.scan(b) }
+
+// onlyReader hides the other methods of a reader.
+type onlyReader struct{ io.Reader }
+
+// Guards against a body on a connection in use again whose lines are taken for folded ones,
+// and against a folded line there that isn't found.
+func TestFoldedLineOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	const body = " a\r\n\r\n b\r\n"
+	addr, closed := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		for _, lines := range []string{"", "", "X-A: 1\r\n X-B: 1\r\n"} {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", len(body), lines, body)
+		}
+	})
+	transport := &Transport{Transport: &http.Transport{}, SendOnce: true}
+	defer transport.CloseIdleConnections()
+	for _, sound := range []bool{true, true, false} {
+		req := newRequest(http.MethodGet, "A", nil)
+		req.URL.Host = addr
+		resp, err := transport.RoundTrip(req)
+		is.Equal(err == nil, sound)
+		if err != nil {
+			is.True(errors.Is(err, ErrFoldedLine))
+			continue
+		}
+		text, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(string(text), body)
+		is.Equal(len(closed), 0) // the connection is used again
+	}
+	<-closed
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -22,8 +22,9 @@
 	watchConns sync.Once
 }
 
-// RoundTrip implements http.RoundTripper. It returns a *StatusError or a *FieldNameError for
-// a response that answers no request or is malformed, and closes its connection.
+// RoundTrip implements http.RoundTripper. It returns a *StatusError, a *FieldNameError or
+// ErrFoldedLine for a response that answers no request or is malformed, and closes its
+// connection.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	t.watchConns.Do(func() { t.DialContext = watched(t.DialContext) })
 	send := t.Transport.RoundTrip
@@ -49,7 +50,12 @@
 
 // trace returns a context for a request that records its connection.
 func (u *usedConn) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { u.conn.Store(&c.Conn) }})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		u.conn.Store(&info.Conn)
+		if c, ok := info.Conn.(*conn); ok { // else the connection is encrypted
+			c.heads.expect()
+		}
+	}})
 }
 
 // close closes the connection, which http.Transport keeps after a response without a body.
