soak: endpoints that answer with a status 000, a malformed name or a part before a reset

The random faults of the soak include the three ways. Its proxies pass a reset on, as a network does; before, the other side saw the end of the connection. The limit of request bodies is raised to that of the uploads.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -50,7 +52,7 @@
 	}
 }
 
-// forward copies data in one direction until either connection closes.
+// forward copies data in one direction until either connection closes. A reset is passed on.
 func (p *proxy) forward(from, to net.Conn) {
 	defer func() {
 		_ = from.Close()
@@ -71,20 +73,28 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetOnClose(to)
+		}
 		if err != nil {
 			return
 		}
 	}
 }
 
+// resetOnClose makes closing a connection reset it.
+func resetOnClose(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
 // reset closes all connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+		resetOnClose(c)
 		_ = c.Close()
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -146,7 +146,8 @@
 // under overlapping faults: kills, planned stops in series, noticed late or on a busy host,
 // pauses, stalled and reset connections, store outages, stores that hang or return in an older
 // state, configuration changes, and endpoints that announce that they leave, take few requests
-// or want none, or answer without end or with a status that answers nothing; and against
+// or want none, or answer without end, with a status that answers nothing, with a malformed
+// head or in part before a reset; and against
 // endpoints that are left out afterwards, and gateways in which an older configuration is in
 // force.
 func TestSoak(t *testing.T) {
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -99,7 +99,7 @@
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":3},
  {"name":"long","host":"h","prefix":"/stream/lasts/","kind":"stream","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,"service":"s","max_attempts":2,"resumable":true}],
- "services":[{"name":"s"}],"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":["key","key-%d"]},{"name":"limited","api_keys":["limited"],"rate_per_s":20,"burst":20}]}`
+ "services":[{"name":"s"}],"limits":{"max_body_bytes":16777216},"tenants":[{"name":"t","api_keys":["key","key-%d"]},{"name":"limited","api_keys":["limited"],"rate_per_s":20,"burst":20}]}`
 
 // putConfig stores a configuration, as the operator does.
 func (s *system) putConfig(version int64) {
