httpclient: encrypted bytes aren't looked at as a head

The scanner of folded lines began in a state in which it expected a head, so that it read the bytes of a TLS connection, which the plug-ins' settings allow, as lines: most such responses would have failed. It now begins with the first request that is assigned a plain connection. TestEncryptedConnectionIsNotScanned failed before.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -62,8 +62,8 @@
 	return c.failure
 }
 
-// isConnFailure reports whether the error of a write means that the connection has failed
-// before its peer ended its side. After that, a reset is an EPIPE.
+// isConnFailure reports whether the error of a write means that the connection failed before
+// its peer ended its side. Once the peer has, the system reports a reset as EPIPE.
 func isConnFailure(err error) bool {
 	switch {
 	case err == nil, errors.Is(err, syscall.EPIPE), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
--- a/internal/httpclient/folded.go
+++ b/internal/httpclient/folded.go
@@ -18,8 +18,8 @@
 // for concurrent use.
 type headScanner struct {
 	mu sync.Mutex
-	// ended is true from the end of a final response's head to the next request.
-	ended bool
+	// active is true from a request to the end of the head of its final response.
+	active bool
 	// folded is true once a folded line was found.
 	folded bool
 	// line and column count the head's lines before the current one and the bytes of that.
@@ -35,7 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.restart()
-	s.ended = false
+	s.active = true
 }
 
 // restart begins a head.
@@ -50,7 +50,7 @@
 		return 0, ErrFoldedLine
 	}
 	for i, c := range b {
-		if s.ended {
+		if !s.active {
 			break
 		}
 		if s.line > 0 && s.column == 0 && (c == ' ' || c == '\t') {
@@ -84,6 +84,6 @@
 		s.column = 0
 		return
 	}
-	s.ended = s.class != '1'
+	s.active = s.class == '1'
 	s.restart()
 }
--- a/internal/httpclient/folded_test.go
+++ b/internal/httpclient/folded_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -94,3 +95,22 @@
 	}
 	<-closed
 }
+
+// Guards against bytes of an encrypted connection that are taken for a folded line.
+func TestEncryptedConnectionIsNotScanned(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("encrypted ", 50_000)
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	defer s.Close()
+	config := s.Client().Transport.(*http.Transport).TLSClientConfig
+	client := NewClient(&Transport{Transport: &http.Transport{TLSClientConfig: config}})
+	defer client.CloseIdleConnections()
+	for range 3 {
+		resp, err := client.Get(s.URL)
+		is.NoErr(err)
+		text, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(len(text), len(body))
+	}
+}
--- a/internal/httpclient/once.go
+++ b/internal/httpclient/once.go
@@ -46,7 +46,6 @@
 	} else {
 		resp.Body = &cancelingBody{resp.Body, cancel}
 	}
-	resp.Request = req
 	return resp, nil
 }
 
