httpclient: a response that has arrived is read although the connection was reset

What callers saw: an endpoint that answers a long upload before it has read it, and then resets the connection, such as one that rejects the request and closes, gave them a 502 in nearly all tries, or a second send where the request may be repeated. Its response was whole.

Cause: http.Transport closes the connection as soon as a write fails, although the response lies in the receive buffer, and RoundTrip returns the error of the write.

Fix: after an ECONNRESET or EPIPE a write returns once the reader has read what has arrived, or has closed the connection.

--- a/gateway/brokenresponse_test.go
+++ b/gateway/brokenresponse_test.go
@@ -172,9 +172,9 @@
 	}
 }
 
-// Guards against a sound response that is taken for one that was cut off, because its
-// endpoint answers while the request body is still being sent. The endpoint reads on, or
-// reads nothing more.
+// Guards against a sound response that is taken for one that was cut off, or dropped, because
+// its endpoint answers while the request body is still being sent. The endpoint reads on, reads
+// nothing more, or resets the connection, after it has ended its side or without that.
 func TestEarlyResponseIsDelivered(t *testing.T) {
 	const text = "id: 1\ndata: a\n\n"
 	framings := map[string]struct{ lines, rest string }{
@@ -182,22 +182,33 @@
 		"chunks": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text)},
 		"none":   {"", text},
 	}
-	endings := map[string]func(t *testing.T, r *bufio.Reader){
-		"reads on":      func(_ *testing.T, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) },
-		"reads no more": func(t *testing.T, _ *bufio.Reader) { <-t.Context().Done() },
+	reset := func(_ *testing.T, c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0) }
+	endings := map[string]struct {
+		endsSide bool
+		then     func(t *testing.T, c net.Conn, r *bufio.Reader)
+	}{
+		"reads on":           {true, func(_ *testing.T, _ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) }},
+		"reads no more":      {true, func(t *testing.T, _ net.Conn, _ *bufio.Reader) { <-t.Context().Done() }},
+		"ends, then resets":  {true, reset},
+		"resets immediately": {false, reset},
 	}
 	body := strings.Repeat("b", uploadBytes)
 	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusRequestEntityTooLarge} {
 		for framing, head := range framings {
 			for ending, end := range endings {
+				if framing == "none" && !end.endsSide {
+					continue // not a whole response
+				}
 				t.Run(fmt.Sprint(status, framing, ending), func(t *testing.T) {
 					is := is.New(t)
 					f := newFleet(t)
 					f.allowUploads()
 					f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
 						answerEarly(c, r, fmt.Sprintf("%d Early", status), head.lines, head.rest)
-						_ = c.(*net.TCPConn).CloseWrite()
-						end(t, r)
+						if end.endsSide {
+							_ = c.(*net.TCPConn).CloseWrite()
+						}
+						end.then(t, c, r)
 					})
 					for _, path := range []string{"/book/1", "/draft/1"} {
 						resp, err := f.open(f.request(t, http.MethodPost, path, "x", body))
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -11,9 +11,14 @@
 	"time"
 )
 
-// conn is a connection whose reader learns of a failure that its writer was told of. The
-// operating system reports the failure of a connection once, to the first call; later reads
-// return io.EOF. A response that lasts until the end of its connection would look complete.
+// conn is a connection whose reader learns of a failure that its writer was told of, and
+// whose writer leaves a response that has arrived before a reset to the reader.
+//
+// The operating system reports the failure of a connection once, to the first call; later
+// reads return io.EOF. A response that lasts until the end of its connection would look
+// complete. http.Transport closes the connection when a write fails, and drops what has
+// arrived.
+//
 // It also rejects folded lines in the heads of responses.
 type conn struct {
 	net.Conn
@@ -22,10 +27,23 @@
 	writing sync.Mutex
 	// failure is the failure of the connection that a write has returned.
 	failure error
+	// ended is closed when a read has failed or the connection is closed.
+	ended   chan struct{}
+	endOnce sync.Once
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. After a reset it returns when the reader has read what has
+// arrived, or has closed the connection.
 func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		<-c.ended
+	}
+	return n, err
+}
+
+// write writes to the connection and records its failure.
+func (c *conn) write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
@@ -38,6 +56,14 @@
 // Read implements net.Conn. It returns io.EOF only if the peer has ended its side, and
 // ErrFoldedLine in place of a folded line.
 func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.read(b)
+	if err != nil {
+		c.end()
+	}
+	return n, err
+}
+
+func (c *conn) read(b []byte) (int, error) {
 	if _, err := c.heads.scan(nil); err != nil {
 		return 0, err // net/http may read on after an error behind a whole line
 	}
@@ -53,6 +79,15 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// end lets a write that has failed return.
+func (c *conn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
 // endWrite ends a write in progress, whose data the peer doesn't need after its last byte,
 // and returns the failure of the connection that a write has returned.
 func (c *conn) endWrite() error {
@@ -86,6 +121,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: c, ended: make(chan struct{})}, nil
 	}
 }
--- a/internal/httpclient/conn_test.go
+++ b/internal/httpclient/conn_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -31,6 +32,7 @@
 }
 
 func (*brokenConn) Read([]byte) (int, error) { return 0, io.EOF }
+func (*brokenConn) Close() error             { return nil }
 
 func (c *brokenConn) SetWriteDeadline(time.Time) error {
 	close(c.deadline)
@@ -56,7 +58,7 @@
 				if tc.failure != nil {
 					broken.failure = &net.OpError{Op: "write", Err: tc.failure}
 				}
-				c := &conn{Conn: broken}
+				c := &conn{Conn: broken, ended: make(chan struct{})}
 				go func() { _, _ = c.Write([]byte("b")) }()
 				<-broken.writing
 				_, err := c.Read(make([]byte, 1))
@@ -66,6 +68,40 @@
 	}
 }
 
+// Guards against a response that has arrived and is dropped, because http.Transport closes the
+// connection once a write has failed; and against a write that never returns.
+func TestFailedWriteWaitsForReader(t *testing.T) {
+	for name, tc := range map[string]struct {
+		failure error
+		waits   bool
+		end     func(c *conn)
+	}{
+		"reset, read to the end":    {syscall.ECONNRESET, true, func(c *conn) { _, _ = c.Read(make([]byte, 1)) }},
+		"reset, closed":             {syscall.ECONNRESET, true, func(c *conn) { _ = c.Close() }},
+		"reset after the end, read": {syscall.EPIPE, true, func(c *conn) { _, _ = c.Read(make([]byte, 1)) }},
+		"other failure":             {syscall.ENOBUFS, false, func(*conn) {}},
+		"no failure":                {nil, false, func(*conn) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := &conn{Conn: &brokenConn{failure: tc.failure, writing: make(chan struct{}), deadline: make(chan struct{})}, ended: make(chan struct{})}
+				returned := false
+				go func() {
+					_, err := c.Write([]byte("b"))
+					is.Equal(err, tc.failure)
+					returned = true
+				}()
+				synctest.Wait()
+				is.Equal(!returned, tc.waits)
+				tc.end(c)
+				synctest.Wait()
+				is.True(returned)
+			})
+		})
+	}
+}
+
 // Guards against a reader that waits for a write whose peer has ended its side and reads no
 // more.
 func TestEndOfPeerEndsWrite(t *testing.T) {
