soak: the limited account leaves out gateways in a planned stop while the system settles

Traced in the gateway's log: SIGTERM while it was paused, 6.4 s before the check; its long requests ended at 39.39, as the soak ends them, and from then on only requests of the limited account came, which kept the stop from ending until 41.23, within the grace of 8 s. The check came while the process started again (start at 41.34).

The callers of short requests leave such gateways out while the system settles, so that stops end before the check; the caller of the limited account, which came later, didn't. Both now ask the same function. The check of the gateways and that of the limit stay as they are.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -167,15 +167,20 @@
 	return r
 }
 
-// sendRequests sends random short requests to random gateways until ctx ends. While the system
-// settles it leaves out those in a planned stop, as a load balancer does, so that they end soon.
+// takesCalls reports whether callers send requests to a gateway. While the system settles they
+// leave out those in a planned stop, as a load balancer does, so that they end soon.
+func (s *system) takesCalls(p *process) bool {
+	return !s.settling.Load() || p.incarnation().terminatedAt().IsZero()
+}
+
+// sendRequests sends random short requests to random gateways until ctx ends.
 func (s *system) sendRequests(ctx context.Context, next *atomic.Int64, rng *rand.Rand) {
 	c := newCaller(s)
 	defer c.close()
 	kinds := []string{"book", "read", "stream"}
 	for ctx.Err() == nil {
 		p := s.processes[rng.IntN(len(s.processes))]
-		if !s.settling.Load() || p.incarnation().terminatedAt().IsZero() {
+		if s.takesCalls(p) {
 			c.call(next.Add(1), kinds[rng.IntN(len(kinds))], p)
 		}
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
--- a/soak/quota_test.go
+++ b/soak/quota_test.go
@@ -59,7 +59,10 @@
 	c := newCaller(s)
 	defer c.close()
 	for ctx.Err() == nil {
-		c.callLimited(next.Add(1), s.processes[rng.IntN(len(s.processes))])
+		p := s.processes[rng.IntN(len(s.processes))]
+		if s.takesCalls(p) {
+			c.callLimited(next.Add(1), p)
+		}
 		time.Sleep(between(rng, 0, 2*limitedGap))
 	}
 }
