--- a/gateway/brokenresponse_test.go
+++ b/gateway/brokenresponse_test.go
@@ -143,25 +143,34 @@
 // reported to the sender of the body, and the reader sees the end of the connection.
 func TestResetDuringUploadIsNotTheEnd(t *testing.T) {
 	const tries = 20
+	body := strings.Repeat("b", uploadBytes)
 	for _, path := range []string{"/book/1", "/draft/1"} {
-		t.Run(path, func(t *testing.T) {
-			is := is.New(t)
-			f := newFleet(t)
-			f.allowUploads()
-			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, n int) {
-				answerEarly(c, r, "200 OK", "", "id: 1\ndata: a\n\n")
-				time.Sleep(time.Duration(n%4) * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
+		for name, kept := range map[string]bool{"new": false, "kept": true} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t)
+				f.allowUploads()
+				f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, n int) {
+					if kept {
+						_, _ = io.WriteString(c, answer(readRequest(r)))
+					}
+					answerEarly(c, r, "200 OK", "", "id: 1\ndata: a\n\n")
+					time.Sleep(time.Duration(n%4) * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
+				})
+				for i := range tries {
+					if kept {
+						status, _ := f.callID(t, "/book/1", fmt.Sprint("first", i))
+						is.Equal(status, http.StatusOK)
+					}
+					resp, err := f.open(f.request(t, http.MethodPost, path, fmt.Sprint("r", i), body))
+					is.NoErr(err)
+					_, err = io.ReadAll(resp.Body)
+					is.NoErr(resp.Body.Close())
+					is.True(err != nil || resp.StatusCode == http.StatusBadGateway)
+				}
 			})
-			body := strings.Repeat("b", uploadBytes)
-			for i := range tries {
-				resp, err := f.open(f.request(t, http.MethodPost, path, fmt.Sprint("r", i), body))
-				is.NoErr(err)
-				_, err = io.ReadAll(resp.Body)
-				is.NoErr(resp.Body.Close())
-				is.True(err != nil || resp.StatusCode == http.StatusBadGateway)
-			}
-		})
+		}
 	}
 }
 
