httpclient: a response of HTTP/1.0 with a transfer encoding is no response

What callers saw: such a response was returned as a success whose body held the chunk sizes.

Cause: net/http drops the field in responses of HTTP/1.0, so that the body lasts until the end of the connection; the parsed head doesn't show it. RFC 9112, section 6.1, calls the framing of such a message faulty. It is the class of the malformed names: a field that frames the body isn't recognized.

Fix: the scanner that looks for folded lines reports this field too.

--- a/gateway/brokenresponse_test.go
+++ b/gateway/brokenresponse_test.go
@@ -21,6 +21,21 @@
 	})
 }
 
+// Guards against a response of HTTP/1.0 with a transfer encoding: net/http drops the field, and
+// the caller got the chunk sizes as a part of a complete success.
+func TestTransferEncodingOfHTTP10IsNoAnswer(t *testing.T) {
+	for _, path := range []string{"/book/1", "/draft/1"} {
+		t.Run(path, func(t *testing.T) {
+			f := newFleet(t)
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n\n\n\r\n0\r\n\n\n", readRequest(r))
+			})
+			status, _ := f.callID(t, path, "x")
+			is.New(t).Equal(status, http.StatusBadGateway) // it may have run
+		})
+	}
+}
+
 // Guards against a response in whose head the name of a field holds a byte that no name may
 // hold. net/http accepts blanks in names, and takes a line that begins with one for a part of
 // the value before it: a field that frames the body isn't recognized, and the caller got
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -19,7 +19,7 @@
 // complete. http.Transport closes the connection when a write fails, and drops what has
 // arrived.
 //
-// It also rejects folded lines in the heads of responses.
+// It also reports heads that net/http would read as other ones than were sent.
 type conn struct {
 	net.Conn
 	heads headScanner
@@ -54,7 +54,7 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only if the peer has ended its side, and
-// ErrFoldedLine in place of a folded line.
+// ErrFoldedLine or ErrTransferEncoding in place of such a line.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.read(b)
 	if err != nil {
@@ -73,8 +73,8 @@
 			err = failure
 		}
 	}
-	if sound, foldedErr := c.heads.scan(b[:n]); foldedErr != nil {
-		return sound, foldedErr
+	if sound, headErr := c.heads.scan(b[:n]); headErr != nil {
+		return sound, headErr
 	}
 	return n, err
 }
--- a/internal/httpclient/folded_test.go
+++ b/internal/httpclient/headscanner_test.go
@@ -15,28 +15,33 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a folded line of a head that isn't found, or a line of a body or a value
-// that is taken for one. The responses arrive on one connection, also byte by byte.
-func TestFoldedLines(t *testing.T) {
+// Guards against a folded line or a faulty transfer encoding of a head that isn't found, or a
+// line of a body or a value that is taken for one. The responses arrive on one connection, also
+// byte by byte.
+func TestHeadsAsSent(t *testing.T) {
 	const next = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	for name, tc := range map[string]struct {
 		responses []string
-		folded    bool
+		want      error
 	}{
-		"sound":                   {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\nB: \t 2 3 \r\nC:\r\n\r\n", next}, false},
-		"no fields":               {[]string{"HTTP/1.1 200 OK\r\n\r\n", next}, false},
-		"blank lines in the body": {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n x\r\n\r\n\ty\n z\n", next}, false},
-		"line feeds only":         {[]string{"HTTP/1.1 200 OK\nA: 1\n\n x\n", next}, false},
-		"interim response":        {[]string{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n x\r\n", next}, false},
-		"first field":             {[]string{"HTTP/1.1 200 OK\r\n A: 1\r\n\r\n"}, true},
-		"blank":                   {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
-		"tab":                     {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n\tB: 1\r\n\r\n"}, true},
-		"blanks only":             {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n  \r\n\r\n"}, true},
-		"after line feeds only":   {[]string{"HTTP/1.1 200 OK\nA: 1\n B: 1\n\n"}, true},
-		"second response":         {[]string{next, "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
-		"after interim response":  {[]string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
-		"after odd status line":   {[]string{"HTTP/1.1   100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
-		"in interim response":     {[]string{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n B: 1\r\n\r\n"}, true},
+		"sound":                   {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\nB: \t 2 3 \r\nC:\r\n\r\n", next}, nil},
+		"no fields":               {[]string{"HTTP/1.1 200 OK\r\n\r\n", next}, nil},
+		"blank lines in the body": {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n x\r\n\r\n\ty\n z\n", next}, nil},
+		"line feeds only":         {[]string{"HTTP/1.1 200 OK\nA: 1\n\n x\n", next}, nil},
+		"interim response":        {[]string{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n x\r\n", next}, nil},
+		"first field":             {[]string{"HTTP/1.1 200 OK\r\n A: 1\r\n\r\n"}, ErrFoldedLine},
+		"blank":                   {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, ErrFoldedLine},
+		"tab":                     {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n\tB: 1\r\n\r\n"}, ErrFoldedLine},
+		"blanks only":             {[]string{"HTTP/1.1 200 OK\r\nA: 1\r\n  \r\n\r\n"}, ErrFoldedLine},
+		"after line feeds only":   {[]string{"HTTP/1.1 200 OK\nA: 1\n B: 1\n\n"}, ErrFoldedLine},
+		"second response":         {[]string{next, "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, ErrFoldedLine},
+		"after interim response":  {[]string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, ErrFoldedLine},
+		"after odd status line":   {[]string{"HTTP/1.1   100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n\r\n"}, ErrFoldedLine},
+		"in interim response":     {[]string{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n B: 1\r\n\r\n"}, ErrFoldedLine},
+		"HTTP/1.0":                {[]string{"HTTP/1.0 200 OK\r\nTransfer-Encodin: 1\r\nTransfer-Encoding-X: 1\r\nX-Transfer-Encoding: 1\r\n\r\n"}, nil},
+		"chunks":                  {[]string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", next}, nil},
+		"chunks in HTTP/1.0":      {[]string{"HTTP/1.0 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n"}, ErrTransferEncoding},
+		"other case":              {[]string{next, "HTTP/1.0 200 OK\r\ntransfer-ENCODING:chunked\r\n\r\n"}, ErrTransferEncoding},
 	} {
 		readers := map[string]func(io.Reader) io.Reader{"at once": func(r io.Reader) io.Reader { return r }, "byte by byte": iotest.OneByteReader}
 		for how, reader := range readers {
@@ -49,7 +54,8 @@
 					_, copyErr := io.Copy(scanWriter{&s}, onlyReader{reader(strings.NewReader(response))})
 					err = errors.Join(err, copyErr)
 				}
-				is.Equal(errors.Is(err, ErrFoldedLine), tc.folded)
+				is.Equal(errors.Is(err, ErrFoldedLine), tc.want == ErrFoldedLine)
+				is.Equal(errors.Is(err, ErrTransferEncoding), tc.want == ErrTransferEncoding)
 			})
 		}
 	}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -22,9 +22,9 @@
 	watchConns sync.Once
 }
 
-// RoundTrip implements http.RoundTripper. It returns a *StatusError, a *FieldNameError or
-// ErrFoldedLine for a response that answers no request or is malformed, and closes its
-// connection.
+// RoundTrip implements http.RoundTripper. It returns a *StatusError, a *FieldNameError,
+// ErrFoldedLine or ErrTransferEncoding for a response that answers no request or is malformed,
+// and closes its connection.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	t.watchConns.Do(func() { t.DialContext = watched(t.DialContext) })
 	send := t.Transport.RoundTrip
