quarantine: a block that is learnt again doesn't take evidence away

What callers would have seen: a part that crashes engines, and that had been in the crashes for which a sound part was blocked, was not blocked after its next crash, but two crashes later.

Cause: a gateway learns its own block once more from the store. The end is written in milliseconds, so that it may come back up to one later, and then counts as news. The block was explained again: of the deadly part's two crashes one had been kept as open, so that the second time only one was left to explain, and with fewer than two the part is cleared.

Evidence: TestBlockLearntAgainKeepsEvidence, which gives the tracker the block with a later end, failed before.

Fix: the crashes that were explained before count as well.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -150,7 +150,8 @@
 }
 
 // explain clears the suspects of crashes that a block explains. A part with as much evidence
-// stays a suspect: if its next trial crashes an endpoint as well, it is blocked too.
+// stays a suspect: if its next trial crashes an endpoint as well, it is blocked too. The same
+// block may be learnt more than once.
 func (s suspects) explain(crashes []Crash) {
 	for k, p := range s {
 		var open, explained []*observedCrash
@@ -164,7 +165,7 @@
 		switch {
 		case len(explained) == 0:
 			continue
-		case len(open) == 0 && len(explained) < minCrashes:
+		case len(open) == 0 && len(p.explained)+len(explained) < minCrashes:
 			delete(s, k)
 			continue
 		case len(open) == 0:
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -228,6 +228,28 @@
 	is.Equal(peer.Enter(prompt("shop", "a"), at(4000)).Verdict, Allowed)
 }
 
+// Guards against evidence that is lost when a block is learnt once more, such as the own one
+// from the store, with an end that was rounded: the part that explains its crashes as well was
+// no suspect any more, and crashed another endpoint before it was blocked.
+func TestBlockLearntAgainKeepsEvidence(t *testing.T) {
+	is := is.New(t)
+	var seen recorder
+	q := New(&seen)
+	crashWith(q, 1, 0, "deadly", "sound")
+	crashWith(q, 2, 1000, "deadly", "sound")
+	is.Equal(q.Enter(prompt("deadly", "sound"), at(2000)).Part.ID, "sound") // the deepest
+	again := seen.blocks[0]
+	again.Until = again.Until.Add(time.Millisecond)
+	fresh, released := q.ApplyBlock(again)
+	is.True(!fresh)
+	is.Equal(len(released), 0)
+	is.True(q.IsBlocked(again.Part, again.Until.Add(-1))) // the later end counts
+	crashWith(q, 3, 3000, "deadly", "other")
+	d := q.Enter(prompt("deadly", "other"), at(4000))
+	is.Equal(d.Verdict, Blocked)
+	is.Equal(d.Part.ID, "deadly")
+}
+
 // Guards against decisions that take long while many parts are suspects: all requests wait
 // for them.
 func TestManySuspectsAreDecidedFast(t *testing.T) {
