--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -25,30 +25,15 @@
 	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/httpclient"
+	"github.com/citrontiller/citrontiller/internal/rawserver"
 	"github.com/citrontiller/citrontiller/route"
 )
 
 // addRaw adds an endpoint whose connections are served by serve, which writes to them
 // what it likes. n counts the connections from 0.
 func (f *fleet) addRaw(t *testing.T, id string, serve func(c net.Conn, r *bufio.Reader, n int)) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for n := 0; ; n++ {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c), n)
-			}()
-		}
-	}()
-	f.gateway.Directory.Put(catalog.Endpoint{Host: infra.Host{ID: id, Service: "s", Address: l.Addr().String(), Region: "r", State: infra.Live}, BootID: "1"}, 1)
+	address := rawserver.Start(t, serve)
+	f.gateway.Directory.Put(catalog.Endpoint{Host: infra.Host{ID: id, Service: "s", Address: address, Region: "r", State: infra.Live}, BootID: "1"}, 1)
 }
 
 // readRequest reads a request and returns its id, "" when the connection has ended.
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -14,33 +14,30 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/internal/rawserver"
 )
 
 // rawServer serves each connection with serve and reports on closed when the caller has
 // closed one.
 func rawServer(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (addr string, closed chan struct{}) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	closed = make(chan struct{}, 16)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				serve(c, r)
-				_, _ = io.Copy(io.Discard, r)
-				closed <- struct{}{}
-			}()
-		}
-	}()
-	return l.Addr().String(), closed
+	addr = rawserver.Start(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		serve(c, r)
+		_, _ = io.Copy(io.Discard, r)
+		closed <- struct{}{}
+	})
+	return addr, closed
+}
+
+// waitClosed waits until a caller of rawServer has closed a connection.
+func waitClosed(t *testing.T, closed chan struct{}) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
 }
 
 // Guards against a response to which net/http attaches the connection itself, or whose
@@ -70,11 +67,7 @@
 			_, err = transport.RoundTrip(req)
 			var status *StatusError
 			is.True(errors.As(err, &status))
-			select {
-			case <-closed:
-			case <-time.After(5 * time.Second):
-				t.Fatal("the connection is still open")
-			}
+			waitClosed(t, closed)
 		})
 	}
 }
@@ -196,11 +189,7 @@
 			_, err := transport.RoundTrip(req)
 			var malformed *FieldNameError
 			is.True(errors.As(err, &malformed))
-			select {
-			case <-closed:
-			case <-time.After(5 * time.Second):
-				t.Fatal("the connection is still open")
-			}
+			waitClosed(t, closed)
 		})
 	}
 }
--- a/plugins/internal/exchange/exchange_test.go
+++ b/plugins/internal/exchange/exchange_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/citrontiller/citrontiller/agent"
 	"github.com/citrontiller/citrontiller/call"
+	"github.com/citrontiller/citrontiller/internal/rawserver"
 	"github.com/citrontiller/citrontiller/kernel"
 	"github.com/citrontiller/citrontiller/stream"
 )
@@ -124,20 +125,14 @@
 	for _, head := range []string{"000 None", "200 OK\r\nContent-Length : 1", "200 OK\r\nX Y: 1", "200 OK\r\nX\x01Y: 1"} {
 		t.Run(head, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer l.Close()
-			go func() {
-				for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-					_, _ = http.ReadRequest(bufio.NewReader(c))
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n\r\nbody", head)
-					_ = c.Close()
-				}
-			}()
+			address := rawserver.Start(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				_, _ = http.ReadRequest(r)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n\r\nbody", head)
+			})
 			c := New(kernel.Settings{})
 			defer c.Close()
 			var s sink
-			err = c.Do(t.Context(), agent.Endpoint{Address: l.Addr().String()}, &agent.Request{ID: "r", Method: http.MethodPost, Path: "/"}, []byte("b"), &s)
+			err := c.Do(t.Context(), agent.Endpoint{Address: address}, &agent.Request{ID: "r", Method: http.MethodPost, Path: "/"}, []byte("b"), &s)
 			var de *agent.DriverError
 			is.True(errors.As(err, &de))
 			is.Equal(de.Run, call.Unknown) // it may have run
@@ -150,23 +145,17 @@
 // without framing and resets the connection while the request body is still being sent.
 func TestResetDuringUploadIsTruncation(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	go func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
-			time.Sleep(time.Millisecond)
-			_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
-			_ = c.Close()
-		}
-	}()
+	address := rawserver.Start(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		_, _ = http.ReadRequest(r)
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
+	})
 	c := New(kernel.Settings{})
 	defer c.Close()
 	body := make([]byte, 16<<20) // more than the buffers hold
 	for range 20 {
-		err := c.Do(t.Context(), agent.Endpoint{Address: l.Addr().String()}, &agent.Request{ID: "r", Method: http.MethodPost, Path: "/"}, body, &sink{})
+		err := c.Do(t.Context(), agent.Endpoint{Address: address}, &agent.Request{ID: "r", Method: http.MethodPost, Path: "/"}, body, &sink{})
 		var de *agent.DriverError
 		is.True(errors.As(err, &de))
 	}
