--- a/gateway/brokenresponse_test.go
+++ b/gateway/brokenresponse_test.go
@@ -248,3 +248,66 @@
 		}
 	}
 }
+
+// Guards against a broken response on a connection in use again, which the check of a new one
+// would miss.
+func TestMalformedFieldNameOnKeptConnection(t *testing.T) {
+	for _, path := range []string{"/book/1", "/draft/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.addRaw(t, "e0", func(c net.Conn, r *bufio.Reader, _ int) {
+				_, _ = io.WriteString(c, answer(readRequest(r)))
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length : 4\r\n\r\nid: 1\ndata: a\n\n", readRequest(r))
+			})
+			status, _ := f.callID(t, "/book/1", "first")
+			is.Equal(status, http.StatusOK)
+			status, _ = f.callID(t, path, "second")
+			is.Equal(status, http.StatusBadGateway) // it may have run
+		})
+	}
+}
+
+// Guards against a stream whose continuation is broken, and that reaches the caller as
+// complete: with a malformed head, or reset while the request body is still being sent.
+func TestBrokenContinuationIsNotTheEnd(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	body := strings.Repeat("b", uploadBytes)
+	for name, lines := range map[string]string{"malformed head": "Content-Length : 15\r\n", "reset during the upload": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range 10 {
+				f := newFleet(t)
+				f.allowUploads()
+				serve := func(c net.Conn, r *bufio.Reader, _ int) {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					head := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\n", req.Header.Get("Id"))
+					if req.Header.Get("Last-Event") == "" {
+						_, _ = io.Copy(io.Discard, req.Body)
+						_, _ = fmt.Fprintf(c, "%sContent-Length: 99\r\n\r\n%s", head, first) // broken off
+						return
+					}
+					if lines != "" {
+						_, _ = io.Copy(io.Discard, req.Body)
+						_, _ = io.WriteString(c, head+lines+"\r\n"+second)
+						return
+					}
+					_, _ = io.WriteString(c, head+"\r\n"+second)
+					time.Sleep(time.Duration(i%4) * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0) // closing resets the connection
+				}
+				f.addRaw(t, "e0", serve)
+				f.addRaw(t, "e1", serve)
+				resp, err := f.open(f.request(t, http.MethodPost, "/tag/1", fmt.Sprint("r", i), body))
+				is.NoErr(err)
+				_, err = io.ReadAll(resp.Body)
+				is.NoErr(resp.Body.Close())
+				is.Equal(resp.StatusCode, http.StatusOK) // the first event was whole
+				is.True(err != nil)                      // the stream isn't
+			}
+		})
+	}
+}
