--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -142,6 +142,9 @@
 func TestLateSignalLeavesTimeForAnswers(t *testing.T) {
 	is := is.New(t)
 	s := newSystem(t, buildGateway(t), 1, 1, soakMemoryMB)
+	for _, e := range s.endpoints {
+		e.RefuseProbability, e.BreakProbability = 0, 0 // the request must be open when the signal comes
+	}
 	p := s.processes[0]
 	s.sendStreams(p, 1, time.Second) // until it is ready
 	result := make(chan stopResult, 1)
