gateway: an account that becomes dedicated leaves no cached prompts to others

Cause: the salt under which accounts share prompts consisted of the model and its weights, and stayed the same when an account left those that share. Besides, a request followed the account as it was when the request was accepted: what waited, or was sent again, while a configuration came used the old salt.

TestDedicatedAccountLeavesNoCachedPrompts, TestAccountBecomesDedicatedDuringRequest (both cases) and TestDedicatedAccountsShareNoCachedPrompts failed before.

Why the fix works: the shared salt contains the set of dedicated accounts, and a request follows the configuration in force when it is sent. Under the salt of a set only accounts outside it ever send, at whatever gateway, so neither maker nor user of a shared part is dedicated, and no gateway needs to know what others have in force.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -116,6 +116,9 @@
 	Routes  []Route
 	// Accounts maps a credential to its client account.
 	Accounts map[string]*Account
+	// DedicatedAccounts are the names of the dedicated accounts, with and without a credential,
+	// in any order.
+	DedicatedAccounts []string
 	// AccountsRequired is true when requests need a credential, except on public
 	// routes.
 	AccountsRequired bool
@@ -128,12 +131,16 @@
 	routesByHost map[string][]*Route
 	// quotas holds the limits by account name.
 	quotas map[string]quota.Limit
+	// dedicated holds the names in DedicatedAccounts, and sharingGroup is that of the others.
+	dedicated    map[string]bool
+	sharingGroup SharingGroup
 }
 
-// Index builds the indexes for Match and Quotas. It must be called before either, and once
-// Routes and Accounts are complete.
+// Index builds the indexes for Match, Quotas, IsDedicated and SharingGroup. It must be called
+// before any of them, and once Routes, Accounts and DedicatedAccounts are complete.
 func (c *Config) Index() {
 	c.indexQuotas()
+	c.indexDedicated()
 	c.routesByHost = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -151,16 +151,20 @@
 	if x.info.Model == "" {
 		return ""
 	}
-	return prefix.Scope{Account: x.cacheAccount(), Model: x.info.Model, Version: strconv.FormatInt(weightsVersion, 10)}.Salt()
+	scope := x.cacheScope()
+	scope.Version = strconv.FormatInt(weightsVersion, 10)
+	return scope.Salt()
 }
 
-// cacheAccount returns the name of a dedicated account, and "" for accounts that
-// share cached prompts.
-func (x *exchange) cacheAccount() string {
-	if x.account == nil || !x.account.Dedicated {
-		return ""
+// cacheScope returns the scope of the request's cached prompts for all weights versions. It
+// follows the configuration in force, since other requests will find what this one leaves in
+// the cache. An account that was dedicated when the request was accepted still counts as such.
+func (x *exchange) cacheScope() prefix.Scope {
+	c := x.g.Config.Current()
+	if x.account != nil && (x.account.Dedicated || c.IsDedicated(x.account.Name)) {
+		return prefix.Scope{Account: x.account.Name, Model: x.info.Model}
 	}
-	return x.account.Name
+	return prefix.Scope{Group: string(c.SharingGroup()), Model: x.info.Model}
 }
 
 // prefixLevels returns the hash and the length of the prompt's prefix up to the
@@ -171,7 +175,8 @@
 	}
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(x.info.Model + "/" + x.cacheAccount())
+	scope := x.cacheScope()
+	_, _ = d.WriteString(scope.Model + "/" + scope.Account + scope.Group)
 	out := make([]prefix.Level, 0, len(x.info.PromptParts))
 	var tokens int64
 	for _, p := range x.info.PromptParts[:min(len(x.info.PromptParts), prefix.MaxLevels)] {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,6 +48,7 @@
 	h.Set("Endpoint", s.Endpoint)
 	h.Set("Account", s.Account)
 	h.Set("Left", s.Timeout.String())
+	h.Set("Salt", s.CacheSalt)
 	if s.LastEventID != "" {
 		h.Set("Last-Event", s.LastEventID)
 	}
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/catalog/check"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer"
@@ -43,16 +44,29 @@
 		p.log.Error("cannot decode configuration", zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
-	if current := p.gateway.Config.Current(); current == nil || current.Version < c.Version {
+	current := p.gateway.Config.Current()
+	if current == nil || current.Version < c.Version {
 		p.quotas.setLimits(c.Quotas(), time.Now()) // before requests are accepted under the configuration
 	}
 	if p.gateway.Config.SetIfNewer(c) {
 		p.gateway.Directory.SetKVCapacityTokens(c.KVCapacityTokens)
 		p.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("revision", pair.Revision),
-			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)), zap.Int("warnings", len(findings)))
+			zap.Int("routes", len(c.Routes)), zap.Int("credentials", len(c.Accounts)), zap.Int("dedicated_accounts", len(c.DedicatedAccounts)),
+			zap.Int("warnings", len(findings)))
+		p.logSharingGroup(current, c)
 	}
 }
 
+// logSharingGroup logs that the accounts that share cached prompts have changed, which makes
+// engines read these prompts again. before is nil for the first configuration.
+func (p *gatewayProcess) logSharingGroup(before, after *catalog.Config) {
+	if before == nil || before.SharingGroup() == after.SharingGroup() {
+		return
+	}
+	p.log.Info("dedicated accounts changed; shared prompts are cached anew", zap.Int64("version", after.Version),
+		zap.Strings("before", before.DedicatedAccounts), zap.Strings("after", after.DedicatedAccounts))
+}
+
 // maxLoggedFindings bounds the findings of a configuration in a log line.
 const maxLoggedFindings = 4
 
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -17,7 +17,10 @@
 // Scope holds the attributes that must be equal for two prompts to share cache
 // entries.
 type Scope struct {
+	// Account is the account that alone uses the entries, empty for entries that accounts share.
 	Account string
+	// Group identifies the accounts that share the entries, empty if all do.
+	Group   string
 	Model   string
 	Adapter string
 	Version string
@@ -29,7 +32,7 @@
 		b = binary.AppendUvarint(b, uint64(len(f)))
 		b = append(b, f...)
 	}
-	return b
+	return append(b, s.Group...)
 }
 
 // Salt returns the cache salt of the scope for the engine, a hexadecimal SHA-256
