rollout: a gateway that starts knows the deadlines of earlier versions

Two versions are named 4 s apart, engines come back with the weights before both, and a gateway is killed and starts between. It knew the deadline of the newest version only.

Cause: the store holds one key for a model's newest version. Peers told a starting gateway when earlier ones were named, but Targets dropped what it was told of a version older than the newest. If all gateways were killed, nobody could tell: the stored plan had its own version only.

Why the fix works: whatever is told of a version is kept and counts once the store has named it or a later one, in whatever order this is read. Gateways tell all versions that still bind when they connect and with each plan, and the stored plan has them for a fleet in which no gateway is left. What is told is bounded by versions a model and by models; what the store says counts in any case.

--- a/peer/events.go
+++ b/peer/events.go
@@ -75,12 +75,22 @@
 	return out
 }
 
+// encodeNamings encodes when the versions of a model were named, as far as a process that
+// starts must know it.
+func encodeNamings(targets *rollout.Targets, model string, now time.Time) []*pb.Target {
+	var out []*pb.Target
+	for _, n := range targets.Namings(model, now) {
+		out = append(out, encodeTarget(n, now))
+	}
+	return out
+}
+
 // encodeTarget encodes when a version was named. Its age is told only if a process has seen
 // it being named.
-func encodeTarget(want catalog.Target, named time.Time, witnessed bool, now time.Time) *pb.Target {
-	out := &pb.Target{Model: want.Model, Version: want.Version, NamedMs: rollout.ClockMs(named, now)}
-	if witnessed {
-		out.NamedAgeMs = encodeAge(named, now)
+func encodeTarget(n rollout.Naming, now time.Time) *pb.Target {
+	out := &pb.Target{Model: n.Model, Version: n.Version, NamedMs: rollout.ClockMs(n.Named, now)}
+	if n.Witnessed {
+		out.NamedAgeMs = encodeAge(n.Named, now)
 	}
 	return out
 }
--- a/peer/naming_test.go
+++ b/peer/naming_test.go
@@ -18,7 +18,7 @@
 	now := time.Now()
 	want := catalog.Target{Model: "m", Version: 4}
 	named := now.Add(-8 * time.Second)
-	target := encodeTarget(want, named, true, now)
+	target := encodeTarget(rollout.Naming{Target: want, Named: named, Witnessed: true}, now)
 	plan := encodePlan(rollout.Plan{Model: "m", Version: 4, Named: named, Witnessed: true}, now)
 	for _, ahead := range []int64{-7000, 0, 7000} {
 		target.NamedMs, plan.NamedMs = now.UnixMilli()-8000+ahead, now.UnixMilli()-8000+ahead
@@ -43,10 +43,10 @@
 	now := time.Now()
 	want := catalog.Target{Model: "m", Version: 4}
 	named := now.Add(-8 * time.Second)
-	is.Equal(encodeTarget(want, named, true, now).NamedMs, now.UnixMilli()-8000)
+	is.Equal(encodeTarget(rollout.Naming{Target: want, Named: named, Witnessed: true}, now).NamedMs, now.UnixMilli()-8000)
 	is.Equal(encodePlan(rollout.Plan{Named: named}, now).NamedMs, now.UnixMilli()-8000)
 	is.True(encodePlan(rollout.Plan{Named: named}, now).NamedAgeMs == nil)
-	unseen := encodeTarget(want, named, false, now)
+	unseen := encodeTarget(rollout.Naming{Target: want, Named: named}, now)
 	is.True(unseen.NamedAgeMs == nil)
 
 	for _, apply := range []func(*rollout.Targets){
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,7 +14,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
-	"github.com/citrontiller/citrontiller/catalog"
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/peer/pb"
 	"github.com/citrontiller/citrontiller/rollout"
@@ -79,7 +78,7 @@
 
 // PublishPlan sends a rollout plan of this process to all followers. It never blocks.
 func (s *Server) PublishPlan(p rollout.Plan) {
-	s.broadcast(&pb.Batch{Plan: encodePlan(p, time.Now())})
+	s.broadcast(s.planBatch(p))
 }
 
 // broadcast sends a batch to all followers.
@@ -102,7 +101,14 @@
 // RelayPlan passes on a plan of another process to the regions that don't have it from
 // that process. It never blocks.
 func (s *Server) RelayPlan(p rollout.Plan, sameRegion bool) {
-	s.relay(&pb.Batch{Plan: encodePlan(p, time.Now())}, sameRegion)
+	s.relay(s.planBatch(p), sameRegion)
+}
+
+// planBatch returns a batch with a plan and the versions of its model, of which a follower that
+// was cut off may have missed one.
+func (s *Server) planBatch(p rollout.Plan) *pb.Batch {
+	now := time.Now()
+	return &pb.Batch{Plan: encodePlan(p, now), Targets: encodeNamings(s.targets, p.Model, now)}
 }
 
 // PublishDigest sends a digest of the own region's engines to the relays of other
@@ -171,9 +177,9 @@
 	revision, now := s.replica.Revision(), time.Now()
 	b := &pb.Batch{Era: infra.Era(revision), Revision: infra.RevisionNumber(revision), Leaving: encodeIncarnations(s.announcements.LeavingEndpoints()),
 		RateLimits: encodeRateLimits(s.announcements.RateLimits(), now)}
-	s.targets.Each(func(want catalog.Target, named time.Time, witnessed bool) {
-		b.Targets = append(b.Targets, encodeTarget(want, named, witnessed, now))
-	})
+	for _, want := range s.targets.Latest() {
+		b.Targets = append(b.Targets, encodeNamings(s.targets, want.Model, now)...)
+	}
 	return b
 }
 
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -252,13 +252,10 @@
 }
 
 // store writes a plan to the store, so that processes that start later read when
-// the version was named. A failure is logged, and the next step retries.
+// the version and those before it were named. A failure is logged, and the next step retries.
 func (t *term) store(ctx context.Context, plan Plan, p *progress) {
 	key := PlanPrefix + plan.Model
-	plan.Updating, plan.Current = nil, nil // valid only while the holder repeats its announcements
-	plan.Number = 0                        // never newer than an announcement
-	plan.NamedMs = ClockMs(plan.Named, time.Now())
-	text, err := json.Marshal(plan)
+	text, err := json.Marshal(plan.Stored(t.Targets, time.Now()))
 	if err != nil {
 		panic(err) // can't happen: strings and integers always encode
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -21,6 +21,9 @@
 	// NamedMs is the same time of day in Unix milliseconds, for processes that start later
 	// or are of an earlier release; 0 when not known.
 	NamedMs int64 `json:"named_ms"`
+	// Earlier are the versions before whose deadlines a process that starts must know. Only
+	// stored plans have them, for a process that finds no other one that knows.
+	Earlier []EarlierVersion `json:"earlier,omitempty"`
 	// Current holds the ids of the engines that the holder has updated to the version.
 	Current []string `json:"current"`
 	// Fence is the fencing token of the holder of the lock, 0 when unknown. Number
@@ -29,8 +32,33 @@
 	Number int64 `json:"number"`
 }
 
-// Backdate tells targets when the plan's version was named. now is the present time.
+// EarlierVersion is a version of a plan's model that was named before the plan's own.
+type EarlierVersion struct {
+	Version int64 `json:"version"`
+	// NamedMs is when it was named, a time of day in Unix milliseconds.
+	NamedMs int64 `json:"named_ms"`
+}
+
+// Stored returns the plan as it is written to the store, for processes that start later. t is
+// what the holder knows of the versions, and now the present time.
+func (p Plan) Stored(t *Targets, now time.Time) Plan {
+	p.Updating, p.Current = nil, nil // valid only while the holder repeats its announcements
+	p.Number = 0                     // never newer than an announcement
+	p.NamedMs = ClockMs(p.Named, now)
+	for _, n := range t.Namings(p.Model, now) {
+		if n.Version < p.Version {
+			p.Earlier = append(p.Earlier, EarlierVersion{n.Version, ClockMs(n.Named, now)})
+		}
+	}
+	return p
+}
+
+// Backdate tells targets when the plan's version and the earlier ones were named. now is the
+// present time.
 func (p Plan) Backdate(t *Targets, now time.Time) {
+	for _, v := range p.Earlier {
+		t.BackdateByClock(catalog.Target{Model: p.Model, Version: v.Version}, v.NamedMs, now)
+	}
 	want := catalog.Target{Model: p.Model, Version: p.Version}
 	if p.Witnessed {
 		t.Backdate(want, p.Named)
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -30,23 +30,13 @@
 	// because the store that names them was being restored; nil for none.
 	UnsettledUntil func() time.Time
 
-	mu sync.Mutex
-	// models maps each model to its targets in ascending order of version.
-	models map[string][]target
-	// early holds what is known of the naming of versions that are not in models yet,
-	// because a starting process reads the store's keys in any order.
-	early map[catalog.Target]naming
+	mu     sync.Mutex
+	models map[string]*modelVersions
 }
 
-// target is a version with what is known of its naming.
-type target struct {
-	version int64
-	naming
-}
-
-// maxTargets bounds the versions kept for a model, and the entries of early.
-// The deadlines of older versions have passed.
-const maxTargets = 32
+// maxModels bounds the models of which another process has told and whose version the store
+// has not named to this one.
+const maxModels = 1024
 
 // SetIfNewer adds a wanted version if it is newer than the known ones, and reports
 // whether it was. now counts as its naming time: the process has seen it being named.
@@ -64,22 +54,28 @@
 func (t *Targets) setIfNewer(want catalog.Target, n naming) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.models == nil {
-		t.models = map[string][]target{}
-	}
-	known := t.models[want.Model]
-	if len(known) > 0 && known[len(known)-1].version >= want.Version {
+	m := t.model(want.Model)
+	if want.Version <= m.newest {
 		return false
 	}
-	if len(known) >= maxTargets {
-		known = known[1:]
-	}
-	n = n.merge(t.early[want])
-	delete(t.early, want)
-	t.models[want.Model] = append(known, target{want.Version, n})
+	m.newest = want.Version
+	m.add(want.Version, n)
 	return true
 }
 
+// model returns the versions of a model. The caller holds mu.
+func (t *Targets) model(name string) *modelVersions {
+	m := t.models[name]
+	if m == nil {
+		if t.models == nil {
+			t.models = map[string]*modelVersions{}
+		}
+		m = &modelVersions{}
+		t.models[name] = m
+	}
+	return m
+}
+
 // Backdate sets the time at which a version was named, as a process that has seen it tells
 // it by its age. A time after the known one is ignored.
 func (t *Targets) Backdate(want catalog.Target, named time.Time) {
@@ -100,24 +96,15 @@
 	t.report(want, naming{clockAt: now.Add(-age)})
 }
 
-// report adds what another process, or the store, tells of a version's naming.
+// report adds what another process, or the store, tells of a version's naming. It may be one
+// that this process hasn't seen, because it started or was cut off when the version was named.
 func (t *Targets) report(want catalog.Target, n naming) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.models[want.Model]
-	for i := range known {
-		if known[i].version == want.Version {
-			known[i].naming = known[i].merge(n)
-			return
-		}
-	}
-	if len(known) > 0 && known[len(known)-1].version > want.Version {
-		return // an older version that is not kept here
-	}
-	if t.early == nil || len(t.early) >= maxTargets {
-		t.early = map[catalog.Target]naming{}
+	if want.Model == "" || want.Version <= 0 || t.models[want.Model] == nil && len(t.models) >= maxModels {
+		return
 	}
-	t.early[want] = t.early[want].merge(n)
+	t.model(want.Model).add(want.Version, n)
 }
 
 // NamedAt returns when a version was named as far as it is known, the zero time for an
@@ -125,7 +112,7 @@
 func (t *Targets) NamedAt(want catalog.Target) (named time.Time, witnessed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.models[want.Model] {
+	for _, v := range t.models[want.Model].inForce() {
 		if v.version == want.Version {
 			return v.at(), v.witnessed()
 		}
@@ -133,16 +120,26 @@
 	return time.Time{}, false
 }
 
-// Each calls f for each known version with the result of NamedAt. f must not call methods
-// of t.
-func (t *Targets) Each(f func(want catalog.Target, named time.Time, witnessed bool)) {
+// Naming is a version with what NamedAt returns for it.
+type Naming struct {
+	catalog.Target
+	Named     time.Time
+	Witnessed bool
+}
+
+// Namings returns the versions of a model that a process that starts now must know, the oldest
+// first: those whose deadline is still to come, and the last one whose deadline has passed.
+func (t *Targets) Namings(model string, now time.Time) []Naming {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for model, known := range t.models {
-		for _, v := range known {
-			f(catalog.Target{Model: model, Version: v.version}, v.at(), v.witnessed())
+	var out []Naming
+	for _, v := range t.models[model].inForce() {
+		if v.witnessed() && now.Sub(v.at()) > max(t.Deadline, preferAfter) {
+			out = out[:0] // this version replaces the earlier ones
 		}
+		out = append(out, Naming{catalog.Target{Model: model, Version: v.version}, v.at(), v.witnessed()})
 	}
+	return out
 }
 
 // Latest returns the newest wanted version of each model.
@@ -150,8 +147,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]catalog.Target, 0, len(t.models))
-	for m, known := range t.models {
-		out = append(out, catalog.Target{Model: m, Version: known[len(known)-1].version})
+	for name, m := range t.models {
+		if m.newest > 0 {
+			out = append(out, catalog.Target{Model: name, Version: m.newest})
+		}
 	}
 	return out
 }
@@ -165,7 +164,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, v := range t.models[model] {
+	for _, v := range t.models[model].inForce() {
 		age := now.Sub(v.at())
 		if age > preferAfter {
 			preferred = v.version
