gatewayd: a version named during a pause counts from the pause's begin

What engines would see: requests on weights that were replaced too long ago, from a gateway that didn't run while the version was named.

Cause: a gateway took the moment at which it noticed a version for its naming, and told the others that it had seen it. A holder of the rollout lock whose pause is shorter than its lease is corrected by nobody.

Why the fix works: the process knows when it didn't run. What it notices then may have been named since the pause began, so that counts, as an estimate that gives way to the age that a process tells which has seen the naming. After 3 s the others connect again and tell; a longer pause doesn't make a version older.

--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -40,6 +40,7 @@
 		StoreAddress: address}, zap.NewNop(), func() int64 { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	go p.pulse.Run(ctx)
 	go p.mirror.Run(ctx)
 	return p
 }
@@ -47,11 +48,7 @@
 // waitFor waits at most 5 s until a condition holds.
 func (g *restorableGateway) waitFor(what string, holds func() bool) {
 	g.t.Helper()
-	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			g.t.Fatalf("%s: not within 5 s", what)
-		}
-	}
+	waitUntil(g.t, what, holds)
 }
 
 // stored reports whether the store has a key.
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -79,21 +79,34 @@
 	return strings.Join(out, "; ")
 }
 
+// maxPauseCounted bounds the pause in which a version may have been named. After a longer one the
+// other gateways connect again and tell the version's age.
+const maxPauseCounted = 3 * time.Second
+
 func (p *gatewayProcess) applyTarget(pair infra.Pair) {
 	t, err := platform.DecodeTarget(pair.Value)
 	if err != nil {
 		p.log.Error("cannot decode weights version", zap.String("key", pair.Key), zap.Int64("revision", pair.Revision), zap.Error(err))
 		return
 	}
-	set := p.gateway.Targets.SetFoundIfNewer
-	if p.mirror.IsLive() {
-		set = p.gateway.Targets.SetIfNewer
-	}
-	if set(t, time.Now()) {
+	if p.setTarget(t, time.Now()) {
 		p.log.Info("weights version named", zap.String("model", t.Model), zap.Int64("version", t.Version), zap.Int64("revision", pair.Revision))
 	}
 }
 
+// setTarget adds a version of weights with what this process knows of its naming, and reports
+// whether it is new.
+func (p *gatewayProcess) setTarget(t catalog.Target, now time.Time) bool {
+	targets := p.gateway.Targets
+	if pause := min(p.pulse.Uncertainty(), maxPauseCounted); pause > 0 {
+		return targets.SetIfNewerSince(t, now.Add(-pause), now)
+	}
+	if p.mirror.IsLive() {
+		return targets.SetIfNewer(t, now)
+	}
+	return targets.SetFoundIfNewer(t, now)
+}
+
 func (p *gatewayProcess) applyEndpoint(ev infra.Event) {
 	id := strings.TrimPrefix(ev.Key, platform.EndpointPrefix)
 	if ev.Deleted {
--- a/internal/process/pulse.go
+++ b/internal/process/pulse.go
@@ -78,10 +78,18 @@
 // happened: the begin of the first recent stall, else now.
 func (p *Pulse) Earliest() time.Duration {
 	now, stalls := p.beat()
-	if len(stalls) > 0 {
-		return stalls[0].from
+	return now - uncertainty(now, stalls)
+}
+
+// Uncertainty returns for how long something that is noticed now may have gone unnoticed: the
+// time since the begin of the first recent stall, 0 without one.
+func (p *Pulse) Uncertainty() time.Duration { return uncertainty(p.beat()) }
+
+func uncertainty(now time.Duration, stalls []stall) time.Duration {
+	if len(stalls) == 0 {
+		return 0
 	}
-	return now
+	return now - stalls[0].from
 }
 
 // JustStalled reports whether a stall ends now, or ended so recently that what happened in it
--- a/internal/process/pulse_test.go
+++ b/internal/process/pulse_test.go
@@ -21,6 +21,7 @@
 	stalled := now
 	now += 2 * time.Second
 	is.Equal(p.Earliest(), stalled) // noticed before the first beat
+	is.Equal(p.Uncertainty(), 2*time.Second)
 	is.True(p.JustStalled())
 	now += beatInterval / 2
 	p.beat()
@@ -33,6 +34,7 @@
 	is.True(!p.JustStalled())
 	now += beatInterval
 	is.Equal(p.Earliest(), now) // the stall is over
+	is.Equal(p.Uncertainty(), time.Duration(0))
 }
 
 // Guards against a stall that is forgotten because a shorter one followed before the signal
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -51,6 +51,13 @@
 	return t.setIfNewer(want, naming{foundAt: now})
 }
 
+// SetIfNewerSince is SetIfNewer for a version that the process has seen after a pause in which it
+// didn't run: it was named after earliest. That counts as its naming time until another process
+// tells its age.
+func (t *Targets) SetIfNewerSince(want catalog.Target, earliest, now time.Time) bool {
+	return t.setIfNewer(want, naming{foundAt: now, estimatedAt: earliest})
+}
+
 func (t *Targets) setIfNewer(want catalog.Target, n naming) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,7 +100,7 @@
 		return
 	}
 	age := time.Duration(min(max(0, now.UnixMilli()-namedMs), maxClockAge.Milliseconds())) * time.Millisecond
-	t.report(want, naming{clockAt: now.Add(-age)})
+	t.report(want, naming{estimatedAt: now.Add(-age)})
 }
 
 // report adds what another process, or the store, tells of a version's naming. It may be one
