--- a/wire/link.go
+++ b/wire/link.go
@@ -7,16 +7,11 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/citrontiller/citrontiller/call"
 	"github.com/citrontiller/citrontiller/kernel"
@@ -88,21 +83,6 @@
 	}
 }
 
-// State is the last known state of an agent.
-type State struct {
-	// Incarnation identifies the agent's run; empty before its first state.
-	Incarnation string
-	// Leaving is true once the agent refuses new attempts.
-	Leaving bool
-	// Loads are the last reports by endpoint id. The map is shared and must not
-	// be changed; a new report replaces it.
-	Loads map[string]*pb.EndpointLoad
-	// RTT is the smoothed round-trip time; zero before the first measurement.
-	RTT time.Duration
-	// Up is false while the agent can't be reached.
-	Up bool
-}
-
 // Link manages the connection to one agent.
 type Link struct {
 	address string
@@ -120,21 +100,6 @@
 	closed   bool
 }
 
-// conn is a connection with a reference count, so that a replaced connection is
-// closed only when its last user has released it.
-type conn struct {
-	cc      *grpc.ClientConn
-	refs    int
-	retired bool
-	// lastReceived is when the last message of a call arrived, in nanoseconds since
-	// the link was created.
-	lastReceived atomic.Int64
-	// ctx ends when the connection is retired, so that the watch moves to the next
-	// connection.
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
 // NewLink returns a link and starts to watch its agent. onChange is called
 // after each change of the agent's state; it may be nil. The error is an *Error.
 func NewLink(address string, opts Options, onChange func(State)) (*Link, error) {
@@ -168,102 +133,6 @@
 	}
 }
 
-// retire marks a connection as replaced and reports whether the caller must
-// close it, because it has no users left. The caller holds mu.
-func (l *Link) retire(c *conn) bool {
-	c.retired = true
-	c.cancel()
-	return c.refs == 0
-}
-
-// connectBackoff is the backoff between attempts to connect. It stays short because
-// agents restart within seconds.
-var connectBackoff = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
-
-func (l *Link) dial() (*conn, error) {
-	creds := l.opts.Credentials
-	if creds == nil {
-		creds = insecure.NewCredentials()
-	}
-	opts := []grpc.DialOption{
-		grpc.WithTransportCredentials(creds),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: connectBackoff, MinConnectTimeout: time.Second}),
-		grpc.WithNoProxy(),
-		grpc.WithDisableServiceConfig(),
-		grpc.WithDisableRetry(),
-		// An idle timeout would shut down the watch's connection.
-		grpc.WithIdleTimeout(0),
-	}
-	if l.opts.Dial != nil {
-		opts = append(opts, grpc.WithContextDialer(func(ctx context.Context, addr string) (netConn, error) {
-			return l.opts.Dial(ctx, "tcp", addr)
-		}))
-	}
-	cc, err := grpc.NewClient("passthrough:///"+l.address, opts...)
-	if err != nil {
-		return nil, &Error{Code: CodeUnreachable, Run: call.NotRun, Err: err}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	return &conn{cc: cc, ctx: ctx, cancel: cancel}, nil
-}
-
-func (l *Link) acquire() *conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conn.refs++
-	return l.conn
-}
-
-func (l *Link) release(c *conn) {
-	l.mu.Lock()
-	c.refs--
-	closing := c.retired && c.refs == 0
-	l.mu.Unlock()
-	if closing {
-		_ = c.cc.Close()
-	}
-}
-
-// replace replaces a connection by a new one unless another call has already done so.
-func (l *Link) replace(old *conn) {
-	l.mu.Lock()
-	if l.conn != old {
-		l.mu.Unlock()
-		return
-	}
-	l.mu.Unlock()
-	c, err := l.dial()
-	if err != nil {
-		l.log.Warn("dial", zap.Error(err))
-		return
-	}
-	l.mu.Lock()
-	if l.conn != old {
-		l.mu.Unlock()
-		c.cancel()
-		_ = c.cc.Close()
-		return
-	}
-	l.conn = c
-	if l.closed {
-		// The call that requested this connection still uses it.
-		l.retire(c)
-	}
-	closing := l.retire(old)
-	l.mu.Unlock()
-	if closing {
-		_ = old.cc.Close()
-	}
-	l.log.Info("connection replaced")
-}
-
-// State returns the agent's state.
-func (l *Link) State() State {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state
-}
-
 // AckTimeout returns the time within which a healthy agent responds on a new
 // connection.
 func (l *Link) AckTimeout() time.Duration { return l.ackTimeout() }
@@ -276,119 +145,6 @@
 	return max(l.opts.MinAckTimeout, 4*l.state.RTT)
 }
 
-// observe records the ticket and the loads of an agent's reply. A ticket is valid
-// only for the incarnation that issued it: if the time of an earlier incarnation were
-// taken for that of the next, every Open would look recent. A reply may be late, so
-// only an AgentState message changes the known incarnation. A reply of another
-// incarnation only discards the ticket, so that the next request obtains a new one
-// from the agent.
-func (l *Link) observe(incarnation string, ticketMs int64, loads ...*pb.EndpointLoad) {
-	if !l.recordReply(incarnation, ticketMs, loads) || l.opts.OnLoad == nil {
-		return
-	}
-	rtt := l.State().RTT
-	for _, ld := range loads {
-		if ld != nil {
-			l.opts.OnLoad(ld, rtt)
-		}
-	}
-}
-
-// recordReply stores the ticket and the loads of a reply. It returns false and
-// discards the ticket if the reply is from another incarnation.
-func (l *Link) recordReply(incarnation string, ticketMs int64, loads []*pb.EndpointLoad) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if incarnation != l.state.Incarnation {
-		l.ticket = Ticket{}
-		return false
-	}
-	if ticketMs > l.ticket.Ms {
-		l.ticket = Ticket{Incarnation: incarnation, Ms: ticketMs, at: time.Now()}
-	}
-	l.mergeLoads(loads)
-	return true
-}
-
-// mergeLoads stores load reports in a copy of the map, which State shares with
-// callers. The caller holds mu.
-func (l *Link) mergeLoads(loads []*pb.EndpointLoad) {
-	next := maps.Clone(l.state.Loads)
-	for _, ld := range loads {
-		if ld != nil {
-			next[ld.EndpointId] = ld
-		}
-	}
-	l.state.Loads = next
-}
-
-func (l *Link) observeRTT(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.state.RTT == 0 {
-		l.state.RTT = d
-		return
-	}
-	l.state.RTT += (d - l.state.RTT) / 8
-}
-
-func (l *Link) applyState(st *pb.AgentState) {
-	l.mu.Lock()
-	if st.Incarnation != l.state.Incarnation {
-		l.ticket = Ticket{}
-		l.state.Incarnation = st.Incarnation
-		l.state.Loads = map[string]*pb.EndpointLoad{}
-	}
-	l.mu.Unlock()
-	l.observe(st.Incarnation, st.TicketMs, st.Endpoints...)
-	l.mu.Lock()
-	l.state.Leaving = st.Leaving
-	l.state.Up = true
-	s := l.state
-	l.mu.Unlock()
-	if l.onChange != nil {
-		l.onChange(s)
-	}
-}
-
-// watch receives the agent's state until ctx ends, and retries when the stream ends.
-func (l *Link) watch(ctx context.Context) {
-	defer close(l.done)
-	for ctx.Err() == nil {
-		c := l.acquire()
-		wctx, cancel := context.WithCancel(ctx)
-		stop := context.AfterFunc(c.ctx, cancel)
-		w, err := pb.NewAgentClient(c.cc).Watch(wctx, &pb.WatchRequest{EntryId: l.opts.EntryID})
-		for err == nil {
-			var st *pb.AgentState
-			if st, err = w.Recv(); err == nil {
-				l.applyState(st)
-			}
-		}
-		stop()
-		cancel()
-		l.release(c)
-		if c.ctx.Err() == nil {
-			l.markDown(ctx)
-		}
-	}
-}
-
-// markDown marks the agent as unreachable and waits before the next attempt.
-func (l *Link) markDown(ctx context.Context) {
-	l.mu.Lock()
-	l.state.Up = false
-	s := l.state
-	l.mu.Unlock()
-	if l.onChange != nil {
-		l.onChange(s)
-	}
-	select {
-	case <-time.After(200 * time.Millisecond):
-	case <-ctx.Done():
-	}
-}
-
 // Revoke prevents the dispatch of an attempt and, with Cancel set, stops a running
 // one if it is idempotent. It retries on a new connection until the agent responds
 // or ctx ends.
