soak: accounts that become dedicated share no cached prompts

Three accounts ask a model while configurations make two of them dedicated and shared again, beside all other faults. After them, no request may use a cache salt that another account has used if one of the two is dedicated.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -43,6 +43,8 @@
 	lasts time.Duration
 	// credential is usualKey if it is empty.
 	credential string
+	// model is empty for a request to a plain service.
+	model string
 }
 
 // result is what a caller sees of a request.
@@ -107,7 +109,11 @@
 // byte is written.
 func (c *connection) exchange(r *result) (*http.Response, error) {
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nCitrontiller-Request-Id: %s\r\nCitrontiller-Credential: %s\r\n"+
-		"Citrontiller-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\n", r.method, r.path, r.id, cmp.Or(r.credential, usualKey), r.deadline.Milliseconds())
+		"Citrontiller-Deadline-Ms: %d\r\nContent-Length: 1\r\n", r.method, r.path, r.id, cmp.Or(r.credential, usualKey), r.deadline.Milliseconds())
+	if r.model != "" {
+		head += "Citrontiller-Model: " + r.model + "\r\n"
+	}
+	head += "\r\n"
 	if r.bodyDelay > 0 {
 		_, _ = io.WriteString(c, head) // an error shows when the answer is read
 		time.Sleep(r.bodyDelay)
@@ -143,19 +149,26 @@
 }
 
 // call sends one short request and checks the response and the number of runs.
-func (c *caller) call(n int64, kind string, p *process) {
+func (c *caller) call(p *process, r request) {
+	if out, ok := c.send(p, r); ok {
+		c.system.check(out)
+	}
+}
+
+// send sends one short request. It returns false if the gateway restarts.
+func (c *caller) send(p *process, r request) (out result, ok bool) {
 	conn, err := c.connect(p)
 	if err != nil {
-		return // the gateway restarts
+		return result{}, false
 	}
 	_ = conn.SetDeadline(time.Now().Add(callTime))
-	r, keep := conn.send(shortRequest(n, kind))
+	out, keep := conn.send(r)
 	if keep {
 		c.kept[p] = conn
 	} else {
 		_ = conn.Close()
 	}
-	c.system.check(r)
+	return out, true
 }
 
 // shortRequest returns a request of a kind that is run at once.
@@ -181,7 +194,7 @@
 	for ctx.Err() == nil {
 		p := s.processes[rng.IntN(len(s.processes))]
 		if s.takesCalls(p) {
-			c.call(next.Add(1), kinds[rng.IntN(len(kinds))], p)
+			c.call(p, shortRequest(next.Add(1), kinds[rng.IntN(len(kinds))]))
 		}
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -84,7 +84,7 @@
 			c := newCaller(s)
 			defer c.close()
 			for ctx.Err() == nil {
-				c.call(streamID.Add(1), "stream", p)
+				c.call(p, shortRequest(streamID.Add(1), "stream"))
 				time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
 			}
 		})
--- a/soak/quota_test.go
+++ b/soak/quota_test.go
@@ -69,18 +69,11 @@
 
 // callLimited sends one request of the limited account and checks the response.
 func (c *caller) callLimited(n int64, p *process) {
-	conn, err := c.connect(p)
-	if err != nil {
-		return // the gateway restarts
-	}
-	_ = conn.SetDeadline(time.Now().Add(callTime))
 	request := shortRequest(n, "read")
 	request.credential = limitedKey
-	r, keep := conn.send(request)
-	if keep {
-		c.kept[p] = conn
-	} else {
-		_ = conn.Close()
+	r, ok := c.send(p, request)
+	if !ok {
+		return
 	}
 	if r.status == http.StatusTooManyRequests {
 		c.system.checkOverLimit(r)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,9 +42,9 @@
 	graceTime = 8 * time.Second
 	// soakMemoryMB is the gateways' memory_mb setting.
 	soakMemoryMB = 200
-	// firstLongStream, stopStream and limitedStream select sequences of random numbers of a seed. Smaller ones
-	// are the faults' and those of the callers of short requests.
-	firstLongStream, stopStream, limitedStream = 100, 1000, 2000
+	// firstLongStream, stopStream, limitedStream and sharingStream select sequences of random numbers of a
+	// seed. Smaller ones are the faults' and those of the callers of short requests.
+	firstLongStream, stopStream, limitedStream, sharingStream = 100, 1000, 2000, 3000
 )
 
 // runSeed injects the faults of a seed under load and checks that requests are
@@ -67,6 +67,10 @@
 	}
 	limitedRng := rand.New(rand.NewPCG(uint64(seed), limitedStream))
 	wg.Go(func() { s.sendLimited(ctx, &next, limitedRng) })
+	for i, account := range sharingAccounts {
+		rng := rand.New(rand.NewPCG(uint64(seed), uint64(i)+sharingStream))
+		wg.Go(func() { s.sendPrompts(ctx, &next, account, rng) })
+	}
 	longCtx, cancelLong := context.WithCancel(ctx)
 	defer cancelLong()
 	for i, p := range s.processes {
@@ -87,6 +91,7 @@
 	cancelLong()
 	time.Sleep(settleTime - longTime)
 	s.checkCredentials()
+	inForce := time.Now()
 	before, arrivals := s.served.Load(), s.arrivals()
 	time.Sleep(time.Second)
 	after := s.served.Load()
@@ -99,6 +104,7 @@
 	wg.Wait()
 	s.checkRefused()
 	s.checkQuota()
+	s.checkSharing(inForce)
 	for _, p := range s.processes {
 		if peak := p.peakMemoryMB(t); peak >= soakMemoryMB {
 			s.fail("gateway %s has taken %d MB of memory", p.name, peak)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -91,20 +91,21 @@
 
 var timeouts = map[string]time.Duration{"book": 1500 * time.Millisecond, "read": 1500 * time.Millisecond, "stream": 2 * time.Second, "long": longTimeout}
 
-// configText is the gateways' configuration, a format with its version and with the version
-// in one of its credentials.
+// configText is the gateways' configuration, a format with its version, with the version in one
+// of its credentials, and with whether each of the sharing accounts is dedicated.
 const configText = `{"version":%d,"routes":[
  {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"long-book","host":"h","prefix":"/book/long/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":200,"service":"s","max_attempts":3},
  {"name":"long","host":"h","prefix":"/stream/lasts/","kind":"stream","timeout_ms":20000,"target_latency_ms":200,"service":"s","max_attempts":2},
  {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":2000,"target_latency_ms":200,"service":"s","max_attempts":2,"resumable":true}],
- "services":[{"name":"s"}],"limits":{"max_body_bytes":16777216},"tenants":[{"name":"t","api_keys":["key","key-%d"]},{"name":"limited","api_keys":["limited"],"rate_per_s":20,"burst":20}]}`
+ "services":[{"name":"s"}],"limits":{"max_body_bytes":16777216},"tenants":[{"name":"t","api_keys":["key","key-%d"]},{"name":"limited","api_keys":["limited"],"rate_per_s":20,"burst":20},
+ {"name":"north","api_keys":["north"],"dedicated":%t},{"name":"south","api_keys":["south"],"dedicated":%t}]}`
 
 // putConfig stores a configuration, as the operator does.
 func (s *system) putConfig(version int64) {
 	s.version.Store(version)
-	s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, version, version)))
+	s.store.Put("op/config", rawJSON(fmt.Sprintf(configText, version, version, isDedicated("north", version), isDedicated("south", version))))
 }
 
 // rewrite stores what the operator and the endpoints had written, as they do after the
