rollout: a pause bounds a version's age whatever other clocks say

A gateway that had noticed a version only after a pause took the earliest time that the clock of another host suggested. Where all had paused, as on a busy host, nobody had seen the naming, and a clock that is seconds off made engines with older weights count as too old by as much.

TestPauseBoundsAgeOfVersion failed before. The begin of the pause is now known apart from the time of day: a version isn't older than the pause, and at least as old as the pause or its last 3 s.

The model of deadlines lets the rollout lock change hands only when a gateway takes it.

--- a/internal/gatewayd/paused_test.go
+++ b/internal/gatewayd/paused_test.go
@@ -19,7 +19,7 @@
 // which a version of weights was named, and tells the others so: it then uses older weights for
 // too long.
 func TestVersionNamedDuringPause(t *testing.T) {
-	for pause, counted := range map[time.Duration]time.Duration{0: 0, 1900 * time.Millisecond: 1900 * time.Millisecond, time.Minute: maxPauseCounted} {
+	for pause, counted := range map[time.Duration]time.Duration{0: 0, 1900 * time.Millisecond: 1900 * time.Millisecond, time.Minute: 3 * time.Second} {
 		t.Run(pause.String(), func(t *testing.T) {
 			is := is.New(t)
 			store := platformtest.NewStore()
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -79,10 +79,6 @@
 	return strings.Join(out, "; ")
 }
 
-// maxPauseCounted bounds the pause in which a version may have been named. After a longer one the
-// other gateways connect again and tell the version's age.
-const maxPauseCounted = 3 * time.Second
-
 func (p *gatewayProcess) applyTarget(pair infra.Pair) {
 	t, err := platform.DecodeTarget(pair.Value)
 	if err != nil {
@@ -98,8 +94,8 @@
 // whether it is new.
 func (p *gatewayProcess) setTarget(t catalog.Target, now time.Time) bool {
 	targets := p.gateway.Targets
-	if pause := min(p.pulse.Uncertainty(), maxPauseCounted); pause > 0 {
-		return targets.SetIfNewerSince(t, now.Add(-pause), now)
+	if pause := p.pulse.Uncertainty(); pause > 0 {
+		return targets.SetIfNewerAfterPause(t, pause, now)
 	}
 	if p.mirror.IsLive() {
 		return targets.SetIfNewer(t, now)
--- a/peer/versions_test.go
+++ b/peer/versions_test.go
@@ -57,7 +57,7 @@
 	copies []storeCopy
 	named  map[int64]time.Time
 	// restoredAt is the time of the last restore of the store. planLost is true if no plan was
-	// stored since.
+	// stored since then, or since the newest version was named.
 	restoredAt time.Time
 	planLost   bool
 	// unsure is the longest pause, connectionTimeout at most: a version that was named in it may
@@ -108,14 +108,26 @@
 	for _, g := range m.running() {
 		g.targets.SetIfNewer(catalog.Target{Model: modelName, Version: next}, m.now)
 	}
+	m.planLost = true
 	m.announce()
 }
 
-// announce has the holder announce and store its plan. If it doesn't run, another one takes its
-// place.
+// acquire gives the rollout lock to another gateway if the holder doesn't run.
+func (m *versionModel) acquire(t *rapid.T) {
+	if len(m.running()) == 0 {
+		t.Skip("no gateway runs")
+	}
+	next := m.running()[0]
+	m.holder = slices.IndexFunc(m.gateways[:], func(g versionGateway) bool { return g.targets == next.targets })
+	m.announce()
+}
+
+// announce has the holder announce and store its plan if it runs.
 func (m *versionModel) announce() {
-	holder := m.running()[0]
-	m.holder = slices.IndexFunc(m.gateways[:], func(g versionGateway) bool { return g.targets == holder.targets })
+	holder := &m.gateways[m.holder]
+	if !holder.runs() {
+		return
+	}
 	newest := holder.targets.Latest()[0]
 	named, witnessed := holder.targets.NamedAt(newest)
 	plan := rollout.Plan{Model: modelName, Version: newest.Version, Named: named, Witnessed: witnessed}
@@ -135,7 +147,7 @@
 func (m *versionModel) kill(t *rapid.T) {
 	g := m.draw(t)
 	if m.planLost && len(m.running()) < 2 {
-		t.Skip("nobody would know the versions from before the restore")
+		t.Skip("nobody would know the newest versions")
 	}
 	*g = versionGateway{}
 }
@@ -198,10 +210,9 @@
 		t.Skip("the gateway isn't frozen")
 	}
 	pause := m.now.Sub(g.frozenAt)
-	counted := min(pause, connectionTimeout)
 	g.frozen, g.since = false, m.now
-	g.targets.SetIfNewerSince(catalog.Target{Model: modelName, Version: m.store.version}, m.now.Add(-counted), m.now)
-	m.unsure = max(m.unsure, counted)
+	g.targets.SetIfNewerAfterPause(catalog.Target{Model: modelName, Version: m.store.version}, pause, m.now)
+	m.unsure = max(m.unsure, min(pause, connectionTimeout))
 	m.readPlan(g)
 	if pause >= connectionTimeout {
 		m.connect(g)
@@ -254,7 +265,7 @@
 func TestDeadlinesOutliveRestarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newVersionModel()
-		t.Repeat(map[string]func(*rapid.T){"": m.check, "wait": m.wait, "wait more": m.wait, "name": m.name, "kill": m.kill, "start": m.start,
+		t.Repeat(map[string]func(*rapid.T){"": m.check, "wait": m.wait, "wait more": m.wait, "name": m.name, "acquire": m.acquire, "kill": m.kill, "start": m.start,
 			"freeze": m.freeze, "thaw": m.thaw, "restore": m.restore})
 	})
 }
--- a/rollout/naming_test.go
+++ b/rollout/naming_test.go
@@ -77,3 +77,29 @@
 	is.Equal(ClockMs(now.Add(-3*time.Second), now), now.UnixMilli()-3000)
 	is.Equal(ClockMs(time.Time{}, now), int64(0))
 }
+
+// Guards against weights that count as too old, or as in time, because a process that has seen
+// a version only after a pause asks the clocks of others: it knows when its pause began.
+func TestPauseBoundsAgeOfVersion(t *testing.T) {
+	want := catalog.Target{Model: "m", Version: 4}
+	for _, ahead := range []time.Duration{-7 * time.Second, 7 * time.Second} {
+		for _, clockFirst := range []bool{true, false} {
+			is := is.New(t)
+			now := time.Now()
+			earliest := now.Add(-2 * time.Second)
+			targets := &Targets{Deadline: 12 * time.Second}
+			if clockFirst {
+				targets.BackdateByClock(want, now.Add(-time.Second-ahead).UnixMilli(), now)
+			}
+			targets.SetIfNewerAfterPause(want, now.Sub(earliest), now)
+			targets.BackdateByClock(want, now.Add(-time.Second-ahead).UnixMilli(), now)
+			at, witnessed := targets.NamedAt(want)
+			is.Equal(at, earliest)
+			is.True(!witnessed)
+			targets.Backdate(want, now.Add(-time.Second)) // told by a process that has seen it
+			at, witnessed = targets.NamedAt(want)
+			is.Equal(at, now.Add(-time.Second))
+			is.True(witnessed)
+		}
+	}
+}
--- a/rollout/targets.go
+++ b/rollout/targets.go
@@ -51,11 +51,11 @@
 	return t.setIfNewer(want, naming{foundAt: now})
 }
 
-// SetIfNewerSince is SetIfNewer for a version that the process has seen after a pause in which it
-// didn't run: it was named after earliest. That counts as its naming time until another process
-// tells its age.
-func (t *Targets) SetIfNewerSince(want catalog.Target, earliest, now time.Time) bool {
-	return t.setIfNewer(want, naming{foundAt: now, estimatedAt: earliest})
+// SetIfNewerAfterPause is SetIfNewer for a version that the process sees after a pause in which
+// it didn't run: it was named since then. The pause, 3 s at most, counts as the version's age
+// until another process tells its age.
+func (t *Targets) SetIfNewerAfterPause(want catalog.Target, pause time.Duration, now time.Time) bool {
+	return t.setIfNewer(want, naming{foundAt: now, pausedAt: now.Add(-pause)})
 }
 
 func (t *Targets) setIfNewer(want catalog.Target, n naming) bool {
@@ -100,7 +100,7 @@
 		return
 	}
 	age := time.Duration(min(max(0, now.UnixMilli()-namedMs), maxClockAge.Milliseconds())) * time.Millisecond
-	t.report(want, naming{estimatedAt: now.Add(-age)})
+	t.report(want, naming{clockAt: now.Add(-age)})
 }
 
 // report adds what another process, or the store, tells of a version's naming. It may be one
