gateway: a dedicated account without a name shares no cached prompts

Found by reading the salts' fields again: a dedicated account whose name is empty had the same cache salt as the accounts of a configuration without dedicated ones. The check of configurations allows such an account. Nobody has reported it.

TestNamelessDedicatedAccountStaysApart failed before. The scope of a dedicated account now has a group that is neither empty nor a hash, as the groups of accounts that share are. After an upgrade, what dedicated accounts have cached is read once more.

--- a/gateway/cachescope_test.go
+++ b/gateway/cachescope_test.go
@@ -206,3 +206,17 @@
 	g.Config.SetIfNewer(removed)
 	is.Equal(x.salt(1), own)
 }
+
+// Guards against a dedicated account without a name that shares its cached prompts with all
+// accounts of a configuration without dedicated ones.
+func TestNamelessDedicatedAccountStaysApart(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{Config: &catalog.ActiveConfig{}}
+	g.Config.SetIfNewer(dedicate(4))
+	shared := (&exchange{g: g, info: RequestInfo{Model: "m"}}).salt(1)
+	g.Config.SetIfNewer(dedicate(5, ""))
+	x := &exchange{g: g, info: RequestInfo{Model: "m"}, account: &catalog.Account{Dedicated: true}}
+	is.True(x.salt(1) != shared)
+	x.account = nil // a request without an account isn't one of the dedicated account
+	is.True(x.salt(1) != shared)
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -25,6 +25,9 @@
 	// regionPriceMsPerMiB is the latency in milliseconds that sending one MiB to another
 	// region must save.
 	regionPriceMsPerMiB = 1500
+	// dedicatedGroup is the group in the cache scopes of dedicated accounts, which no
+	// catalog.SharingGroup is equal to.
+	dedicatedGroup = "dedicated"
 )
 
 // choice is a chosen endpoint with the attempt that reports back to the tracker.
@@ -162,7 +165,7 @@
 func (x *exchange) cacheScope() prefix.Scope {
 	c := x.g.Config.Current()
 	if x.account != nil && (x.account.Dedicated || c.IsDedicated(x.account.Name)) {
-		return prefix.Scope{Account: x.account.Name, Model: x.info.Model}
+		return prefix.Scope{Account: x.account.Name, Group: dedicatedGroup, Model: x.info.Model}
 	}
 	return prefix.Scope{Group: string(c.SharingGroup()), Model: x.info.Model}
 }
--- a/prefix/prefix.go
+++ b/prefix/prefix.go
@@ -19,7 +19,7 @@
 type Scope struct {
 	// Account is the account that alone uses the entries, empty for entries that accounts share.
 	Account string
-	// Group identifies the accounts that share the entries, empty if all do.
+	// Group separates the entries of sets of accounts that share none; empty if there is one set.
 	Group   string
 	Model   string
 	Adapter string
