--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -55,9 +56,14 @@
 type engine struct {
 	*system
 	id, service, address string
-	born                 int64
+	// prefill is the time from the arrival of a request to its first event.
+	prefill time.Duration
+	server  *http.Server
 
 	mu       sync.Mutex
+	born     int64
+	down     bool
+	starting map[string]int
 	versions map[string]int64
 	named    map[string]int64
 	loading  string
@@ -77,19 +83,60 @@
 
 // newEngine starts an engine and writes its entry.
 func newEngine(s *system, id, service string, versions map[string]int64) (*engine, error) {
-	e := &engine{system: s, id: id, service: service, born: time.Now().UnixMilli(), versions: versions, named: maps.Clone(versions)}
+	e := &engine{system: s, id: id, service: service, prefill: eventInterval, versions: versions, named: maps.Clone(versions), starting: map[string]int{}}
+	if err := e.start("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	go e.beat()
+	return e, nil
+}
+
+// start begins an incarnation, which listens at an address and writes its entry.
+func (e *engine) start(address string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", e.serveReport)
 	mux.HandleFunc("POST /v1/order", e.serveOrder)
 	mux.HandleFunc("/", e.serveRequest)
-	var err error
-	e.address, err = s.listen(mux)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	e.mu.Lock()
+	e.address, e.server = l.Addr().String(), &http.Server{Handler: mux}
+	e.born, e.down, e.sequence, e.fence = time.Now().UnixMilli(), false, 0, 0
+	srv := e.server
+	e.mu.Unlock()
+	go func() { _ = srv.Serve(l) }() // ends with close
 	e.writeEntry()
-	go e.beat()
-	return e, nil
+	return nil
+}
+
+// crash ends the incarnation without a word: its connections break and its address refuses
+// others. The engine is back after a time, under its id.
+func (e *engine) crash(down time.Duration) {
+	e.mu.Lock()
+	e.down = true
+	srv, address := e.server, e.address
+	e.mu.Unlock()
+	e.add("%s crashes", e.id)
+	_ = srv.Close() // the listener and all connections
+	time.AfterFunc(down, func() {
+		if err := e.start(address); err != nil {
+			e.add("%s: not started again: %v", e.id, err)
+			return
+		}
+		e.add("%s is back", e.id)
+	})
+}
+
+// inPrefill returns the number of requests below a path whose first event is due.
+func (e *engine) inPrefill(path string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return 0
+	}
+	return e.starting[path]
 }
 
 // beat keeps the reports, and writes the entry when it has changed.
@@ -128,7 +175,7 @@
 	}
 	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"amman-a","version":"1","slots":128,"state":"ready","cold_remaining_ms":0,"sequence":1,"stage":"colocated","models":%s,"born":%d}`,
 		e.service, e.address, models, e.born)
-	changed := entry != e.entry
+	changed := entry != e.entry && !e.down
 	e.entry = entry
 	e.mu.Unlock()
 	if changed {
@@ -219,6 +266,12 @@
 	return http.StatusAccepted
 }
 
+func (e *engine) countPrefill(path string, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starting[path] += n
+}
+
 // serveRequest answers a caller's request with a stream.
 func (e *engine) serveRequest(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // only the headers matter
@@ -256,6 +309,12 @@
 		e.running--
 		e.mu.Unlock()
 	}()
+	e.countPrefill(r.URL.Path, 1)
+	sleep(r.Context(), e.prefill)
+	e.countPrefill(r.URL.Path, -1)
+	if r.Context().Err() != nil {
+		return
+	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Citrontiller-Server-Stamp", e.id+"."+id)
 	for i := 1; i <= events; i++ {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -15,7 +15,8 @@
 
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(r *record, trouble bool) (held bool, err error){
-	"models": runModels,
+	"models":  runModels,
+	"crashes": runCrashes,
 }
 
 func main() {
