--- a/review/standin3/crashes.go
+++ b/review/standin3/crashes.go
@@ -36,11 +36,15 @@
 	}
 	defer s.close()
 	const models = `{"name":"alpha"}`
-	s.putConfig(3, models, "first")
-	engines, err := s.startFleet(crashEngines, map[string]int64{"alpha": 1})
+	firstPath, laterPath := path{"first", "llm"}, path{"later", "llm"}
+	s.putConfig(3, models, firstPath)
+	engines, err := s.startEngines("llm", crashEngines, map[string]int64{"alpha": 1})
 	if err != nil {
 		return false, err
 	}
+	if err := s.startGateways(); err != nil {
+		return false, err
+	}
 	for _, e := range engines {
 		e.prefill = prefillTime
 	}
@@ -54,7 +58,7 @@
 		wg.Go(func() { s.askAll(ctx, g, firstCaller, &first, &judging) })
 	}
 	sleep(ctx, 3*time.Second)
-	s.putConfig(7, models, "first", "later")
+	s.putConfig(7, models, firstPath, laterPath)
 	sleep(ctx, 4*time.Second)
 	for _, g := range s.gateways {
 		wg.Go(func() { s.askAll(ctx, g, laterCaller, &later, &judging) })
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -4,16 +4,21 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
-// serviceConfig is a configuration with its version, its routes and the models of its engines.
-const serviceConfig = `{"version":%d,"routes":[%s],"services":[{"name":"llm","health_path":"/health","max_connections":610,"protocol":"h1","tls":false,` +
-	`"engine":{"slots":128,"kv_capacity":411557,"models":[%s]}}],` +
+// fleetConfig is a configuration with its version, its routes and its services.
+const fleetConfig = `{"version":%d,"routes":[%s],"services":[%s],` +
 	`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["key"]}]}`
 
-// streamRoute is a route below a path, with the figures of job-tag of sites/zgm-router.toml.
-const streamRoute = `{"name":"r-%[1]s","host":"h.example","prefix":"/%[1]s/","kind":"stream","timeout_ms":3000,"target_latency_ms":400,"priority":0,"service":"llm","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":250}`
+// fleetService is a service with its name and the models of its engines.
+const fleetService = `{"name":%q,"health_path":"/health","max_connections":610,"protocol":"h1","tls":false,` +
+	`"engine":{"slots":128,"kv_capacity":411557,"models":[%s]}}`
+
+// streamRoute is a route below a path to a service, with the figures of job-tag of
+// sites/zgm-router.toml.
+const streamRoute = `{"name":"r-%[1]s","host":"h.example","prefix":"/%[1]s/","kind":"stream","timeout_ms":3000,"target_latency_ms":400,"priority":0,"service":%[2]q,"max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":250}`
 
 const (
 	// fleetGateways is the number of gateways of a case.
@@ -22,46 +27,55 @@
 	readyTime = 10 * time.Second
 )
 
-// putConfig writes a configuration with routes to some paths.
-func (s *system) putConfig(version int, models string, paths ...string) {
-	routes := ""
-	for i, path := range paths {
-		if i > 0 {
-			routes += ","
+// path is a path of callers with the service of its route.
+type path struct{ name, service string }
+
+// putConfig writes a configuration with routes for some paths. The engines of all services have
+// the same models.
+func (s *system) putConfig(version int, models string, paths ...path) {
+	var routes, services []string
+	for _, p := range paths {
+		routes = append(routes, fmt.Sprintf(streamRoute, p.name, p.service))
+		if service := fmt.Sprintf(fleetService, p.service, models); !slices.Contains(services, service) {
+			services = append(services, service)
 		}
-		routes += fmt.Sprintf(streamRoute, path)
 	}
-	s.putJSON("op/config", fmt.Sprintf(serviceConfig, version, routes, models))
+	s.putJSON("op/config", fmt.Sprintf(fleetConfig, version, strings.Join(routes, ","), strings.Join(services, ",")))
 }
 
-// startFleet writes the first versions of the models, and starts engines with them and gateways.
-// The first configuration must have been written.
-func (s *system) startFleet(engines int, versions map[string]int64) ([]*engine, error) {
+// startEngines writes the first versions of the models and starts engines with them.
+func (s *system) startEngines(service string, n int, versions map[string]int64) ([]*engine, error) {
 	for _, model := range slices.Sorted(maps.Keys(versions)) {
 		s.putJSON("op/version/"+model, fmt.Sprintf(`{"model":%q,"version":%d}`, model, versions[model]))
 	}
 	var out []*engine
-	for i := range engines {
-		e, err := newEngine(s, fmt.Sprint("i-", i), "llm", maps.Clone(versions))
+	for i := range n {
+		e, err := newEngine(s, fmt.Sprintf("i-%s-%d", service, i), service, maps.Clone(versions))
 		if err != nil {
 			return nil, err
 		}
 		out = append(out, e)
 	}
+	return out, nil
+}
+
+// startGateways starts the store and the gateways, and waits until these are ready. The first
+// configuration must have been written.
+func (s *system) startGateways() error {
 	storeAddress, err := s.listen(s.store)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for i := range fleetGateways {
 		g, err := s.addGateway(fmt.Sprint("front-", i), storeAddress)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if err := s.start(g); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return out, s.awaitReady(readyTime)
+	return s.awaitReady(readyTime)
 }
 
 // compare logs the tallies of the first and of a later route, and reports whether the later one is
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(r *record, trouble bool) (held bool, err error){
 	"models":  runModels,
 	"crashes": runCrashes,
+	"foreign": runForeign,
 }
 
 func main() {
--- a/review/standin3/models.go
+++ b/review/standin3/models.go
@@ -28,11 +28,15 @@
 	}
 	defer s.close()
 	const models = `{"name":"alpha"},{"name":"beta"}`
-	s.putConfig(3, models, "alpha")
-	engines, err := s.startFleet(3, map[string]int64{"alpha": 1, "beta": 1})
+	alphaPath, betaPath := path{"alpha", "llm"}, path{"beta", "llm"}
+	s.putConfig(3, models, alphaPath)
+	engines, err := s.startEngines("llm", 3, map[string]int64{"alpha": 1, "beta": 1})
 	if err != nil {
 		return false, err
 	}
+	if err := s.startGateways(); err != nil {
+		return false, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -43,7 +47,7 @@
 		wg.Go(func() { s.askAll(ctx, g, modelCaller("alpha"), &alpha, &judging) })
 	}
 	sleep(ctx, 3*time.Second)
-	s.putConfig(7, models, "alpha", "beta")
+	s.putConfig(7, models, alphaPath, betaPath)
 	sleep(ctx, 4*time.Second)
 	for _, g := range s.gateways {
 		wg.Go(func() { s.askAll(ctx, g, modelCaller("beta"), &beta, &judging) })
