--- a/review/standin3/callers.go
+++ b/review/standin3/callers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,9 +16,15 @@
 // askDeadline is the deadline of a request, that of job-tag.
 const askDeadline = 3 * time.Second
 
+// oneKey are the keys of callers where keys don't matter.
+var oneKey = []string{"key"}
+
 // caller sends requests to a gateway.
 type caller struct {
 	path, model string
+	// key is the caller's key, oneKey if empty, and name a part of the ids of its requests, the
+	// path's first part if empty.
+	key, name string
 	// every is the time between two requests.
 	every time.Duration
 	// prompt returns the parts of the prompt of a request.
@@ -36,7 +43,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		judged := judging.Load()
 		wg.Go(func() {
-			served := s.ask(client, g, c, fmt.Sprintf("%s-%s-%d", g.name, strings.Split(c.path, "/")[1], n))
+			served := s.ask(client, g, c, fmt.Sprintf("%s-%s-%d", g.name, cmp.Or(c.name, strings.Split(c.path, "/")[1]), n))
 			if judged {
 				t.asked.Add(1)
 				if served {
@@ -73,7 +80,7 @@
 	}
 	req.Host = "h.example"
 	for name, value := range map[string]string{"Citrontiller-Request-Id": id, "Citrontiller-Model": c.model, "Citrontiller-Token-Usage": "1460,80",
-		"Citrontiller-Prompt-Prefix": c.prompt(id), "Citrontiller-Credential": "key", "Citrontiller-Deadline-Ms": strconv.FormatInt(left.Milliseconds(), 10)} {
+		"Citrontiller-Prompt-Prefix": c.prompt(id), "Citrontiller-Credential": cmp.Or(c.key, oneKey[0]), "Citrontiller-Deadline-Ms": strconv.FormatInt(left.Milliseconds(), 10)} {
 		req.Header.Set(name, value)
 	}
 	resp, err := client.Do(req)
--- a/review/standin3/crashes.go
+++ b/review/standin3/crashes.go
@@ -37,12 +37,16 @@
 	defer s.close()
 	const models = `{"name":"alpha"}`
 	firstPath, laterPath := path{"first", "llm"}, path{"later", "llm"}
-	s.putConfig(3, models, firstPath)
+	s.putConfig(3, models, oneKey, firstPath)
 	engines, err := s.startEngines("llm", crashEngines, map[string]int64{"alpha": 1})
 	if err != nil {
 		return false, err
 	}
-	if err := s.startGateways(); err != nil {
+	storeAddress, err := s.listen(s.store)
+	if err != nil {
+		return false, err
+	}
+	if err := s.startGateways(storeAddress); err != nil {
 		return false, err
 	}
 	for _, e := range engines {
@@ -58,7 +62,7 @@
 		wg.Go(func() { s.askAll(ctx, g, firstCaller, &first, &judging) })
 	}
 	sleep(ctx, 3*time.Second)
-	s.putConfig(7, models, firstPath, laterPath)
+	s.putConfig(7, models, oneKey, firstPath, laterPath)
 	sleep(ctx, 4*time.Second)
 	for _, g := range s.gateways {
 		wg.Go(func() { s.askAll(ctx, g, laterCaller, &later, &judging) })
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -323,3 +324,16 @@
 		_ = http.NewResponseController(w).Flush() // the caller may have left
 	}
 }
+
+// ranWith returns the number of runs of requests whose ids hold a text.
+func (e *engine) ranWith(text string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, r := range e.runs {
+		if strings.Contains(r.id, text) {
+			n++
+		}
+	}
+	return n
+}
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -10,7 +10,7 @@
 
 // fleetConfig is a configuration with its version, its routes and its services.
 const fleetConfig = `{"version":%d,"routes":[%s],"services":[%s],` +
-	`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["key"]}]}`
+	`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":[%s]}]}`
 
 // fleetService is a service with its name and the models of its engines.
 const fleetService = `{"name":%q,"health_path":"/health","max_connections":610,"protocol":"h1","tls":false,` +
@@ -32,7 +32,7 @@
 
 // putConfig writes a configuration with routes for some paths. The engines of all services have
 // the same models.
-func (s *system) putConfig(version int, models string, paths ...path) {
+func (s *system) putConfig(version int, models string, keys []string, paths ...path) {
 	var routes, services []string
 	for _, p := range paths {
 		routes = append(routes, fmt.Sprintf(streamRoute, p.name, p.service))
@@ -40,7 +40,7 @@
 			services = append(services, service)
 		}
 	}
-	s.putJSON("op/config", fmt.Sprintf(fleetConfig, version, strings.Join(routes, ","), strings.Join(services, ",")))
+	s.putJSON("op/config", fmt.Sprintf(fleetConfig, version, strings.Join(routes, ","), strings.Join(services, ","), `"`+strings.Join(keys, `","`)+`"`))
 }
 
 // startEngines writes the first versions of the models and starts engines with them.
@@ -59,13 +59,9 @@
 	return out, nil
 }
 
-// startGateways starts the store and the gateways, and waits until these are ready. The first
+// startGateways starts the gateways, with a store at an address, and waits until these are ready. The first
 // configuration must have been written.
-func (s *system) startGateways() error {
-	storeAddress, err := s.listen(s.store)
-	if err != nil {
-		return err
-	}
+func (s *system) startGateways(storeAddress string) error {
 	for i := range fleetGateways {
 		g, err := s.addGateway(fmt.Sprint("front-", i), storeAddress)
 		if err != nil {
--- a/review/standin3/foreign.go
+++ b/review/standin3/foreign.go
@@ -26,7 +26,7 @@
 	defer s.close()
 	const models = `{"name":"alpha"}`
 	firstPath, laterPath := path{"first", "llm"}, path{"later", "desk"}
-	s.putConfig(3, models, firstPath)
+	s.putConfig(3, models, oneKey, firstPath)
 	if _, err := s.startEngines("llm", 3, map[string]int64{"alpha": 1}); err != nil {
 		return false, err
 	}
@@ -34,7 +34,11 @@
 	if err != nil {
 		return false, err
 	}
-	if err := s.startGateways(); err != nil {
+	storeAddress, err := s.listen(s.store)
+	if err != nil {
+		return false, err
+	}
+	if err := s.startGateways(storeAddress); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -47,7 +51,7 @@
 		wg.Go(func() { s.askAll(ctx, g, plainCaller("first"), &first, &judging) })
 	}
 	sleep(ctx, 3*time.Second)
-	s.putConfig(7, models, firstPath, laterPath)
+	s.putConfig(7, models, oneKey, firstPath, laterPath)
 	sleep(ctx, 4*time.Second)
 	for _, g := range s.gateways {
 		wg.Go(func() { s.askAll(ctx, g, plainCaller("later"), &later, &judging) })
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -18,6 +18,7 @@
 	"models":  runModels,
 	"crashes": runCrashes,
 	"foreign": runForeign,
+	"large":   runLarge,
 }
 
 func main() {
--- a/review/standin3/models.go
+++ b/review/standin3/models.go
@@ -29,12 +29,16 @@
 	defer s.close()
 	const models = `{"name":"alpha"},{"name":"beta"}`
 	alphaPath, betaPath := path{"alpha", "llm"}, path{"beta", "llm"}
-	s.putConfig(3, models, alphaPath)
+	s.putConfig(3, models, oneKey, alphaPath)
 	engines, err := s.startEngines("llm", 3, map[string]int64{"alpha": 1, "beta": 1})
 	if err != nil {
 		return false, err
 	}
-	if err := s.startGateways(); err != nil {
+	storeAddress, err := s.listen(s.store)
+	if err != nil {
+		return false, err
+	}
+	if err := s.startGateways(storeAddress); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -47,7 +51,7 @@
 		wg.Go(func() { s.askAll(ctx, g, modelCaller("alpha"), &alpha, &judging) })
 	}
 	sleep(ctx, 3*time.Second)
-	s.putConfig(7, models, alphaPath, betaPath)
+	s.putConfig(7, models, oneKey, alphaPath, betaPath)
 	sleep(ctx, 4*time.Second)
 	for _, g := range s.gateways {
 		wg.Go(func() { s.askAll(ctx, g, modelCaller("beta"), &beta, &judging) })
