--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -19,6 +19,7 @@
 	"crashes": runCrashes,
 	"foreign": runForeign,
 	"large":   runLarge,
+	"slow":    runSlowRead,
 }
 
 func main() {
