--- a/review/standin3/crashes.go
+++ b/review/standin3/crashes.go
@@ -14,7 +14,7 @@
 	// downTime is how long an engine is down.
 	downTime = 3 * time.Second
 	// crashPause is the least time between two crashes.
-	crashPause = 500 * time.Millisecond
+	crashPause = 300 * time.Millisecond
 	// prefillTime is the time to the first event of an answer, as the sheets aim at.
 	prefillTime = 400 * time.Millisecond
 	// calmAfter is the time after the last crash from which requests are judged: until the
@@ -70,7 +70,7 @@
 	}
 	sleep(ctx, 5*time.Second)
 	for i := 0; trouble && i < 2; i++ {
-		busiest(engines, laterCaller.path).crash(downTime)
+		onlyOne(engines, laterCaller.path).crash(downTime)
 		sleep(ctx, crashPause)
 	}
 	sleep(ctx, calmAfter)
@@ -81,19 +81,19 @@
 	return s.compare(&first, &later)
 }
 
-// busiest waits until an engine computes the prompt of a request below a path, and returns that
-// with the most.
-func busiest(engines []*engine, path string) *engine {
+// onlyOne waits until just one request below a path is in its prefill, and returns its engine.
+func onlyOne(engines []*engine, path string) *engine {
 	for {
-		var best *engine
-		most := 0
+		var at *engine
+		all := 0
 		for _, e := range engines {
-			if n := e.inPrefill(path); n > most {
-				best, most = e, n
+			if n := e.inPrefill(path); n > 0 {
+				at = e
+				all += n
 			}
 		}
-		if best != nil {
-			return best
+		if all == 1 {
+			return at
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -58,6 +59,8 @@
 	store    *platformtest.Store
 	gateways []*gatewayProcess
 	servers  []*http.Server
+	// guards hold the ports of the gateways.
+	guards []net.Listener
 }
 
 // newSystem starts the store.
@@ -81,14 +84,37 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address whose port was free.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+const (
+	// firstPort and lastPort bound the ports of gateways. They are below the range from which the
+	// operating system takes the ports of outgoing connections.
+	firstPort, lastPort = 12_000, 32_000
+	// guardIP is the loopback address at which a port is bound until the case ends, so that other
+	// cases don't take it.
+	guardIP = "127.0.0.9"
+)
+
+// freeAddress returns a loopback address whose port is free.
+func (s *system) freeAddress() (string, error) {
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		guard, err := net.Listen("tcp", fmt.Sprintf("%s:%d", guardIP, port))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		s.guards = append(s.guards, guard)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 // settingsText is a gateway's settings file: the bounds and limits are those of the sheet of
@@ -116,7 +142,7 @@
 func (s *system) addGateway(name, storeAddress string) (*gatewayProcess, error) {
 	var addresses [3]string
 	for i := range addresses {
-		a, err := freeAddress()
+		a, err := s.freeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -189,6 +215,9 @@
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
+	for _, l := range s.guards {
+		_ = l.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.dir)
 	} else {
