quarantine: blocked parts are probed, so that a wrong block ends within seconds

Cause: the first crash makes the part a suspect, the next request with it is its trial, and a second crash makes it guilty, whatever caused the two. Nothing is sent after that, so nothing can show that the part is sound.

Change: a block names when the next request with the part may be sent, 3 s after the last crash. One gateway sends it, in an order that differs between parts, and tells the others the time of the next one; the interval doubles with each probe and is multiplied by four more if the probe crashes an engine. A response that starts, to a probe or to a request sent before, ends the block everywhere and removes its key. Blocks of the store carry the time of the next probe; those of an earlier release are probed 3 s after they are read.

Why it works: a part that crashes engines never has a response that starts, a sound one has with the first probe.

TestRequestsThatCrashEndpointsAreBlocked and TestDeadlyPartOfLongPromptIsBlocked count the crashes up to the decision, as before; their gateway leaves probes to others, which the simulated fleets count.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -50,9 +50,11 @@
 	c, ok := x.choose()
 	if !ok {
 		x.quarantine.Pass.End()
+		return choice{}, false
 	}
 	c.pass = x.quarantine.Pass
-	return c, ok
+	c.pass.Sent(time.Now())
+	return c, true
 }
 
 // choose selects an endpoint and records the dispatch. It returns false when no
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -19,8 +19,8 @@
 	// startGrace is the time after a response's first byte for which its endpoint must
 	// live for the request to count as harmless.
 	startGrace = 100 * time.Millisecond
-	// suspectRetryAfter is the retry delay of a request that waits for the trial of
-	// another one.
+	// suspectRetryAfter is the retry delay of a request that waits for the trial or the probe
+	// of another one.
 	suspectRetryAfter = 400 * time.Millisecond
 	// trialWait is how long a request that was at a crashed endpoint waits to be sent
 	// again: the crash has to be known everywhere, and a trial may be in progress.
@@ -62,7 +62,7 @@
 func (x *exchange) quarantined(d quarantine.Decision) *Refusal {
 	r := &Refusal{Status: http.StatusServiceUnavailable, Outcome: "suspect_prompt_part", RetryAfter: suspectRetryAfter, Err: &quarantineError{d}}
 	if d.Verdict == quarantine.Blocked {
-		r.Outcome, r.RetryAfter = "blocked_prompt_part", time.Until(d.Until)
+		r.Outcome, r.RetryAfter = "blocked_prompt_part", max(suspectRetryAfter, time.Until(d.Until))
 	}
 	return r
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,18 +27,34 @@
 func (noObserver) CrashObserved(quarantine.Report, []quarantine.Part) {}
 func (noObserver) PartsCleared([]quarantine.Key, []quarantine.Part)   {}
 func (noObserver) PartBlocked(quarantine.Block)                       {}
-func (noObserver) PartReleased(quarantine.Part)                       {}
+func (noObserver) PartProbed(quarantine.Block)                        {}
+func (noObserver) PartReleased(quarantine.Part, quarantine.ReleaseCause) {
+}
+
+// unprobed returns the quarantine of a gateway that leaves the probes of blocked parts to
+// others, so that a test counts the crashes before the decision only.
+func unprobed() *quarantine.Tracker {
+	const lastTurn = 1 << 20
+	q := quarantine.New(noObserver{})
+	q.ProbeTurn = func(quarantine.Key) int { return lastTurn }
+	return q
+}
 
 // fragileEndpoint is an endpoint that crashes when it starts the response to a request
 // whose prompt has the part "deadly".
 type fragileEndpoint struct {
 	l net.Listener
+	// busy is true while a prompt with the part "slow" is computed.
+	busy atomic.Bool
 
 	mu      sync.Mutex
 	conns   []net.Conn
 	crashed bool
 }
 
+// slowPrefill is the time that an endpoint computes a prompt with the part "slow".
+const slowPrefill = 50 * time.Millisecond
+
 // addFragile adds an endpoint that may crash.
 func (f *fleet) addFragile(t *testing.T, id string) *fragileEndpoint {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -72,7 +90,8 @@
 	}
 }
 
-// serve answers the requests of a connection with a stream of one event.
+// serve answers the requests of a connection with a stream of one event. A request whose prompt
+// has the part "slow" is answered only after slowPrefill.
 func (e *fragileEndpoint) serve(c net.Conn) {
 	r := bufio.NewReader(c)
 	for {
@@ -85,6 +104,11 @@
 			e.crash()
 			return
 		}
+		if strings.Contains(req.Header.Get("Parts"), "slow") {
+			e.busy.Store(true)
+			time.Sleep(slowPrefill)
+			e.busy.Store(false)
+		}
 		const event = "id: 1\ndata: x\n\n"
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("Id"), len(event), event)
 	}
@@ -139,7 +163,7 @@
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t)
-			f.gateway.Quarantine = quarantine.New(noObserver{})
+			f.gateway.Quarantine = unprobed()
 			endpoints := f.addFragiles(t, 8)
 			status := 0
 			for i := range 8 {
@@ -156,6 +180,60 @@
 	}
 }
 
+// Guards against endpoints that crash one after the other for another reason while they compute
+// prompts with a shared part: all requests with it were refused for ten minutes.
+func TestPartOfSuccessiveCrashesIsServedSoon(t *testing.T) {
+	const (
+		// recoveryTime is the time after the last crash from which requests must be served.
+		recoveryTime = 8 * time.Second
+		callInterval = 300 * time.Millisecond
+	)
+	is := is.New(t)
+	f := newFleet(t)
+	f.gateway.Quarantine = quarantine.New(noObserver{})
+	endpoints := f.addFragiles(t, 6)
+	status, _ := f.callParts(t, "/draft/1", "before", "slow own")
+	is.Equal(status, http.StatusOK)
+	for i := range 2 {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.callParts(t, "/draft/1", fmt.Sprint("crash", i), "slow own")
+		}()
+		crashBusy(endpoints)
+		<-done
+		time.Sleep(callInterval) // a trial may start again
+	}
+	status, retryAfter := f.callParts(t, "/draft/1", "blocked", "slow own")
+	is.Equal(status, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(retryAfter, 64)
+	is.NoErr(err)
+	is.True(seconds < recoveryTime.Seconds()) // callers may return
+	for i := 0; status != http.StatusOK && i < int(recoveryTime/callInterval); i++ {
+		time.Sleep(callInterval)
+		status, _ = f.callParts(t, "/draft/1", fmt.Sprint("after", i), "slow own")
+	}
+	is.Equal(status, http.StatusOK)
+	for i := range 4 {
+		status, _ = f.callParts(t, "/draft/1", fmt.Sprint("last", i), "slow own")
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(crashedCount(endpoints), 2)
+}
+
+// crashBusy waits until an endpoint computes a prompt with the part "slow" and crashes it.
+func crashBusy(endpoints []*fragileEndpoint) {
+	for {
+		for _, e := range endpoints {
+			if e.busy.Load() {
+				e.crash()
+				return
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // keptAfterLongHeaders returns the bytes in use after requests with long and with many
 // parts.
 func keptAfterLongHeaders(t *testing.T, q *quarantine.Tracker) int64 {
@@ -233,7 +311,7 @@
 		t.Run(fmt.Sprintf("part %d of %d", tc.deadly+1, tc.parts), func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t)
-			f.gateway.Quarantine = quarantine.New(noObserver{})
+			f.gateway.Quarantine = unprobed()
 			endpoints := f.addFragiles(t, 12)
 			for i := range 8 {
 				f.callParts(t, "/tag/1", fmt.Sprint("bad", i), longPrompt(tc.parts, tc.deadly, fmt.Sprint("own", i)))
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -87,8 +87,8 @@
 	restored   chan struct{}
 	quarantine *quarantine.Tracker
 	quotas     *quotas
-	// blockedKeys maps the store's keys of blocked parts of prompts to the parts.
-	blockedKeys sync.Map
+	// storedBlocks maps the store's keys of blocked parts of prompts to the blocks read last.
+	storedBlocks sync.Map
 }
 
 // Run runs a gateway until ctx ends and returns after the drain. The errors of
@@ -152,6 +152,7 @@
 		IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(log)}
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
+	p.quarantine.ProbeTurn = p.probeTurn
 	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval,
 		Retain: retainLost, OnRestore: p.onStoreRestored, OnChange: p.onStoreChange, Log: log})
 	p.gateway.Targets.UnsettledUntil = func() time.Time { return p.mirror.UnsettledUntil(hostSettings.SettleTime) }
--- a/peer/suspicion.go
+++ b/peer/suspicion.go
@@ -37,11 +37,7 @@
 		b.ClearedKeys = append(b.ClearedKeys, uint64(k))
 	}
 	for _, block := range s.Blocks {
-		out := &pb.BlockedPart{Part: encodePart(block.Part), RemainingMs: block.Until.Sub(now).Milliseconds()}
-		for _, c := range block.Crashes {
-			out.Crashes = append(out.Crashes, encodeReport(quarantine.Report{Crash: c}))
-		}
-		b.Blocked = append(b.Blocked, out)
+		b.Blocked = append(b.Blocked, encodeBlock(block, now))
 	}
 	return b
 }
@@ -59,15 +55,41 @@
 		s.Cleared = append(s.Cleared, decodePart(p).Key())
 	}
 	for _, block := range b.Blocked {
-		out := quarantine.Block{Part: decodePart(block.Part), Until: now.Add(time.Duration(block.RemainingMs) * time.Millisecond)}
-		for _, c := range block.Crashes {
-			out.Crashes = append(out.Crashes, decodeReport(c).Crash)
-		}
-		s.Blocks = append(s.Blocks, out)
+		s.Blocks = append(s.Blocks, decodeBlock(block, now))
 	}
 	return s
 }
 
+func encodeBlock(b quarantine.Block, now time.Time) *pb.BlockedPart {
+	out := &pb.BlockedPart{Part: encodePart(b.Part), RemainingMs: b.Until.Sub(now).Milliseconds()}
+	if b.ProbeInterval > 0 {
+		out.ProbeInMs, out.ProbeIntervalMs = b.ProbeAt.Sub(now).Milliseconds(), b.ProbeInterval.Milliseconds()
+	}
+	for _, c := range b.Crashes {
+		out.Crashes = append(out.Crashes, encodeReport(quarantine.Report{Crash: c}))
+	}
+	return out
+}
+
+// decodeBlock returns a block. Its times are at most BlockTime from now, whatever the sender
+// has written.
+func decodeBlock(b *pb.BlockedPart, now time.Time) quarantine.Block {
+	out := quarantine.Block{Part: decodePart(b.Part), Until: now.Add(boundedMs(b.RemainingMs))}
+	if b.ProbeIntervalMs > 0 {
+		out.ProbeAt, out.ProbeInterval = now.Add(boundedMs(b.ProbeInMs)), boundedMs(b.ProbeIntervalMs)
+	}
+	for _, c := range b.Crashes {
+		out.Crashes = append(out.Crashes, decodeReport(c).Crash)
+	}
+	return out
+}
+
+// boundedMs returns a number of milliseconds that is at most quarantine.BlockTime either way.
+func boundedMs(ms int64) time.Duration {
+	limit := quarantine.BlockTime.Milliseconds()
+	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
+}
+
 func encodePart(p quarantine.Part) *pb.PromptPart {
 	return &pb.PromptPart{Service: p.Service, Id: p.ID}
 }
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -58,6 +58,8 @@
 	// deadlySent holds the times at which deadly requests were sent.
 	deadlySent            []time.Time
 	sound, soundNotServed int
+	// allSound is true if no request is deadly.
+	allSound bool
 	// prompt returns the parts of a request, deadly ones with a part that crashes engines.
 	prompt func(s *fleetSim, deadly bool) []Part
 }
@@ -101,8 +103,10 @@
 }
 func (p simPeer) PartBlocked(b Block) { p.others(func(t *Tracker) { t.ApplyBlock(b) }) }
 
+func (p simPeer) PartProbed(b Block) { p.others(func(t *Tracker) { t.ApplyBlock(b) }) }
+
 // PartReleased implements Observer; the others decide by themselves.
-func (p simPeer) PartReleased(Part) {}
+func (p simPeer) PartReleased(Part, ReleaseCause) {}
 
 func (p simPeer) others(do func(t *Tracker)) {
 	p.sim.in(simPeerDelay, func() {
@@ -128,7 +132,7 @@
 
 // send sends a request from a random gateway to a random engine that is up.
 func (s *fleetSim) send() {
-	deadly := s.rnd.Intn(simDeadlyOdds) == 0
+	deadly := !s.allSound && s.rnd.Intn(simDeadlyOdds) == 0
 	parts := s.prompt(s, deadly)
 	if !deadly {
 		s.sound++
@@ -151,6 +155,7 @@
 		d.Pass.End()
 		return
 	}
+	d.Pass.Sent(s.now)
 	r := &simRequest{pass: d.Pass, deadly: deadly}
 	e.running = append(e.running, r)
 	s.in(simStartTime, func() { s.start(e, r) })
@@ -194,13 +199,18 @@
 }
 
 // run plays the load with a number of gateways.
-func (s *fleetSim) run(gateways int) {
+func (s *fleetSim) run(gateways int) { s.runFor(gateways, simSeconds, simRate) }
+
+// runFor plays a rate of requests a second for some seconds.
+func (s *fleetSim) runFor(gateways, seconds, rate int) {
 	s.now = at(0)
 	for i := range gateways {
-		s.gateways = append(s.gateways, New(simPeer{s, i}))
+		t := New(simPeer{s, i})
+		t.ProbeTurn = func(k Key) int { return (i + int(k%Key(gateways))) % gateways }
+		s.gateways = append(s.gateways, t)
 	}
-	for i := range simSeconds * simRate {
-		s.in(time.Duration(i)*time.Second/simRate, s.send)
+	for i := range seconds * rate {
+		s.in(time.Duration(i)*time.Second/time.Duration(rate), s.send)
 	}
 	for len(s.events) > 0 {
 		e := s.events[0]
@@ -271,3 +281,63 @@
 		})
 	}
 }
+
+// Guards against probes of a blocked part that crash more endpoints than the few that a block
+// is to spare, over a day longer than the intervals between the first ones.
+func TestProbesOfDeadlyPartAreFew(t *testing.T) {
+	const seconds = 120
+	for _, gateways := range []int{1, 4, 27, 100} {
+		for seed := range int64(3) {
+			t.Run(fmt.Sprintf("%d gateways, seed %d", gateways, seed), func(t *testing.T) {
+				is := is.New(t)
+				s := &fleetSim{rnd: rand.New(rand.NewSource(seed)), prompt: shortPrompt}
+				s.runFor(gateways, seconds, simRate)
+				t.Logf("%d crashes, %d deadly requests sent, %d of them late; %d of %d sound requests not served",
+					len(s.crashedAt), len(s.deadlySent), s.lateSends(), s.soundNotServed, s.sound)
+				is.True(s.lateSends() <= simLateSends)
+			})
+		}
+	}
+}
+
+// crashBusy crashes an engine that computes a prompt, as soon as there is one.
+func (s *fleetSim) crashBusy() {
+	const pause = 5 * time.Millisecond
+	for i := range s.engines {
+		if slices.ContainsFunc(s.engines[i].running, func(r *simRequest) bool { return !r.done }) {
+			s.crash(&s.engines[i])
+			return
+		}
+	}
+	s.in(pause, s.crashBusy)
+}
+
+// Guards against engines that crash one after the other for another reason: the part that all
+// their requests share is blocked at all gateways, and must be served again within seconds.
+func TestSharedPartOutlivesPlainCrashes(t *testing.T) {
+	const (
+		seconds, rate = 40, 2
+		firstCrash    = 5 * time.Second
+		crashPause    = 300 * time.Millisecond
+		// recoveryTime is the time after the second crash from which requests must be served.
+		recoveryTime = 2 * simContactTime
+	)
+	for _, gateways := range []int{1, 3, 27} {
+		for seed := range int64(5) {
+			t.Run(fmt.Sprintf("%d gateways, seed %d", gateways, seed), func(t *testing.T) {
+				is := is.New(t)
+				s := &fleetSim{rnd: rand.New(rand.NewSource(seed)), allSound: true, prompt: func(*fleetSim, bool) []Part { return prompt("system") }}
+				s.now = at(0)
+				s.in(firstCrash, s.crashBusy)
+				s.in(firstCrash+crashPause+settleTime, s.crashBusy)
+				before := 0
+				s.in(firstCrash+crashPause+recoveryTime+time.Second, func() { before = s.soundNotServed })
+				s.runFor(gateways, seconds, rate)
+				t.Logf("%d crashes, %d of %d requests not served", len(s.crashedAt), s.soundNotServed, s.sound)
+				is.Equal(len(s.crashedAt), 2)
+				is.True(s.soundNotServed > 2) // the part was blocked
+				is.Equal(s.soundNotServed, before)
+			})
+		}
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,12 +5,13 @@
 // A part of a request that was at an endpoint when it crashed is a suspect until a
 // response to another request with this part has started. Requests with a suspect are
 // sent one at a time, as trials. A part whose trials crash endpoints as well is blocked.
+// Endpoints may have crashed for other reasons all the same, so a blocked part is probed: at
+// growing intervals one request of the fleet is sent, and a response that starts ends the block.
 // Parts are known by a hash, so that all parts of a prompt can be remembered, however many
 // it has. Gateways tell each other what they observe.
 package quarantine
 
 import (
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,10 +26,6 @@
 	// trialTime is the time after which a trial without a result no longer prevents the
 	// next one.
 	trialTime = 2 * time.Second
-	// BlockTime is how long a part is blocked. Engines may have been mended by then.
-	BlockTime = 10 * time.Minute
-	// maxBlocked bounds the blocked parts.
-	maxBlocked = 256
 	// maxNamed bounds the parts that an Observer is given by name.
 	maxNamed = 4
 )
@@ -78,15 +75,6 @@
 	Trial bool
 }
 
-// Block is a decision to block a part.
-type Block struct {
-	Part
-	// Crashes are those that the part explains; empty if unknown.
-	Crashes []Crash
-	// Until is when the block ends.
-	Until time.Time
-}
-
 // Observer learns what this process has observed or decided. Its methods must not block
 // and must not call the Tracker. Of many parts it is given the first ones by name.
 type Observer interface {
@@ -94,31 +82,46 @@
 	CrashObserved(r Report, named []Part)
 	// PartsCleared is called when a response to a request with suspects has started.
 	PartsCleared(keys []Key, named []Part)
-	// PartBlocked is called when this process has decided to block a part.
+	// PartBlocked is called when this process has decided to block a part, and when its probe
+	// of a blocked part has crashed an endpoint.
 	PartBlocked(b Block)
-	// PartReleased is called when a decision of this process has ended the block of a part.
-	PartReleased(p Part)
+	// PartProbed is called when this process sends a request with a blocked part. The block
+	// names the time of the next probe.
+	PartProbed(b Block)
+	// PartReleased is called when this process has ended the block of a part.
+	PartReleased(p Part, cause ReleaseCause)
 }
 
 // Tracker holds the suspects and the blocked parts. It is safe for concurrent use.
 // Callers pass the present time.
 type Tracker struct {
+	// ProbeTurn returns this process's place, from 0, in the order in which the gateways of the
+	// fleet may probe a part. nil means that there are no others. It must not call the Tracker.
+	ProbeTurn func(k Key) int
+
 	observer Observer
 
 	mu       sync.Mutex
 	suspects suspects
-	blocked  *lru.Cache[Key, Block]
+	blocked  *lru.Cache[Key, blockState]
+	// ended holds until when the blocks would have lasted that a response has ended.
+	ended *lru.Cache[Key, time.Time]
 	// started holds when a response to a request with a part last started.
 	started startTable
 }
 
 // New returns an empty tracker.
 func New(observer Observer) *Tracker {
-	blocked, err := lru.New[Key, Block](maxBlocked)
+	return &Tracker{observer: observer, suspects: suspects{}, blocked: newCache[blockState](), ended: newCache[time.Time]()}
+}
+
+// newCache returns a cache of maxBlocked parts.
+func newCache[V any]() *lru.Cache[Key, V] {
+	c, err := lru.New[Key, V](maxBlocked)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Tracker{observer: observer, suspects: suspects{}, blocked: blocked}
+	return c
 }
 
 // Counts returns the number of suspects and of blocked parts.
@@ -135,78 +138,21 @@
 	return t.suspects.apply(r, &t.started, now)
 }
 
-// Clear removes a part from the suspects, because another process has seen a response to
-// it start. It reports whether it was one.
-func (t *Tracker) Clear(k Key) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.suspects.remove(k)
-}
-
-// ApplyBlock applies a decision of another process. It reports whether it was new, and
-// returns the parts whose blocks it has ended.
-func (t *Tracker) ApplyBlock(b Block) (fresh bool, released []Part) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old, known := t.blocked.Peek(b.Part.Key())
-	if known && !b.Until.After(old.Until) || t.isExplained(b) {
-		return false, nil
-	}
-	return !known, t.block(b)
-}
-
-// Unblock ends the block of a part.
-func (t *Tracker) Unblock(p Part) {
+// Clear ends the suspicion against a part and its block, because another process has seen a
+// response to it start. It reports whether there was one, and returns the part if it was blocked.
+func (t *Tracker) Clear(k Key) (known bool, released []Part) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.blocked.Remove(p.Key())
-}
-
-// IsBlocked reports whether a part is blocked.
-func (t *Tracker) IsBlocked(p Part, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok := t.blockOf(p.Key(), now)
-	return ok
-}
-
-// block blocks a part and clears others of the crashes that it explains. It returns the
-// parts whose blocks end, because the part explains their crashes and a later one, which
-// they didn't prevent. The caller holds mu.
-func (t *Tracker) block(b Block) (released []Part) {
-	key := b.Part.Key()
-	for _, k := range t.blocked.Keys() {
-		other, _ := t.blocked.Peek(k)
-		if k != key && b.supersedes(other) {
-			t.blocked.Remove(k)
-			released = append(released, other.Part)
-		}
-	}
-	t.blocked.Add(key, b)
-	t.suspects.remove(key)
-	t.suspects.explain(b.Crashes)
-	return released
-}
-
-// isExplained reports whether the block of another part supersedes b. The caller holds mu.
-func (t *Tracker) isExplained(b Block) bool {
-	return slices.ContainsFunc(t.blocked.Values(), func(other Block) bool { return other.Part != b.Part && other.supersedes(b) })
-}
-
-// supersedes reports whether b's part explains all crashes of another block and more.
-func (b Block) supersedes(other Block) bool {
-	if len(other.Crashes) == 0 || len(b.Crashes) <= len(other.Crashes) {
-		return false
-	}
-	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return !slices.Contains(b.Crashes, c) })
+	return t.clear(k)
 }
 
-// blockOf returns the block of a part, or false if it is not blocked. The caller holds mu.
-func (t *Tracker) blockOf(k Key, now time.Time) (Block, bool) {
-	b, ok := t.blocked.Get(k)
-	if ok && !now.Before(b.Until) {
+// clear is Clear; the caller holds mu.
+func (t *Tracker) clear(k Key) (known bool, released []Part) {
+	known = t.suspects.remove(k)
+	if b, ok := t.blocked.Peek(k); ok {
 		t.blocked.Remove(k)
-		return Block{}, false
+		t.ended.Add(k, b.Until)
+		return true, []Part{b.Part}
 	}
-	return b, ok
+	return known, nil
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -16,13 +16,15 @@
 	reports  []Report
 	cleared  []Key
 	blocks   []Block
+	probes   []Block
 	released []Part
 }
 
 func (r *recorder) CrashObserved(report Report, _ []Part) { r.reports = append(r.reports, report) }
 func (r *recorder) PartsCleared(keys []Key, _ []Part)     { r.cleared = append(r.cleared, keys...) }
 func (r *recorder) PartBlocked(b Block)                   { r.blocks = append(r.blocks, b) }
-func (r *recorder) PartReleased(p Part)                   { r.released = append(r.released, p) }
+func (r *recorder) PartProbed(b Block)                    { r.probes = append(r.probes, b) }
+func (r *recorder) PartReleased(p Part, _ ReleaseCause)   { r.released = append(r.released, p) }
 
 // at returns a time of the test.
 func at(ms int) time.Time { return time.UnixMilli(1e9 + int64(ms)) }
