gateway: entries of services that no configuration names count for nothing

Cause: which entry holds at an address was decided among all entries that could be decoded, whatever their service; nothing asked whether a configuration names it. Fields that were not used (version, cold_remaining_ms, sequence, stage, the adapters of models) were not decoded, so that an entry without them superseded an engine in the same way. The log shows "endpoint superseded" with the engine's id and no attempts, so requests did not go to the other entry.

Change: the directory sets entries aside whose service no configuration has named, until one does; they are no successors, no engines of the rollout and no load of a region.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -114,6 +114,8 @@
 type Config struct {
 	Version int64
 	Routes  []Route
+	// Services are the names of the listed services.
+	Services []string
 	// Accounts maps a credential to its client account.
 	Accounts map[string]*Account
 	// DedicatedAccounts are the names of the dedicated accounts, with and without a credential,
@@ -136,6 +138,18 @@
 	sharingGroup SharingGroup
 }
 
+// ServiceNames returns the names of all services that the configuration lists or that a route
+// sends requests to. A name may come more than once.
+func (c *Config) ServiceNames() []string {
+	names := slices.Clone(c.Services)
+	for i := range c.Routes {
+		for _, s := range c.Routes[i].Shares {
+			names = append(names, s.Service)
+		}
+	}
+	return names
+}
+
 // Index builds the indexes for Match, Quotas, IsDedicated and SharingGroup. It must be called
 // before any of them, and once Routes, Accounts and DedicatedAccounts are complete.
 func (c *Config) Index() {
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -36,6 +36,10 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpointRecord
 	byAddress addressIndex
+	// services holds the names of the services of which endpoints are used, nil for all.
+	services map[string]bool
+	// unnamed holds the list entries of other services, by id.
+	unnamed map[string]unnamedEntry
 	// kvCapacityTokens is the capacity of an engine's KV cache memory in tokens, by
 	// service.
 	kvCapacityTokens map[string]int64
@@ -68,8 +72,8 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(members *member.Tracker, tracker *route.Tracker, log *zap.Logger) *Directory {
-	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, byAddress: addressIndex{}, updating: map[string]bool{},
-		plans: map[string]rollout.Plan{}, announcements: newAnnouncements()}
+	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, byAddress: addressIndex{}, unnamed: map[string]unnamedEntry{},
+		updating: map[string]bool{}, plans: map[string]rollout.Plan{}, announcements: newAnnouncements()}
 }
 
 // Put adds an endpoint or replaces its list entry. revision is the entry's
@@ -77,6 +81,16 @@
 func (d *Directory) Put(e catalog.Endpoint, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.services != nil && !d.services[e.Service] {
+		d.setAside(e, revision)
+		return
+	}
+	delete(d.unnamed, e.ID)
+	d.put(e, revision)
+}
+
+// put is Put for an endpoint of a service that is named; the caller holds mu.
+func (d *Directory) put(e catalog.Endpoint, revision int64) {
 	old := d.endpoints[e.ID]
 	r := &endpointRecord{Endpoint: e, weightsVersion: highestVersion(e.Weights), revision: revision}
 	if old != nil && old.BootID == e.BootID {
@@ -119,6 +133,12 @@
 func (d *Directory) Remove(id string, revision int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.unnamed, id)
+	d.remove(id, revision)
+}
+
+// remove is Remove for an endpoint of a service that is named; the caller holds mu.
+func (d *Directory) remove(id string, revision int64) {
 	r, ok := d.endpoints[id]
 	if !ok {
 		return
--- a/internal/gatewayd/announced_test.go
+++ b/internal/gatewayd/announced_test.go
@@ -140,7 +140,7 @@
 
 // list applies an endpoint's list entry.
 func (f *announcedFleet) list(i int, state string, boot int) {
-	f.put("servers/"+f.endpoints[i].id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":64,"state":%q,"born":%d}`,
+	f.put("servers/"+f.endpoints[i].id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","version":"1","slots":64,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`,
 		f.servers[i].Listener.Addr(), state, boot))
 }
 
--- a/internal/gatewayd/oddentries_test.go
+++ b/internal/gatewayd/oddentries_test.go
@@ -8,21 +8,28 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/citrontiller/citrontiller/platform"
 )
 
-// oddEntries are values that another writer may have left among the entries of endpoints.
-func oddEntries() map[string]string {
-	entry := func(name, value string) string {
-		fields := map[string]string{"service": `"s"`, "address": `"127.0.0.1:9"`, "zone": `"z"`, "slots": "8", "state": `"ready"`, "born": "1", "models": "[]"}
-		fields[name] = value
-		var out []string
-		for name, value := range fields {
-			if value != "" {
-				out = append(out, fmt.Sprintf("%q:%s", name, value))
-			}
+// entryAt returns the entry of an endpoint at an address, with one field replaced, or left out if
+// the value is empty.
+func entryAt(address, name, value string) string {
+	fields := map[string]string{"service": `"s"`, "address": fmt.Sprintf("%q", address), "zone": `"z"`, "slots": "8", "state": `"ready"`, "born": "2", "models": "[]",
+		"version": `"1"`, "cold_remaining_ms": "0", "sequence": "1"}
+	fields[name] = value
+	var out []string
+	for name, value := range fields {
+		if value != "" {
+			out = append(out, fmt.Sprintf("%q:%s", name, value))
 		}
-		return "{" + strings.Join(out, ",") + "}"
 	}
+	return "{" + strings.Join(out, ",") + "}"
+}
+
+// oddEntries are values that another writer may have left among the entries of endpoints.
+func oddEntries() map[string]string {
+	entry := func(name, value string) string { return entryAt("127.0.0.1:9", name, value) }
 	odd := map[string]string{
 		"no JSON":      "\x00\xff{",
 		"deep":         strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000),
@@ -74,7 +81,38 @@
 	}
 	for _, key := range []string{"servers/", "servers/a b", "servers/a\r\nX: y", "servers/ä", "servers/" + strings.Repeat("x", 200)} {
 		is := is.New(t)
-		f.put(key, `{"service":"s","address":"127.0.0.1:9","zone":"z","slots":8,"state":"ready","born":1}`)
+		f.put(key, entryAt("127.0.0.1:9", "", ""))
 		is.Equal(len(f.process.gateway.Members.Hosts()), 1)
 	}
 }
+
+// Guards against an entry of another writer that takes an endpoint's address: it names no
+// endpoint, but the one at the address counted as gone, and got no requests.
+func TestEntryOfOtherWriterTakesNoAddress(t *testing.T) {
+	for _, tc := range []struct{ field, value string }{
+		{"service", `"inventory"`}, {"service", ""}, {"state", `"asleep"`},
+		{"version", ""}, {"version", "1"}, {"version", "null"}, {"cold_remaining_ms", ""}, {"cold_remaining_ms", `"0"`}, {"sequence", ""}, {"sequence", "1.5"},
+		{"sequence", "null"}, {"stage", "1"}, {"models", `[{"name":"m","version":1,"adapters":"a"}]`},
+	} {
+		t.Run(tc.field+" "+tc.value, func(t *testing.T) {
+			is := is.New(t)
+			f := newAnnouncedFleet(t, 1)
+			f.put("servers/odd", entryAt(f.servers[0].Listener.Addr().String(), tc.field, tc.value))
+			is.Equal(f.call().StatusCode, http.StatusOK)
+			_, listed := f.process.gateway.Members.Endpoint("odd")
+			is.True(!listed)
+		})
+	}
+}
+
+// Guards against a check of services that leaves out an endpoint which is listed before the
+// configuration that names its service.
+func TestServiceIsNamedLater(t *testing.T) {
+	is := is.New(t)
+	f := newAnnouncedFleet(t, 1)
+	f.put("servers/later", entryAt("127.0.0.1:9", "service", `"t"`))
+	is.Equal(len(f.process.gateway.Members.Service("t")), 0)
+	f.put(platform.ConfigKey, strings.Replace(strings.Replace(announcedConfig, `"version":1`, `"version":2`, 1), `"service":"s"`, `"service":"t"`, 1))
+	is.Equal(len(f.process.gateway.Members.Service("t")), 1)
+	is.Equal(len(f.process.gateway.Members.Service("s")), 1) // still listed, for the weights that it loads
+}
--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -55,7 +55,8 @@
 		id := fmt.Sprint("i-", i)
 		srv := httptest.NewServer(&platformtest.Endpoint{ID: id, Runs: runs})
 		t.Cleanup(srv.Close)
-		store.Put("servers/"+id, map[string]any{"service": "s", "address": srv.Listener.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "born": 1})
+		store.Put("servers/"+id, map[string]any{"service": "s", "address": srv.Listener.Addr().String(), "zone": "z", "version": "1", "slots": 64, "state": "ready",
+			"cold_remaining_ms": 0, "sequence": 1, "born": 1})
 	}
 	host := platform.Settings{Name: "g0", IP: "127.0.0.1", FailureDomain: "z", Region: "r", Regions: map[string]string{"z": "r"},
 		CallerAddress: testaddr.Reserve(t), ReadinessAddress: testaddr.Reserve(t), PeerAddress: testaddr.Reserve(t),
--- a/internal/gatewayd/storechanges.go
+++ b/internal/gatewayd/storechanges.go
@@ -46,7 +46,9 @@
 	}
 	current := p.gateway.Config.Current()
 	if current == nil || current.Version < c.Version {
-		p.quotas.setLimits(c.Quotas(), time.Now()) // before requests are accepted under the configuration
+		// Before requests are accepted under the configuration.
+		p.quotas.setLimits(c.Quotas(), time.Now())
+		p.gateway.Directory.NameServices(c.ServiceNames())
 	}
 	if p.gateway.Config.SetIfNewer(c) {
 		p.gateway.Directory.SetKVCapacityTokens(c.KVCapacityTokens)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -36,8 +36,8 @@
 
 // list stores the list entry of an endpoint.
 func (s *system) list(e *endpoint) {
-	s.store.Put("servers/"+e.ID, map[string]any{"service": "s", "address": e.proxy.Addr().String(), "zone": "z", "slots": endpointSlots,
-		"state": "ready", "born": e.boot.Load()})
+	s.store.Put("servers/"+e.ID, map[string]any{"service": "s", "address": e.proxy.Addr().String(), "zone": "z", "version": "1", "slots": endpointSlots,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": e.boot.Load()})
 }
 
 // endpointSlots is the number of requests that an endpoint runs at once. It leaves room for
