platform, mirror: responses of the store are read whatever their length

Cause: a response was read up to 8 MiB and the rest dropped without a word. A poll holds all changes since a revision, so its length has no bound, and the next poll asks for the same. The log shows "store lost", unexpected end of JSON input, at the same revision again and again. Two faults of the same class were behind it: the poll's timeout, and the guard that ends a poll which lacks a change for 0.5 s, both without asking whether its response is arriving.

Values that nothing here can use (over a bound, or an entry that names no endpoint) are left out at once, so that copies and messages between gateways don't carry them. The guard lets an arriving response go on, and the operator's keys are read by themselves as soon as a ping shows a change that the poll lacks.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -153,7 +153,7 @@
 	p.peers = peer.NewSet(p.record(), tracker, p.gateway.Targets, peerReceiver{p}, log)
 	p.gateway.RegionsApart = p.peers.RegionsApart
 	p.quarantine.ProbeTurn = p.probeTurn
-	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval,
+	p.mirror = mirror.New(mirror.Options{Source: p.store, PollWait: settings.PollWait, UrgentPrefix: platform.OperatorPrefix, Fallback: p.peers, Leader: p.peers, DeferRemoval: deferRemoval,
 		Retain: retainLost, OnRestore: p.onStoreRestored, OnChange: p.onStoreChange, Log: log})
 	p.gateway.Targets.UnsettledUntil = func() time.Time { return p.mirror.UnsettledUntil(hostSettings.SettleTime) }
 	p.peerServer = peer.NewServer(hostSettings.Region, p.mirror, p.gateway.Targets, p.gateway.Directory, log)
--- a/internal/gatewayd/oddentries_test.go
+++ b/internal/gatewayd/oddentries_test.go
@@ -1,15 +1,20 @@
 package gatewayd
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/platform"
+	"github.com/citrontiller/citrontiller/platform/platformtest"
 )
 
 // entryAt returns the entry of an endpoint at an address, with one field replaced, or left out if
@@ -116,3 +121,50 @@
 	is.Equal(len(f.process.gateway.Members.Service("t")), 1)
 	is.Equal(len(f.process.gateway.Members.Service("s")), 1) // still listed, for the weights that it loads
 }
+
+// Guards against large entries of another writer that keep a gateway from all later changes of
+// the store, such as a configuration or an endpoint that leaves.
+func TestLargeEntriesHideNoChange(t *testing.T) {
+	is := is.New(t)
+	const blobs, valueBytes = 9, 1 << 20
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var gateways []*gatewayProcess
+	for i := range 2 {
+		p := newProcess(Settings{PollWait: 4 * time.Second}, platform.Settings{Name: fmt.Sprint("g", i), Region: "r", StoreAddress: server.Listener.Addr().String()},
+			zap.NewNop(), func() int64 { return 0 })
+		go p.mirror.Run(ctx)
+		gateways = append(gateways, p)
+	}
+	config := func(version int) { store.Put(platform.ConfigKey, json.RawMessage(fmt.Sprintf(`{"version":%d}`, version))) }
+	inForce := func(version int64) bool {
+		return eventually(func() bool {
+			for _, p := range gateways {
+				if c := p.gateway.Config.Current(); c == nil || c.Version != version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	config(1)
+	is.True(inForce(1))
+	for i := range blobs {
+		store.Put(fmt.Sprint("servers/blob-", i), strings.Repeat("x", valueBytes))
+	}
+	config(2)
+	is.True(inForce(2))
+	late := newProcess(Settings{PollWait: 4 * time.Second}, platform.Settings{Name: "late", Region: "r", StoreAddress: server.Listener.Addr().String()},
+		zap.NewNop(), func() int64 { return 0 })
+	go late.mirror.Run(ctx)
+	gateways = append(gateways, late)
+	is.True(inForce(2)) // by a list
+	for _, p := range gateways {
+		pair, ok := p.mirror.Get("servers/blob-0")
+		is.True(ok)
+		is.Equal(len(pair.Value), 0) // isn't kept
+	}
+}
--- a/internal/gatewayd/quarantine_test.go
+++ b/internal/gatewayd/quarantine_test.go
@@ -133,7 +133,9 @@
 		gateways = append(gateways, p)
 	}
 	part := quarantine.Part{Service: "s", ID: "sound"}
-	enter := func(i int) quarantine.Decision { return gateways[i].quarantine.Enter([]quarantine.Part{part}, time.Now()) }
+	enter := func(i int) quarantine.Decision {
+		return gateways[i].quarantine.Enter([]quarantine.Part{part}, time.Now())
+	}
 	blockedBy := func(i int, blocked bool) func() bool {
 		return func() bool { return gateways[i].quarantine.IsBlocked(part, time.Now()) == blocked }
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -51,6 +51,9 @@
 	Prefix string
 	// PollWait is how long one poll waits for a change.
 	PollWait time.Duration
+	// UrgentPrefix is the prefix of keys that are read by themselves while the response to a
+	// poll takes long; empty means none.
+	UrgentPrefix string
 	// DeferRemoval reports whether a key's removal right after an outage is delayed
 	// until rejoinGrace has passed, so that its owner can write it again. Nil means
 	// that no removal is delayed.
@@ -163,6 +166,11 @@
 		m.removedFloor = r.revision // removals of keys that the copy never held are unknown
 	}
 	m.revision, m.progressedAt = r.revision, time.Now()
+	m.wake()
+}
+
+// wake wakes the callers of Since. The caller holds mu.
+func (m *Mirror) wake() {
 	close(m.updated)
 	m.updated = make(chan struct{})
 }
--- a/mirror/probe.go
+++ b/mirror/probe.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/internal/wait"
 )
@@ -25,15 +28,31 @@
 // errStalePoll means that the service has changes for which a poll gets no response.
 var errStalePoll = errors.New("poll gets no response though there are changes")
 
+// arrivals tells when a part of a long response last arrived. Its zero value is ready to use,
+// and it is safe for concurrent use.
+type arrivals struct{ lastNs atomic.Int64 }
+
+// note records that a part arrives now.
+func (a *arrivals) note() { a.lastNs.Store(time.Now().UnixNano()) }
+
+// recent reports whether a part has arrived within stalePollTimeout.
+func (a *arrivals) recent() bool {
+	return a.lastNs.Load() > time.Now().Add(-stalePollTimeout).UnixNano()
+}
+
 // guardPoll cancels a poll that will get no response, because it was sent during an
 // outage or its response was lost. Otherwise the copy would be out of date until the poll
-// times out. It returns when ctx, the poll's context, ends.
-func (m *Mirror) guardPoll(ctx context.Context, cancel context.CancelCauseFunc) {
+// times out. A poll whose response is arriving goes on. It returns when ctx, the poll's context,
+// ends.
+func (m *Mirror) guardPoll(ctx context.Context, arriving *arrivals, cancel context.CancelCauseFunc) {
 	for wait.Sleep(ctx, pollPingInterval) {
 		pingCtx, cancelPing := context.WithTimeout(ctx, pollPingTimeout)
 		rev, err := m.Source.Ping(pingCtx)
 		cancelPing()
 		if err != nil {
+			if arriving.recent() {
+				continue // the response takes up the connection to the service
+			}
 			cancel(err)
 			return
 		}
@@ -42,13 +61,43 @@
 			cancel(infra.ErrCompacted) // a restored service may give out the polled revision again
 			return
 		}
-		if rev > m.position() && wait.Sleep(ctx, stalePollTimeout) {
+		if rev <= m.position() {
+			continue
+		}
+		go m.readUrgent(ctx)
+		if !wait.Sleep(ctx, stalePollTimeout) {
+			return
+		}
+		if !arriving.recent() {
 			cancel(errStalePoll)
 			return
 		}
 	}
 }
 
+// readUrgent reads the keys under UrgentPrefix by themselves, since the response to a poll takes
+// long. Removals among them are learnt from the poll.
+func (m *Mirror) readUrgent(ctx context.Context) {
+	if m.UrgentPrefix == "" {
+		return
+	}
+	pairs, rev, err := m.Source.List(ctx, m.UrgentPrefix)
+	switch {
+	case ctx.Err() != nil:
+		return // the poll has ended
+	case err != nil:
+		m.Log.Info("urgent keys not read", zap.String("prefix", m.UrgentPrefix), zap.Error(err))
+		return
+	case infra.Era(rev) != infra.Era(m.position()):
+		return // a restored service is listed as a whole
+	}
+	var events []infra.Event
+	for _, p := range pairs {
+		events = append(events, infra.Event{Pair: p})
+	}
+	m.applyChanges(reply{source: fromUrgentList, events: events})
+}
+
 // awaitResponse pings the service until it responds, and reports false when ctx ends
 // first. A call that is sent during an outage may get no response even after its end, so
 // a ping doesn't wait for the ones before it.
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -126,8 +126,13 @@
 	}
 	pollCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go m.guardPoll(pollCtx, cancel)
-	events, rev, err := m.Source.Poll(pollCtx, m.Prefix, m.position(), longest)
+	arriving := &arrivals{}
+	go m.guardPoll(pollCtx, arriving, cancel)
+	readCtx := infra.WithProgress(pollCtx, func() {
+		arriving.note()
+		m.noteResponse()
+	})
+	events, rev, err := m.Source.Poll(readCtx, m.Prefix, m.position(), longest)
 	if cause := context.Cause(pollCtx); err != nil && cause != nil {
 		return cause
 	}
--- a/mirror/reply.go
+++ b/mirror/reply.go
@@ -15,13 +15,16 @@
 	fromPoll   source = "poll"
 	fromLeader source = "leader"
 	fromPeer   source = "peer"
+	// fromUrgentList is a list of the keys under UrgentPrefix.
+	fromUrgentList source = "urgent list"
 )
 
 // reply holds changes of the store.
 type reply struct {
 	source source
 	events []infra.Event
-	// revision is the revision up to which the changes are known.
+	// revision is the revision up to which the changes are known, 0 if only those of some keys
+	// are.
 	revision int64
 	// complete is true when events holds every key that exists.
 	complete bool
@@ -49,6 +52,11 @@
 		}
 	}
 	m.advance(r)
+	if r.revision == 0 && applied > 0 {
+		m.mu.Lock()
+		m.wake()
+		m.mu.Unlock()
+	}
 	if restored && m.OnRestore != nil {
 		m.OnRestore(m.lostPairs())
 	}
