--- a/internal/gatewayd/oddentries_test.go
+++ b/internal/gatewayd/oddentries_test.go
@@ -139,7 +139,9 @@
 		go p.mirror.Run(ctx)
 		gateways = append(gateways, p)
 	}
-	config := func(version int) { store.Put(platform.ConfigKey, json.RawMessage(fmt.Sprintf(`{"version":%d}`, version))) }
+	config := func(version int) {
+		store.Put(platform.ConfigKey, json.RawMessage(fmt.Sprintf(`{"version":%d}`, version)))
+	}
 	inForce := func(version int64) bool {
 		return eventually(func() bool {
 			for _, p := range gateways {
--- a/mirror/longresponse_test.go
+++ b/mirror/longresponse_test.go
@@ -31,6 +31,9 @@
 	cut     atomic.Int64
 }
 
+// betweenPings is a time from the start at which no ping is sent.
+const betweenPings = pollPingInterval + pollPingInterval/10
+
 // longToRead is the time that a response takes to arrive, in parts.
 const longToRead = 12 * time.Second
 
@@ -81,7 +84,9 @@
 				s := &slowLink{fakeStore: newFakeStore(), crowded: crowded}
 				s.put("op/config", "1")
 				m, stop := start(s, Options{UrgentPrefix: "op/"})
-				time.Sleep(time.Second)
+				defer synctest.Wait()
+				defer stop()
+				time.Sleep(betweenPings)
 				s.put("servers/a", "x")
 				s.put("op/config", "2")
 				time.Sleep(urgentTime)
@@ -92,8 +97,6 @@
 				is.Equal(value(m, "op/config"), "2")
 				is.Equal(value(m, "servers/a"), "x")
 				is.Equal(s.cut.Load(), int64(0))
-				stop()
-				synctest.Wait()
 			})
 		})
 	}
@@ -106,12 +109,12 @@
 		s := &slowLink{fakeStore: newFakeStore(), silent: true}
 		s.put("op/config", "1")
 		m, stop := start(s, Options{UrgentPrefix: "op/"})
-		time.Sleep(time.Second)
+		defer synctest.Wait()
+		defer stop()
+		time.Sleep(betweenPings)
 		s.put("op/config", "2")
 		time.Sleep(pollPingInterval + stalePollTimeout + 10*time.Millisecond)
 		is.Equal(s.cut.Load(), int64(1))
 		is.Equal(value(m, "op/config"), "2") // read by itself
-		stop()
-		synctest.Wait()
 	})
 }
