gateway: versions of weights are kept by model

Cause: one version was kept for an engine, the highest of its list entry and then that of each response, whatever the model. A response to the other model made the engine outdated for this one, and without requests nothing showed the opposite. The engines' reports show the new version, the route lines name "version" for each engine, and nothing is sent; so neither the rollout nor the engines are at fault.

Change: the directory keeps versions by model, with the time at which each was asked for; an older one counts only if it was asked for later. A candidate has the version of its request's model, which filters, expectations, salts and fetches use. Marks of engines that load weights are kept by model, and an engine with other models serves these meanwhile. The rollout sees the version of its model and gives an engine one order at a time. The pace begins with newer weights of any model.

--- a/gateway/check.go
+++ b/gateway/check.go
@@ -22,7 +22,7 @@
 	if x.isForeign(p, info) {
 		return x.rejectForeign(p)
 	}
-	x.g.Directory.Observe(p.endpoint.ID, info)
+	x.g.Directory.Observe(p.endpoint.ID, x.info.Model, info, p.start)
 	x.observeAnnouncements(p, info)
 	if info.NotRun {
 		p.attempt.Refused(time.Now())
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -90,7 +90,21 @@
 // snapshot returns the candidates for a request.
 func (x *exchange) snapshot(r *route.Request, members []member.Endpoint, now time.Time) []route.Endpoint {
 	local, sampled := x.g.candidates(x.service, members)
-	return x.g.Tracker.AppendSnapshot(nil, r, local, sampled, noReport, now)
+	out := x.g.Tracker.AppendSnapshot(nil, r, local, sampled, noReport, now)
+	if loading := x.g.Directory.loading(r.Model); len(loading) > 0 {
+		markLoading(out, loading)
+	}
+	return out
+}
+
+// markLoading marks the candidates that load weights of the request's model. Those without
+// another model are marked by their state already.
+func markLoading(candidates []route.Endpoint, loading map[string]bool) {
+	for i := range candidates {
+		if e := &candidates[i]; loading[e.ID] && e.State == member.Ready {
+			e.State = member.Updating
+		}
+	}
 }
 
 // reopensIn returns the time until an endpoint of the service takes requests from this
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"strconv"
 	"sync"
 	"time"
 
@@ -43,10 +42,8 @@
 	// kvCapacityTokens is the capacity of an engine's KV cache memory in tokens, by
 	// service.
 	kvCapacityTokens map[string]int64
-	// updating holds the ids of the endpoints that load weights or are about to.
-	updating map[string]bool
-	// updatingExpiry clears updating after updatingTTL.
-	updatingExpiry *time.Timer
+	// updating holds the endpoints that load weights or are about to, by model.
+	updating map[string]updatingMark
 	// prunePending is true while a call of prune is scheduled.
 	prunePending bool
 	// announcements holds what incarnations have announced. It outlives their list entries,
@@ -56,13 +53,12 @@
 	reports uint64
 }
 
-// endpointRecord is an endpoint's list entry with its last reported load and weights
-// version. The version is that of the list entry until a response or a rollout plan
-// reports another.
+// endpointRecord is an endpoint's list entry with its last reported load and the versions of
+// its weights.
 type endpointRecord struct {
 	catalog.Endpoint
-	load           Load
-	weightsVersion int64
+	load    Load
+	weights loadedWeights
 	// revision is that of the first entry that this process has seen of the incarnation at the
 	// address. Later entries of an incarnation tell nothing about its start.
 	revision int64
@@ -73,7 +69,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory(members *member.Tracker, tracker *route.Tracker, log *zap.Logger) *Directory {
 	return &Directory{members: members, tracker: tracker, log: log, endpoints: map[string]*endpointRecord{}, byAddress: addressIndex{}, unnamed: map[string]unnamedEntry{},
-		updating: map[string]bool{}, plans: map[string]rollout.Plan{}, announcements: newAnnouncements()}
+		updating: map[string]updatingMark{}, plans: map[string]rollout.Plan{}, announcements: newAnnouncements()}
 }
 
 // Put adds an endpoint or replaces its list entry. revision is the entry's
@@ -92,9 +88,10 @@
 // put is Put for an endpoint of a service that is named; the caller holds mu.
 func (d *Directory) put(e catalog.Endpoint, revision int64) {
 	old := d.endpoints[e.ID]
-	r := &endpointRecord{Endpoint: e, weightsVersion: highestVersion(e.Weights), revision: revision}
+	r := &endpointRecord{Endpoint: e, weights: listedWeights(e.Weights, time.Now()), revision: revision}
 	if old != nil && old.BootID == e.BootID {
 		r.load, r.superseded = old.load, old.superseded
+		r.weights.keepNewer(old.weights)
 		if old.Address == e.Address {
 			r.revision = old.revision
 		}
@@ -106,9 +103,9 @@
 	}
 	d.byAddress.add(e.Address, e.ID)
 	d.rememberLeaving(r)
-	if old == nil || old.State != e.State || old.BootID != e.BootID || old.weightsVersion != r.weightsVersion {
+	if old == nil || old.State != e.State || old.BootID != e.BootID || !maps.Equal(old.weights.versions, r.weights.versions) {
 		d.log.Info("endpoint", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("state", string(e.State)),
-			zap.String("address", e.Address), zap.String("boot", e.BootID), zap.Int64("weights", r.weightsVersion), zap.Int64("revision", revision))
+			zap.String("address", e.Address), zap.String("boot", e.BootID), zap.Stringer("weights", r.weights), zap.Int64("revision", revision))
 	}
 	d.publish(r)
 	d.updateSuperseded(e.Address)
@@ -151,39 +148,9 @@
 	d.schedulePrune()
 }
 
-// updatingTTL is how long endpoints stay marked as updating. The holder of the
-// rollout lock renews the mark; if it fails, the endpoints receive requests again.
-const updatingTTL = 2 * time.Second
-
-// SetUpdating sets the endpoints that load weights or are about to. They receive
-// no new requests until a later call omits them or updatingTTL has passed.
-func (d *Directory) SetUpdating(ids map[string]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.updatingExpiry != nil {
-		d.updatingExpiry.Stop()
-	}
-	if len(ids) > 0 {
-		d.updatingExpiry = time.AfterFunc(updatingTTL, func() {
-			d.log.Info("updating marks expired without renewal", zap.Int("endpoints", len(ids)))
-			d.SetUpdating(nil)
-		})
-	}
-	if maps.Equal(ids, d.updating) {
-		return
-	}
-	before := d.updating
-	d.updating = maps.Clone(ids)
-	for id, r := range d.endpoints {
-		if before[id] != ids[id] {
-			d.publish(r)
-		}
-	}
-}
-
-// Observe records the load and the weights version that a response reports for
-// its endpoint.
-func (d *Directory) Observe(id string, info ResponseInfo) {
+// Observe records the load that a response reports for its endpoint, and the version of the
+// weights of its model. requestedAt is when the request was sent.
+func (d *Directory) Observe(id, model string, info ResponseInfo, requestedAt time.Time) {
 	if !info.HasLoad && info.WeightsVersion == 0 {
 		return
 	}
@@ -197,7 +164,7 @@
 		r.load = info.Load
 	}
 	if info.WeightsVersion > 0 {
-		r.weightsVersion = info.WeightsVersion
+		r.weights.observe(model, info.WeightsVersion, requestedAt)
 	}
 	d.report(r)
 }
@@ -209,7 +176,7 @@
 	case h.State != infra.Live:
 	case r.superseded, d.announced(r.Incarnation()).leaving:
 		h.State = infra.Leaving
-	case d.updating[r.ID]:
+	case d.loadsAll(r):
 		h.State = infra.Updating
 	}
 	d.members.PutHost(h)
@@ -250,26 +217,14 @@
 	}
 	l := route.Load{
 		// Cached prompts are lost when the engine restarts or loads other weights.
-		BootID:         r.BootID + "/" + strconv.FormatInt(r.weightsVersion, 10),
-		WeightsVersion: r.weightsVersion,
-		Running:        r.load.Running, Queued: r.load.Queued, Limit: limit,
+		BootID: r.BootID + "/" + r.weights.cacheID, ModelVersions: r.weights.versions,
+		Running: r.load.Running, Queued: r.load.Queued, Limit: limit,
 		Wait:     time.Duration(float64(r.load.Queued) * queuedRequestWaitMs * slowdown * float64(time.Millisecond)),
 		Slowdown: slowdown, KVCapacityTokens: d.kvCapacityTokens[r.Service],
 	}
 	d.tracker.Report(r.ID, route.Report{Key: d.reports, Load: l}, time.Now())
 }
 
-// highestVersion returns the highest version among an engine's weights. An engine
-// with several models is updated for each; the highest version identifies its
-// cache.
-func highestVersion(weights map[string]int64) int64 {
-	var v int64
-	for _, w := range weights {
-		v = max(v, w)
-	}
-	return v
-}
-
 // Incarnation returns the listed incarnation of an endpoint, with only the id if it is
 // not listed.
 func (d *Directory) Incarnation(id string) catalog.Incarnation {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/citrontiller/citrontiller/infra"
 	"github.com/citrontiller/citrontiller/rollout"
 )
@@ -12,7 +14,7 @@
 	var out []rollout.Engine
 	for id, r := range d.endpoints {
 		if _, ok := r.Weights[model]; ok {
-			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weightsVersion, Live: r.State == infra.Live && !r.superseded && !d.announced(r.Incarnation()).leaving, Running: r.load.Running})
+			out = append(out, rollout.Engine{ID: id, Address: r.Address, WeightsVersion: r.weights.versions[model], Live: r.State == infra.Live && !r.superseded && !d.announced(r.Incarnation()).leaving, Running: r.load.Running})
 		}
 	}
 	return out
@@ -32,9 +34,9 @@
 	for _, id := range p.Updating {
 		updating[id] = true
 	}
-	d.SetUpdating(updating)
+	d.setUpdating(p.Model, updating)
 	for _, id := range p.Current {
-		d.Observe(id, ResponseInfo{WeightsVersion: p.Version})
+		d.Observe(id, p.Model, ResponseInfo{WeightsVersion: p.Version}, time.Now())
 	}
 	return true
 }
--- a/rollout/coordinator.go
+++ b/rollout/coordinator.go
@@ -40,8 +40,7 @@
 type Engine struct {
 	ID      string
 	Address string
-	// WeightsVersion is the version of the engine's weights, the highest one if it has
-	// several models.
+	// WeightsVersion is the version of the weights of the model for which the engine is listed.
 	WeightsVersion int64
 	// Live is false for an engine that is leaving.
 	Live bool
@@ -157,7 +156,7 @@
 		byID[e.ID] = e
 		version := max(e.WeightsVersion, p.doneVersion[e.ID])
 		states = append(states, order.Endpoint{ID: e.ID, State: stateOf(want.Model, min(version, want.Version)),
-			Loading: p.occupiesSlot(e.ID), Reachable: e.Live && !p.updating[e.ID] && time.Since(p.failedAt[e.ID]) > updateRetryDelay,
+			Loading: p.occupiesSlot(e.ID), Reachable: e.Live && !t.updatesAny(e.ID) && time.Since(p.failedAt[e.ID]) > updateRetryDelay,
 			Behind: want.Version - version, Load: e.Running})
 	}
 	for id := range p.doneVersion {
@@ -175,6 +174,17 @@
 	return out
 }
 
+// updatesAny reports whether an engine is being updated for any of its models: it executes one
+// order at a time. The caller holds mu.
+func (t *term) updatesAny(id string) bool {
+	for _, p := range t.models {
+		if p.updating[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // occupiesSlot reports whether an engine that is being updated occupies a slot.
 // An update that is about to finish doesn't, so that the next engine can be
 // announced meanwhile.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -372,3 +372,18 @@
 		is.Equal(required, int64(4))
 	}
 }
+
+// Guards against an order to an engine that carries out one for another of its models: it is
+// refused, and the update holds a slot that another engine could use.
+func TestEngineIsUpdatedForOneModelAtATime(t *testing.T) {
+	is := is.New(t)
+	tm := &term{Coordinator: &Coordinator{ShareDivisor: 1}, models: map[string]*progress{}}
+	engines := []Engine{{ID: "e-1", WeightsVersion: 1, Live: true}, {ID: "e-2", WeightsVersion: 1, Live: true}}
+	first := tm.selectDue(catalog.Target{Model: "alpha", Version: 2}, engines[:1])
+	is.Equal(len(first), 1)
+	second := tm.selectDue(catalog.Target{Model: "beta", Version: 2}, engines)
+	is.Equal(len(second), 1)
+	is.Equal(second[0].ID, "e-2")
+	tm.finishUpdate(catalog.Target{Model: "alpha", Version: 2}, "e-1", nil)
+	is.Equal(len(tm.selectDue(catalog.Target{Model: "beta", Version: 2}, engines)), 1)
+}
--- a/route/endpointstate.go
+++ b/route/endpointstate.go
@@ -40,8 +40,9 @@
 	rateLimiter rateLimiter
 	// pace is nil for an established endpoint.
 	pace *pace
-	// newestWeights is the newest weights version that the incarnation has reported.
-	newestWeights int64
+	// newestWeights is the newest version of each model's weights that the incarnation has
+	// reported.
+	newestWeights map[string]int64
 
 	learnedLifetime time.Duration
 	// assumedLifetime is the block lifetime from the service's policy, 0 for the
--- a/route/pacing.go
+++ b/route/pacing.go
@@ -74,13 +74,46 @@
 	}
 	switch {
 	case first, bootOf(before) != bootOf(s.load):
-		s.newestWeights = 0
+		s.newestWeights = nil
 		t.beginPace(s, PaceStarted, now)
-	case s.newestWeights > 0 && s.load.WeightsVersion > s.newestWeights:
+	case s.hasNewerWeights():
 		// A list entry may name older weights for a while.
 		t.beginPace(s, PaceWeights, now)
 	}
-	s.newestWeights = max(s.newestWeights, s.load.WeightsVersion)
+	s.noteWeights()
+}
+
+// hasNewerWeights reports whether the load names newer weights of a model than the incarnation
+// has reported before.
+func (s *endpointState) hasNewerWeights() bool {
+	for model, v := range s.load.versions() {
+		if newest := s.newestWeights[model]; newest > 0 && v > newest {
+			return true
+		}
+	}
+	return false
+}
+
+// noteWeights records the versions of the weights that the load names.
+func (s *endpointState) noteWeights() {
+	for model, v := range s.load.versions() {
+		if v <= s.newestWeights[model] {
+			continue
+		}
+		if s.newestWeights == nil {
+			s.newestWeights = map[string]int64{}
+		}
+		s.newestWeights[model] = v
+	}
+}
+
+// versions returns the versions of the weights by model; the model is empty if there is one
+// version for all.
+func (l Load) versions() map[string]int64 {
+	if l.ModelVersions == nil && l.WeightsVersion > 0 {
+		return map[string]int64{"": l.WeightsVersion}
+	}
+	return l.ModelVersions
 }
 
 // bootOf returns the part of a load's BootID that identifies the incarnation. What follows
--- a/route/route.go
+++ b/route/route.go
@@ -89,8 +89,11 @@
 	// Version is the version of the loaded weights.
 	Version string
 	// WeightsVersion is the version of the weights if versions are ordered numbers,
-	// otherwise 0.
+	// otherwise 0. In a candidate it is that of the request's model.
 	WeightsVersion int64
+	// ModelVersions holds the version of each model's weights, nil if WeightsVersion holds for
+	// all. It must not be changed.
+	ModelVersions map[string]int64
 	// Running and Queued are numbers of requests. Limit is the maximum number of
 	// concurrently running requests.
 	Running int64
@@ -110,6 +113,14 @@
 	BlockLifetime time.Duration
 }
 
+// versionOf returns the version of a model's weights, 0 if it isn't known.
+func (l Load) versionOf(model string) int64 {
+	if l.ModelVersions == nil {
+		return l.WeightsVersion
+	}
+	return l.ModelVersions[model]
+}
+
 // Endpoint is a candidate with its state at the time of the snapshot.
 type Endpoint struct {
 	member.Endpoint
--- a/route/source.go
+++ b/route/source.go
@@ -25,14 +25,14 @@
 // be wrong, and an endpoint fetches only the parts it lacks. An endpoint that served a
 // shorter level precedes home, the endpoint at which a level without recorded holders
 // is expected; home is asked for the longest shareable level. Only endpoints with the
-// same weights version as chosen are considered. members are all endpoints of the
+// same version of the model's weights as chosen are considered. members are all endpoints of the
 // service, of which only some may have been candidates.
 func (t *Tracker) Source(r *Request, members []member.Endpoint, chosen *Endpoint, home func(l prefix.Level) string, now time.Time) (Source, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := len(r.Levels) - 1; i >= 0; i-- {
 		l := r.Levels[i]
-		if m := t.latestHolder(l, members, chosen, now); m != nil {
+		if m := t.latestHolder(r.Model, l, members, chosen, now); m != nil {
 			return Source{m.ID, m.Address, l.Tokens}, true
 		}
 	}
@@ -41,7 +41,7 @@
 		return Source{}, false
 	}
 	longest := shared[len(shared)-1]
-	if m := t.eligibleSource(home(longest), members, chosen); m != nil {
+	if m := t.eligibleSource(r.Model, home(longest), members, chosen); m != nil {
 		return Source{m.ID, m.Address, longest.Tokens}, true
 	}
 	return Source{}, false
@@ -49,7 +49,7 @@
 
 // latestHolder returns the eligible member that used a level most recently, nil if
 // there is none. The caller must hold mu.
-func (t *Tracker) latestHolder(l prefix.Level, members []member.Endpoint, chosen *Endpoint, now time.Time) (best *member.Endpoint) {
+func (t *Tracker) latestHolder(model string, l prefix.Level, members []member.Endpoint, chosen *Endpoint, now time.Time) (best *member.Endpoint) {
 	holders, _ := t.placement.levels.Peek(l.Hash)
 	var at time.Time
 	for i := range holders {
@@ -57,18 +57,18 @@
 		if !h.usedAt.After(at) || h.probability(now) < minHoldProbability {
 			continue
 		}
-		if m := t.eligibleSource(h.state.id, members, chosen); m != nil {
+		if m := t.eligibleSource(model, h.state.id, members, chosen); m != nil {
 			best, at = m, h.usedAt
 		}
 	}
 	return best
 }
 
-// eligibleSource returns the member with an id if chosen may fetch from it, otherwise
-// nil. The caller must hold mu.
-func (t *Tracker) eligibleSource(id string, members []member.Endpoint, chosen *Endpoint) *member.Endpoint {
+// eligibleSource returns the member with an id if chosen may fetch parts of a model's prompts
+// from it, otherwise nil. The caller must hold mu.
+func (t *Tracker) eligibleSource(model, id string, members []member.Endpoint, chosen *Endpoint) *member.Endpoint {
 	s := t.endpoints[id]
-	if s == nil || id == chosen.ID || s.ejection > 0 || s.load.WeightsVersion != chosen.Load.WeightsVersion {
+	if s == nil || id == chosen.ID || s.ejection > 0 || s.load.versionOf(model) != chosen.Load.WeightsVersion {
 		return nil
 	}
 	for i := range members {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -153,6 +153,7 @@
 		KVUsedTokens: s.kvUsed(now), CachedTokens: s.expected(t.snapshotSeq), Residual: s.residualNow(now), TokenMs: s.backlog.currentTokenMs(),
 		Ejected: s.ejection > 0, Probe: s.ejection > 0 && !now.Before(s.probeAt), PausedFor: max(0, s.pausedUntil.Sub(now)),
 		RateLimitedFor: t.rateLimitedFor(s, m.Region, now), RateLimitUsed: s.rateLimiter.used(), RateLimited: s.rateLimiter.limited(), RTT: s.rtt}
+	e.Load.WeightsVersion = s.load.versionOf(r.Model)
 	if s.pace != nil {
 		t.applyPace(r, &e, s, now)
 	}
