gatewayd: a closed receive window is not a silent host

Cause: TCP_USER_TIMEOUT, meant for hosts that don't acknowledge data, also counts the time in which the peer's receive window is closed, though the peer answers each probe of it. The error is "connection timed out"; there is no timeout for writes, and keep-alive probes don't run while data waits to be sent.

While the window is closed and probes are answered, the timeout is off.

--- a/internal/gatewayd/connections.go
+++ b/internal/gatewayd/connections.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -44,7 +45,8 @@
 // newTransport returns a transport for endpoints that closes connections whose
 // peer stops responding. idle is how long unused connections are kept.
 func newTransport(idle time.Duration) *httpclient.Transport {
-	t := newKeepAliveTransport(idle, keepAliveInterval, keepAliveCount)
+	d := newDialer(keepAliveInterval, keepAliveCount)
+	t := newKeepAliveTransport(idle, new(windowWatch).dialer(d))
 	t.SendOnce = true // each send counts against the limits of its request
 	return t
 }
@@ -53,15 +55,19 @@
 // while it waits, so only keep-alive probes distinguish an unreachable store from
 // one without changes.
 func newStoreTransport() *httpclient.Transport {
-	return newKeepAliveTransport(storeIdleTimeout, storeProbeInterval, storeProbeCount)
+	return newKeepAliveTransport(storeIdleTimeout, newDialer(storeProbeInterval, storeProbeCount).DialContext)
 }
 
-// newKeepAliveTransport returns a transport that closes a connection after the
-// given number of unanswered keep-alive probes.
-func newKeepAliveTransport(idle, interval time.Duration, probes int) *httpclient.Transport {
-	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+// newDialer returns a dialer of connections that end when sent data stays unacknowledged for
+// unackedTimeout, or after the given number of unanswered keep-alive probes.
+func newDialer(interval time.Duration, probes int) *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: interval, Count: probes}}
-	return &httpclient.Transport{Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, IdleConnTimeout: idle,
+}
+
+// newKeepAliveTransport returns a transport with the connections of a dialer.
+func newKeepAliveTransport(idle time.Duration, dial func(ctx context.Context, network, address string) (net.Conn, error)) *httpclient.Transport {
+	return &httpclient.Transport{Transport: &http.Transport{DialContext: dial, DisableCompression: true, IdleConnTimeout: idle,
 		MaxIdleConnsPerHost: maxIdlePerHost, MaxIdleConns: 0, MaxResponseHeaderBytes: maxResponseHeaderBytes}}
 }
 
