--- a/internal/gatewayd/announced_test.go
+++ b/internal/gatewayd/announced_test.go
@@ -114,8 +114,15 @@
 // newAnnouncedGateway returns a gateway that serves other gateways and lists no endpoint.
 func newAnnouncedGateway(t *testing.T, name string) *announcedFleet {
 	t.Helper()
+	return newAnnouncedGatewayWith(t, platform.Settings{Name: name})
+}
+
+// newAnnouncedGatewayWith is newAnnouncedGateway with further settings of the host.
+func newAnnouncedGatewayWith(t *testing.T, host platform.Settings) *announcedFleet {
+	t.Helper()
+	host.Region, host.Regions, host.RetryPercent = "r", map[string]string{"z": "r"}, 100
 	p := newProcess(Settings{UsualUrgent: 2, UsualOther: 2, OverloadUrgent: 2, OverloadOther: 2, UsualOtherMax: time.Minute, OverloadOtherMax: time.Minute},
-		platform.Settings{Name: name, Region: "r", Regions: map[string]string{"z": "r"}, RetryPercent: 100}, zap.NewNop(), func() int64 { return 0 })
+		host, zap.NewNop(), func() int64 { return 0 })
 	f := &announcedFleet{t: t, process: p}
 	f.put(platform.ConfigKey, announcedConfig)
 	s := httptest.NewServer(p.gateway)
@@ -128,7 +135,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go p.servePeers(ctx, l)
-	f.peer = peer.Record{Name: name, Address: l.Addr().String(), Region: "r"}
+	f.peer = peer.Record{Name: host.Name, Address: l.Addr().String(), Region: "r"}
 	return f
 }
 
@@ -146,6 +153,12 @@
 
 // call sends a request and returns its response, whose body is closed.
 func (f *announcedFleet) call() *http.Response {
+	f.t.Helper()
+	return f.callWith(nil)
+}
+
+// callWith is call with further headers.
+func (f *announcedFleet) callWith(headers map[string]string) *http.Response {
 	f.t.Helper()
 	f.requests++
 	req, err := http.NewRequest(http.MethodGet, f.url+"/read/1", nil)
@@ -154,6 +167,9 @@
 	}
 	req.Host = "h"
 	req.Header.Set("Citrontiller-Request-Id", fmt.Sprint("r", f.requests))
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/gatewayd/models_test.go
+++ b/internal/gatewayd/models_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 
 	"github.com/citrontiller/citrontiller/platform"
 )
@@ -65,13 +64,7 @@
 
 func newModelFleet(t *testing.T, engines int) *modelFleet {
 	t.Helper()
-	p := newProcess(Settings{UsualUrgent: 2, UsualOther: 2, OverloadUrgent: 2, OverloadOther: 2, UsualOtherMax: time.Minute, OverloadOtherMax: time.Minute},
-		platform.Settings{Name: "g0", Region: "r", Regions: map[string]string{"z": "r"}, RetryPercent: 100, WeightsDeadline: modelDeadline}, zap.NewNop(), func() int64 { return 0 })
-	f := &modelFleet{announcedFleet: &announcedFleet{t: t, process: p}}
-	f.put(platform.ConfigKey, announcedConfig)
-	s := httptest.NewServer(p.gateway)
-	t.Cleanup(s.Close)
-	f.url = s.URL
+	f := &modelFleet{announcedFleet: newAnnouncedGatewayWith(t, platform.Settings{Name: "g0", WeightsDeadline: modelDeadline})}
 	for i := range engines {
 		e := &modelEngine{id: fmt.Sprint("e", i), versions: map[string]int64{"alpha": 1, "beta": 1}, salts: map[string]string{}}
 		s := httptest.NewServer(e)
@@ -106,23 +99,8 @@
 // ask sends a request of a model and returns the status.
 func (f *modelFleet) ask(model string) int {
 	f.t.Helper()
-	f.requests++
-	req, err := http.NewRequest(http.MethodGet, f.url+"/read/1", nil)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	req.Host = "h"
-	req.Header.Set("Citrontiller-Request-Id", fmt.Sprint("r", f.requests))
-	req.Header.Set("Citrontiller-Model", model)
-	req.Header.Set("Citrontiller-Token-Usage", "1460,80")
-	req.Header.Set("Citrontiller-Prompt-Prefix", "5c1e07a2:800,91bd3f06:660")
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return f.callWith(map[string]string{"Citrontiller-Model": model, "Citrontiller-Token-Usage": "1460,80",
+		"Citrontiller-Prompt-Prefix": "5c1e07a2:800,91bd3f06:660"}).StatusCode
 }
 
 // Guards against one version for all models of an engine: once that of a model had risen, the
--- a/mirror/longresponse_test.go
+++ b/mirror/longresponse_test.go
@@ -72,6 +72,17 @@
 	return slices.DeleteFunc(pairs, func(p infra.Pair) bool { return !strings.HasPrefix(p.Key, prefix) }), rev, err
 }
 
+// startUrgent runs a mirror of the store, whose urgent keys are those below op/, until a time at
+// which no ping is sent.
+func startUrgent(s Source) (m *Mirror, stop func()) {
+	m, cancel := start(s, Options{UrgentPrefix: "op/"})
+	time.Sleep(betweenPings)
+	return m, func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
 // Guards against a long response that is abandoned and asked for again, without end, since the
 // service has changes that haven't come yet, or since pings don't get through beside it; and
 // against urgent changes that wait for its end.
@@ -83,10 +94,8 @@
 				is := is.New(t)
 				s := &slowLink{fakeStore: newFakeStore(), crowded: crowded}
 				s.put("op/config", "1")
-				m, stop := start(s, Options{UrgentPrefix: "op/"})
-				defer synctest.Wait()
+				m, stop := startUrgent(s)
 				defer stop()
-				time.Sleep(betweenPings)
 				s.put("servers/a", "x")
 				s.put("op/config", "2")
 				time.Sleep(urgentTime)
@@ -108,10 +117,8 @@
 		is := is.New(t)
 		s := &slowLink{fakeStore: newFakeStore(), silent: true}
 		s.put("op/config", "1")
-		m, stop := start(s, Options{UrgentPrefix: "op/"})
-		defer synctest.Wait()
+		m, stop := startUrgent(s)
 		defer stop()
-		time.Sleep(betweenPings)
 		s.put("op/config", "2")
 		time.Sleep(pollPingInterval + stalePollTimeout + 10*time.Millisecond)
 		is.Equal(s.cut.Load(), int64(1))
