gateway: a probe counts once it has a connection

Cause: a probe was spent when its endpoint was chosen. Endpoints that have crashed are still listed, and a request that couldn't connect there was refused in place of going to the next one, since the next probe was already put off. Now a probe counts from the connection on.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,6 +111,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(conn httptrace.GotConnInfo) {
 		connected.Store(true)
 		reused.Store(conn.Reused)
+		c.pass.Sent(time.Now()) // an endpoint that can't be reached tells nothing of the prompt
 	}})
 	start, incarnation := time.Now(), x.g.Directory.Incarnation(c.endpoint.ID)
 	resp, err := x.transport().RoundTrip(x.request(ctx, c, lastEventID))
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -53,7 +53,6 @@
 		return choice{}, false
 	}
 	c.pass = x.quarantine.Pass
-	c.pass.Sent(time.Now())
 	return c, true
 }
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -221,6 +221,22 @@
 	is.Equal(crashedCount(endpoints), 2)
 }
 
+// Guards against a probe that is spent on endpoints which can't be reached, such as those that
+// have crashed and are still listed: the request must be sent to the next one.
+func TestProbeGoesToEndpointThatIsReached(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.gateway.Quarantine = quarantine.New(noObserver{})
+	for _, e := range f.addFragiles(t, maxFailedEndpoints)[1:] {
+		e.crash()
+	}
+	now := time.Now()
+	f.gateway.Quarantine.ApplyBlock(quarantine.Block{Part: quarantine.Part{Service: "s", ID: "shop"}, Until: now.Add(time.Minute),
+		ProbeAt: now, ProbeInterval: time.Minute})
+	status, _ := f.callParts(t, "/tag/1", "probe", "shop own")
+	is.Equal(status, http.StatusOK)
+}
+
 // crashBusy waits until an endpoint computes a prompt with the part "slow" and crashes it.
 func crashBusy(endpoints []*fragileEndpoint) {
 	for {
